--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+SHELL := /bin/bash
+GO ?= go
+BIN := bin
+PROGRAMS := chestnut-router chestnut-controller chestnut-admin chestnutctl chestnut-standin
+PORT_OFFSET ?= 0
+EXAMPLE ?= demo
+export PORT_OFFSET EXAMPLE
+
+.PHONY: all build test lint check bench soak demo up down generate setup clean
+
+all: build
+
+# setup fetches the modules that go.mod declares.
+setup:
+	$(GO) mod download
+
+build:
+	@mkdir -p $(BIN)
+	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
+
+test: build
+	$(GO) test -count=1 ./...
+
+lint:
+	@test -z "$$(gofmt -l api cmd internal test)" || { gofmt -l api cmd internal test; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# check is what CI runs.
+check: lint test
+
+bench:
+	@bash scripts/bench.sh
+
+demo: build
+	@bash scripts/demo.sh
+
+up: build
+	@bash scripts/up.sh
+
+down:
+	@bash scripts/down.sh
+
+# generate needs protoc (package protobuf-compiler); the results are committed.
+generate:
+	@mkdir -p $(BIN)/plugins
+	$(GO) build -o $(BIN)/plugins/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/$(BIN)/plugins:$$PATH" protoc -I . --go_out=. --go_opt=module=chestnutgauge \
+		--go-grpc_out=. --go-grpc_opt=module=chestnutgauge \
+		api/chestnutgauge/v1/chestnutgauge.proto internal/peer/peerpb/peer.proto
+
+clean:
+	rm -rf $(BIN) .run
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,238 @@
+// Package admin serves the operators' interface. It holds no state: changes go
+// to the table, and status and events are gathered from all processes.
+package admin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/config"
+	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/peer"
+)
+
+// Service implements the operators' interface.
+type Service struct {
+	pb.UnimplementedOperatorsServer
+
+	store   *config.Store
+	members *membership.Tracker
+	peers   *peer.Pool
+	events  *events.Recorder
+}
+
+// New returns a service.
+func New(store *config.Store, members *membership.Tracker, peers *peer.Pool, recorder *events.Recorder) *Service {
+	return &Service{store: store, members: members, peers: peers, events: recorder}
+}
+
+// Pages of lists.
+const (
+	defaultPage = 100
+	maxPage     = 1000
+)
+
+// CreateDeployment implements the operators' interface.
+func (s *Service) CreateDeployment(ctx context.Context, req *pb.CreateDeploymentRequest) (*pb.ChangeResponse, error) {
+	return s.change(ctx, config.Edit{
+		OperationID: req.GetOperationId(),
+		Name:        req.GetDeployment().GetName(),
+		Deployment:  req.GetDeployment(),
+		DryRun:      req.GetDryRun(),
+	})
+}
+
+// UpdateDeployment implements the operators' interface.
+func (s *Service) UpdateDeployment(ctx context.Context, req *pb.UpdateDeploymentRequest) (*pb.ChangeResponse, error) {
+	if req.GetDeployment().GetVersion() <= 0 {
+		return nil, invalid([]config.Violation{{Field: "deployment.version", Reason: "must name the version that the change was made from"}})
+	}
+	return s.change(ctx, config.Edit{
+		OperationID: req.GetOperationId(),
+		Name:        req.GetDeployment().GetName(),
+		Deployment:  req.GetDeployment(),
+		Base:        req.GetDeployment().GetVersion(),
+		DryRun:      req.GetDryRun(),
+	})
+}
+
+// DeleteDeployment implements the operators' interface.
+func (s *Service) DeleteDeployment(ctx context.Context, req *pb.DeleteDeploymentRequest) (*pb.ChangeResponse, error) {
+	return s.change(ctx, config.Edit{
+		OperationID: req.GetOperationId(),
+		Name:        req.GetName(),
+		Base:        req.GetVersion(),
+	})
+}
+
+// DrainEndpoint implements the operators' interface.
+func (s *Service) DrainEndpoint(ctx context.Context, req *pb.DrainEndpointRequest) (*pb.ChangeResponse, error) {
+	deployment, err := s.deploymentOf(ctx, req.GetEndpoint())
+	if err != nil {
+		return nil, err
+	}
+	base := deployment.GetVersion()
+	edited := proto.Clone(deployment).(*pb.Deployment)
+	for _, endpoint := range edited.GetEndpoints() {
+		if endpoint.GetName() == req.GetEndpoint() {
+			endpoint.Drained = req.GetDrained()
+		}
+	}
+	return s.change(ctx, config.Edit{OperationID: req.GetOperationId(), Name: edited.GetName(), Deployment: edited, Base: base})
+}
+
+// deploymentOf finds the deployment that an endpoint belongs to.
+func (s *Service) deploymentOf(ctx context.Context, endpoint string) (*pb.Deployment, error) {
+	after := ""
+	for {
+		page, err := s.store.List(ctx, after, maxPage)
+		if err != nil {
+			return nil, changeError(err)
+		}
+		for _, deployment := range page {
+			after = deployment.GetName()
+			for _, candidate := range deployment.GetEndpoints() {
+				if candidate.GetName() == endpoint {
+					return deployment, nil
+				}
+			}
+		}
+		if len(page) < maxPage {
+			return nil, status.Errorf(codes.NotFound, "endpoint %s does not exist", endpoint)
+		}
+	}
+}
+
+func (s *Service) change(ctx context.Context, edit config.Edit) (*pb.ChangeResponse, error) {
+	if edit.OperationID == "" || len(edit.OperationID) > 64 {
+		return nil, invalid([]config.Violation{{Field: "operation_id", Reason: "must be set, at most 64 characters"}})
+	}
+	change, err := s.store.Change(ctx, edit)
+	if err != nil {
+		return nil, changeError(err)
+	}
+	if !edit.DryRun {
+		s.events.Record(events.Event{Kind: events.ConfigChanged, ConfigVersion: change.GetVersion(), Attributes: map[string]string{"deployment": edit.Name}})
+	}
+	return &pb.ChangeResponse{Version: change.GetVersion(), Deployment: change.GetDeployment()}, nil
+}
+
+// GetDeployment implements the operators' interface.
+func (s *Service) GetDeployment(ctx context.Context, req *pb.GetDeploymentRequest) (*pb.Deployment, error) {
+	deployment, err := s.store.Get(ctx, req.GetName())
+	return deployment, changeError(err)
+}
+
+// ListDeployments implements the operators' interface.
+func (s *Service) ListDeployments(ctx context.Context, req *pb.ListDeploymentsRequest) (*pb.ListDeploymentsResponse, error) {
+	size := int(req.GetPageSize())
+	if size <= 0 {
+		size = defaultPage
+	}
+	size = min(size, maxPage)
+	deployments, err := s.store.List(ctx, req.GetPageToken(), size)
+	if err != nil {
+		return nil, changeError(err)
+	}
+	resp := &pb.ListDeploymentsResponse{Deployments: deployments}
+	if len(deployments) == size {
+		resp.NextPageToken = deployments[size-1].GetName()
+	}
+	return resp, nil
+}
+
+// changeError turns errors of the store into gRPC statuses.
+func changeError(err error) error {
+	var race *config.RaceError
+	var wrong *config.InvalidError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &race):
+		return raced(race)
+	case errors.As(err, &wrong):
+		return invalid(wrong.Violations)
+	case errors.Is(err, config.ErrNotFound):
+		return status.Error(codes.NotFound, err.Error())
+	case errors.Is(err, config.ErrExists):
+		return status.Error(codes.AlreadyExists, err.Error())
+	case errors.Is(err, config.ErrUnavailable):
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	return status.Error(codes.Internal, err.Error())
+}
+
+func raced(race *config.RaceError) error {
+	st := status.New(codes.Aborted, race.Error())
+	with, err := st.WithDetails(&pb.ChangeResponse{Version: race.Current})
+	if err != nil {
+		return st.Err()
+	}
+	return with.Err()
+}
+
+func invalid(violations []config.Violation) error {
+	detail := &errdetails.BadRequest{}
+	for _, v := range violations {
+		detail.FieldViolations = append(detail.FieldViolations, &errdetails.BadRequest_FieldViolation{Field: v.Field, Description: v.Reason})
+	}
+	st := status.New(codes.InvalidArgument, (&config.InvalidError{Violations: violations}).Error())
+	with, err := st.WithDetails(detail)
+	if err != nil {
+		return st.Err()
+	}
+	return with.Err()
+}
+
+// Times of the waiting for a version.
+const (
+	defaultWait  = 10 * time.Second
+	maxWait      = 5 * time.Minute
+	waitInterval = 100 * time.Millisecond
+)
+
+// WaitInForce implements the operators' interface.
+func (s *Service) WaitInForce(ctx context.Context, req *pb.WaitInForceRequest) (*pb.WaitInForceResponse, error) {
+	limit := defaultWait
+	if req.GetTimeout() != nil {
+		limit = min(req.GetTimeout().AsDuration(), maxWait)
+	}
+	deadline := time.Now().Add(limit)
+	for {
+		var missing []*pb.NodeStatus
+		for _, report := range s.gather(ctx) {
+			if !report.node.GetReachable() || report.node.GetVersionInForce() < req.GetVersion() {
+				missing = append(missing, report.node)
+			}
+		}
+		if len(missing) == 0 || time.Now().After(deadline) {
+			return &pb.WaitInForceResponse{InForce: len(missing) == 0, Missing: missing}, nil
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+	}
+}
+
+// sortEvents orders events by clock, and those of one process by their
+// sequence.
+func sortEvents(list []*pb.Event) {
+	slices.SortStableFunc(list, func(a, b *pb.Event) int {
+		if a.GetIncarnation() == b.GetIncarnation() {
+			return cmp.Compare(a.GetSequence(), b.GetSequence())
+		}
+		return a.GetTime().AsTime().Compare(b.GetTime().AsTime())
+	})
+}
--- /dev/null
+++ b/internal/ctl/print.go
@@ -0,0 +1,71 @@
+package ctl
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+)
+
+// timeFormat shows the events' times.
+const timeFormat = "15:04:05.000000"
+
+func printJSON(cmd *cobra.Command, message proto.Message) error {
+	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true}.Marshal(message)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(cmd.OutOrStdout(), string(text))
+	return err
+}
+
+func printStatus(cmd *cobra.Command, st *pb.Status) error {
+	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+	fmt.Fprintf(table, "HEAD VERSION\t%d\n\n", st.GetHeadVersion())
+	fmt.Fprintln(table, "NODE\tDATA CENTRE\tVERSION\tREACHABLE\tDRAINING")
+	for _, node := range st.GetNodes() {
+		fmt.Fprintf(table, "%s@%s\t%s\t%d\t%t\t%t\n", node.GetRole(), node.GetVm(), node.GetDataCentre(), node.GetVersionInForce(), node.GetReachable(), node.GetDraining())
+	}
+	fmt.Fprintln(table, "\nENDPOINT\tOWNER\tFENCE\tMEMORY\tLOADED\tLOADING\tPARKED")
+	for _, e := range st.GetEndpoints() {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d/%d\t%s\t%s\t%s\n", e.GetName(), e.GetOwner(), e.GetFence(), e.GetMemoryUsedBytes(), e.GetMemoryTotalBytes(),
+			strings.Join(e.GetLoaded(), ","), strings.Join(e.GetLoading(), ","), strings.Join(e.GetParked(), ","))
+	}
+	return table.Flush()
+}
+
+func printTimeline(cmd *cobra.Command, resp *pb.GetTimelineResponse) error {
+	out := cmd.OutOrStdout()
+	for _, event := range resp.GetEvents() {
+		fields := []string{event.GetTime().AsTime().Format(timeFormat), event.GetProcess(), event.GetKind()}
+		add := func(key, value string) {
+			if value != "" && value != "0" {
+				fields = append(fields, key+"="+value)
+			}
+		}
+		add("request_id", event.GetRequestId())
+		add("model", event.GetModel())
+		add("endpoint", event.GetEndpoint())
+		add("fence", fmt.Sprint(event.GetFence()))
+		add("config_version", fmt.Sprint(event.GetConfigVersion()))
+		for _, key := range slices.Sorted(maps.Keys(event.GetAttributes())) {
+			add(key, event.GetAttributes()[key])
+		}
+		if _, err := fmt.Fprintln(out, strings.Join(fields, " ")); err != nil {
+			return err
+		}
+	}
+	for _, gap := range resp.GetGaps() {
+		if _, err := fmt.Fprintf(out, "gap process=%s reason=%q\n", gap.GetProcess(), gap.GetReason()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/deployfile/deployfile.go
@@ -0,0 +1,43 @@
+// Package deployfile reads a deployment from a TOML or JSON file in the form
+// of the operators' schema.
+package deployfile
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+)
+
+// Read reads a deployment. The keys of a TOML file are those of the schema's
+// JSON form.
+func Read(file string) (*pb.Deployment, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	if filepath.Ext(file) == ".toml" {
+		if data, err = toJSON(data); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	deployment := &pb.Deployment{}
+	if err := protojson.Unmarshal(data, deployment); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return deployment, nil
+}
+
+func toJSON(data []byte) ([]byte, error) {
+	var tree map[string]any
+	if err := toml.NewDecoder(bytes.NewReader(data)).Decode(&tree); err != nil {
+		return nil, err
+	}
+	return json.Marshal(tree)
+}
--- /dev/null
+++ b/internal/endpoints/watcher.go
@@ -0,0 +1,92 @@
+package endpoints
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/peer"
+	"chestnutgauge/internal/peer/peerpb"
+)
+
+// Times of the watcher.
+const (
+	memberInterval = 500 * time.Millisecond
+	retryInterval  = 300 * time.Millisecond
+)
+
+// Watcher keeps a stream from each controller of the data centre.
+type Watcher struct {
+	directory  *Directory
+	members    *membership.Tracker
+	peers      *peer.Pool
+	dataCentre string
+	self       string
+	log        *slog.Logger
+}
+
+// NewWatcher returns a watcher that fills directory. self names the process
+// to the controllers.
+func NewWatcher(directory *Directory, members *membership.Tracker, peers *peer.Pool, dataCentre, self string, log *slog.Logger) *Watcher {
+	return &Watcher{directory, members, peers, dataCentre, self, log}
+}
+
+// Run keeps the streams until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	streams := map[membership.Member]context.CancelFunc{}
+	for {
+		live := map[membership.Member]bool{}
+		for _, member := range w.members.Members(membership.RoleController, w.dataCentre) {
+			member.Leaving = false
+			live[member] = true
+			if streams[member] == nil {
+				streamCtx, cancel := context.WithCancel(ctx)
+				streams[member] = cancel
+				go w.follow(streamCtx, member)
+			}
+		}
+		for member, cancel := range streams {
+			if !live[member] {
+				cancel()
+				delete(streams, member)
+			}
+		}
+		select {
+		case <-time.After(memberInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// follow reads one controller's deltas and reconnects when the stream breaks.
+func (w *Watcher) follow(ctx context.Context, member membership.Member) {
+	for ctx.Err() == nil {
+		err := w.stream(ctx, member)
+		w.log.Debug("endpoint stream ended", "controller", member.Name(), "error", err)
+		select {
+		case <-time.After(retryInterval):
+		case <-ctx.Done():
+		}
+	}
+	w.directory.Forget(member.Name())
+}
+
+func (w *Watcher) stream(ctx context.Context, member membership.Member) error {
+	client, err := w.peers.Controller(member.Address)
+	if err != nil {
+		return err
+	}
+	stream, err := client.WatchEndpoints(ctx, &peerpb.WatchEndpointsRequest{Router: w.self})
+	if err != nil {
+		return err
+	}
+	for {
+		delta, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		w.directory.Apply(member.Name(), delta)
+	}
+}
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,163 @@
+// Package events records what a process does as a bounded ring of events, each
+// also logged as one line. The ring is the process's share of the time line.
+package events
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+)
+
+// Kind is the kind of an event.
+type Kind string
+
+// Kinds of events.
+const (
+	ProcessStarted    Kind = "process_started"
+	ProcessDraining   Kind = "process_draining"
+	ConfigApplied     Kind = "config_applied"
+	ConfigChanged     Kind = "config_changed"
+	RequestReceived   Kind = "request_received"
+	RequestDispatched Kind = "request_dispatched"
+	RequestFirstToken Kind = "request_first_token"
+	RequestAnswered   Kind = "request_answered"
+	RequestRefused    Kind = "request_refused"
+	RequestRetried    Kind = "request_retried"
+	RequestResumed    Kind = "request_resumed"
+	RequestClaimed    Kind = "request_claimed"
+	EndpointTaken     Kind = "endpoint_taken"
+	EndpointReleased  Kind = "endpoint_released"
+	EndpointLost      Kind = "endpoint_lost"
+	EndpointLeaving   Kind = "endpoint_leaving"
+	EndpointCrashed   Kind = "endpoint_crashed"
+	SlotBound         Kind = "slot_bound"
+	SlotFreed         Kind = "slot_freed"
+	LoadOrdered       Kind = "load_ordered"
+	LoadEnded         Kind = "load_ended"
+	UnloadOrdered     Kind = "unload_ordered"
+	UnloadEnded       Kind = "unload_ended"
+)
+
+// Event is one thing to record. Empty fields are left out.
+type Event struct {
+	Kind          Kind
+	RequestID     string
+	Model         string
+	Endpoint      string
+	Fence         int64
+	ConfigVersion int64
+	Attributes    map[string]string
+}
+
+// Recorder keeps the newest events of a process.
+type Recorder struct {
+	process     string
+	incarnation string
+	log         *slog.Logger
+
+	mu       sync.Mutex
+	ring     []*pb.Event
+	sequence int64
+}
+
+// NewRecorder returns a recorder for the process, named role@vm, that keeps
+// size events.
+func NewRecorder(process string, size int, log *slog.Logger) *Recorder {
+	return &Recorder{
+		process:     process,
+		incarnation: uuid.NewString(),
+		log:         log,
+		ring:        make([]*pb.Event, size),
+	}
+}
+
+// Process returns the name of the process.
+func (r *Recorder) Process() string {
+	return r.process
+}
+
+// Incarnation returns the identity of this life of the process.
+func (r *Recorder) Incarnation() string {
+	return r.incarnation
+}
+
+// Record keeps and logs an event.
+func (r *Recorder) Record(event Event) {
+	r.mu.Lock()
+	r.sequence++
+	recorded := &pb.Event{
+		Time:          timestamppb.New(time.Now()),
+		Process:       r.process,
+		Incarnation:   r.incarnation,
+		Sequence:      r.sequence,
+		Kind:          string(event.Kind),
+		RequestId:     event.RequestID,
+		Model:         event.Model,
+		Endpoint:      event.Endpoint,
+		Fence:         event.Fence,
+		ConfigVersion: event.ConfigVersion,
+		Attributes:    event.Attributes,
+	}
+	r.ring[r.sequence%int64(len(r.ring))] = recorded
+	r.mu.Unlock()
+	r.log.Info(string(event.Kind), attrs(event)...)
+}
+
+func attrs(event Event) []any {
+	var out []any
+	add := func(key string, value any, set bool) {
+		if set {
+			out = append(out, key, value)
+		}
+	}
+	add("request_id", event.RequestID, event.RequestID != "")
+	add("model", event.Model, event.Model != "")
+	add("endpoint", event.Endpoint, event.Endpoint != "")
+	add("fence", event.Fence, event.Fence != 0)
+	add("config_version", event.ConfigVersion, event.ConfigVersion != 0)
+	for _, key := range slices.Sorted(maps.Keys(event.Attributes)) {
+		out = append(out, key, event.Attributes[key])
+	}
+	return out
+}
+
+// Select returns the kept events that match the filter, oldest first, and the
+// number of events that the ring has dropped.
+func (r *Recorder) Select(filter *pb.GetTimelineRequest) ([]*pb.Event, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	dropped := max(0, r.sequence-int64(len(r.ring)))
+	var out []*pb.Event
+	for sequence := dropped + 1; sequence <= r.sequence; sequence++ {
+		event := r.ring[sequence%int64(len(r.ring))]
+		if Matches(event, filter) {
+			out = append(out, event)
+		}
+	}
+	return out, dropped
+}
+
+// Matches reports whether an event passes the filter.
+func Matches(event *pb.Event, filter *pb.GetTimelineRequest) bool {
+	at := event.GetTime().AsTime()
+	switch {
+	case filter.GetRequestId() != "" && filter.GetRequestId() != event.GetRequestId():
+		return false
+	case filter.GetModel() != "" && filter.GetModel() != event.GetModel():
+		return false
+	case filter.GetEndpoint() != "" && filter.GetEndpoint() != event.GetEndpoint():
+		return false
+	case filter.GetStart() != nil && at.Before(filter.GetStart().AsTime()):
+		return false
+	case filter.GetEnd() != nil && at.After(filter.GetEnd().AsTime()):
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,86 @@
+// Package node serves what every process offers its peers: its configuration
+// version and changes, its events and its status.
+package node
+
+import (
+	"context"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/config"
+	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/peer/peerpb"
+)
+
+// Status tells what a process holds, besides what the service knows itself.
+type Status func() *peerpb.GetNodeStatusResponse
+
+// Service implements peerpb.NodeServer.
+type Service struct {
+	peerpb.UnimplementedNodeServer
+
+	VM         string
+	Role       string
+	DataCentre string
+	Config     *config.Follower
+	Events     *events.Recorder
+	// Status adds to the node's status. It may be nil.
+	Status Status
+	// Draining tells whether the process is shutting down.
+	Draining func() bool
+}
+
+// Heartbeat implements peerpb.NodeServer.
+func (s *Service) Heartbeat(context.Context, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return &peerpb.HeartbeatResponse{
+		ConfigVersion: s.Config.Current().Version,
+		Draining:      s.Draining(),
+		Incarnation:   s.Events.Incarnation(),
+	}, nil
+}
+
+// GetChanges implements peerpb.NodeServer.
+func (s *Service) GetChanges(_ context.Context, req *peerpb.GetChangesRequest) (*peerpb.GetChangesResponse, error) {
+	changes, ok := s.Config.After(req.GetAfterVersion())
+	current := s.Config.Current()
+	if ok {
+		return &peerpb.GetChangesResponse{Version: current.Version, Changes: changes}, nil
+	}
+	resp := &peerpb.GetChangesResponse{Snapshot: true, Version: current.Version}
+	for _, deployment := range current.Deployments() {
+		resp.Changes = append(resp.Changes, &pb.DeploymentChange{
+			Version:    deployment.GetVersion(),
+			Name:       deployment.GetName(),
+			Deployment: deployment,
+		})
+	}
+	return resp, nil
+}
+
+// GetEvents implements peerpb.NodeServer.
+func (s *Service) GetEvents(_ context.Context, req *peerpb.GetEventsRequest) (*peerpb.GetEventsResponse, error) {
+	selected, dropped := s.Events.Select(req.GetFilter())
+	return &peerpb.GetEventsResponse{
+		Events:      selected,
+		Process:     s.Events.Process(),
+		Incarnation: s.Events.Incarnation(),
+		Dropped:     dropped,
+	}, nil
+}
+
+// GetNodeStatus implements peerpb.NodeServer.
+func (s *Service) GetNodeStatus(context.Context, *peerpb.GetNodeStatusRequest) (*peerpb.GetNodeStatusResponse, error) {
+	resp := &peerpb.GetNodeStatusResponse{}
+	if s.Status != nil {
+		resp = s.Status()
+	}
+	if resp.Node == nil {
+		resp.Node = &pb.NodeStatus{}
+	}
+	resp.Node.Vm = s.VM
+	resp.Node.Role = s.Role
+	resp.Node.DataCentre = s.DataCentre
+	resp.Node.VersionInForce = s.Config.Current().Version
+	resp.Node.Reachable = true
+	resp.Node.Draining = s.Draining()
+	return resp, nil
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,102 @@
+// Package outcome defines how a request that was not answered ended, in the
+// terms that callers are told.
+package outcome
+
+import (
+	"net/http"
+	"time"
+)
+
+// Run tells whether a caller's request ran, over all tries under its
+// idempotency key.
+type Run string
+
+// Values of Run.
+const (
+	// NotRun means that no try ran, and none will.
+	NotRun Run = "not_run"
+	// Ran means that a try ran.
+	Ran Run = "ran"
+	// Unknown means that a try may have run.
+	Unknown Run = "unknown"
+)
+
+// Reason names why a request was not answered. It is the error's code for
+// callers.
+type Reason string
+
+// Reasons.
+const (
+	ReasonBadRequest     Reason = "bad_request"
+	ReasonUnknownModel   Reason = "unknown_model"
+	ReasonUnknownService Reason = "unknown_service"
+	ReasonForbidden      Reason = "forbidden"
+	ReasonMissingKey     Reason = "missing_idempotency_key"
+	ReasonKeyReused      Reason = "idempotency_key_reused"
+	ReasonInProgress     Reason = "in_progress"
+	ReasonQueueFull      Reason = "queue_full"
+	ReasonTooLate        Reason = "deadline_too_short"
+	ReasonDeadline       Reason = "deadline_exceeded"
+	ReasonNoReplica      Reason = "no_replica"
+	ReasonNoEndpoint     Reason = "no_endpoint"
+	ReasonTableAway      Reason = "table_unavailable"
+	ReasonCrashes        Reason = "crashes_endpoints"
+	ReasonBroken         Reason = "answer_broken"
+	ReasonDraining       Reason = "draining"
+	ReasonNotReady       Reason = "not_ready"
+)
+
+var statusByReason = map[Reason]int{
+	ReasonBadRequest:     http.StatusBadRequest,
+	ReasonUnknownModel:   http.StatusNotFound,
+	ReasonUnknownService: http.StatusNotFound,
+	ReasonForbidden:      http.StatusForbidden,
+	ReasonMissingKey:     http.StatusBadRequest,
+	ReasonKeyReused:      http.StatusUnprocessableEntity,
+	ReasonInProgress:     http.StatusConflict,
+	ReasonQueueFull:      http.StatusTooManyRequests,
+	ReasonTooLate:        http.StatusServiceUnavailable,
+	ReasonDeadline:       http.StatusGatewayTimeout,
+	ReasonNoReplica:      http.StatusServiceUnavailable,
+	ReasonNoEndpoint:     http.StatusServiceUnavailable,
+	ReasonTableAway:      http.StatusServiceUnavailable,
+	ReasonCrashes:        http.StatusUnprocessableEntity,
+	ReasonBroken:         http.StatusBadGateway,
+	ReasonDraining:       http.StatusServiceUnavailable,
+	ReasonNotReady:       http.StatusServiceUnavailable,
+}
+
+// Error is the end of a request that was not answered in full.
+type Error struct {
+	Reason  Reason
+	Run     Run
+	Message string
+	// Field names the wrong field of a bad request.
+	Field string
+	// RetryAfter tells the caller when a repeat may succeed. 0 means that it
+	// is not worth it, or not known.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return string(e.Reason) + " (" + string(e.Run) + "): " + e.Message
+}
+
+// Status returns the HTTP status for callers.
+func (e *Error) Status() int {
+	if status, ok := statusByReason[e.Reason]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Refuse returns an error for a request that did not run.
+func Refuse(reason Reason, message string) *Error {
+	return &Error{Reason: reason, Run: NotRun, Message: message}
+}
+
+// BadField returns an error for a wrong field.
+func BadField(field, message string) *Error {
+	return &Error{Reason: ReasonBadRequest, Run: NotRun, Field: field, Message: message}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,95 @@
+// Package peer keeps the gRPC connections between the system's own
+// processes.
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"chestnutgauge/internal/peer/peerpb"
+)
+
+// Keep-alive of connections between processes: a connection that has gone
+// silent is found within keepAliveTime + keepAliveTimeout.
+const (
+	keepAliveTime    = 10 * time.Second
+	keepAliveTimeout = 3 * time.Second
+	maxBackoff       = time.Second
+)
+
+// Pool shares one connection per address.
+type Pool struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool. The options are added to those of every
+// connection.
+func NewPool(options ...grpc.DialOption) *Pool {
+	return &Pool{options: options, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Conn returns the connection to address. It connects when first used.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	options := append([]grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
+			MinConnectTimeout: time.Second,
+		}),
+	}, p.options...)
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Controller returns a client of the controller at address.
+func (p *Pool) Controller(address string) (peerpb.ControllerClient, error) {
+	conn, err := p.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewControllerClient(conn), nil
+}
+
+// Node returns a client of the process at address.
+func (p *Pool) Node(address string) (peerpb.NodeClient, error) {
+	conn, err := p.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewNodeClient(conn), nil
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+// NewServer returns a gRPC server for peers.
+func NewServer() *grpc.Server {
+	return grpc.NewServer(
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
+	)
+}
--- /dev/null
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -0,0 +1,192 @@
+// Package httpplatform is the HTTP adapter of package platform.
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"chestnutgauge/internal/platform"
+)
+
+// callTimeout bounds one call to the platform whose context has no earlier
+// deadline.
+const callTimeout = 2 * time.Second
+
+// Client implements the interfaces of package platform over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the platform at address, a host:port.
+func New(address string) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &Client{
+		base: "http://" + address,
+		http: &http.Client{Transport: transport, Timeout: callTimeout},
+	}
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+	var row platform.Row
+	err := c.read(ctx, "/table/row?key="+url.QueryEscape(key), &row)
+	return row, err
+}
+
+// Scan implements platform.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+		"limit":  {strconv.Itoa(limit)},
+	}
+	var rows []platform.Row
+	err := c.read(ctx, "/table/rows?"+query.Encode(), &rows)
+	return rows, err
+}
+
+// CommitReply is the answer to a transaction.
+type CommitReply struct {
+	Version   int64    `json:"version,omitempty"`
+	Conflicts []string `json:"conflicts,omitempty"`
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return 0, fmt.Errorf("%w: encode transaction: %v", platform.ErrUnavailable, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/table/commit", bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, writeError(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return 0, platform.ErrUnavailable
+	}
+	var reply CommitReply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return 0, fmt.Errorf("%w: %v", platform.ErrUnknown, err)
+	}
+	if resp.StatusCode == http.StatusConflict {
+		return 0, &platform.ConflictError{Keys: reply.Conflicts}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("%w: status %d", platform.ErrUnknown, resp.StatusCode)
+	}
+	return reply.Version, nil
+}
+
+// Put implements platform.Objects.
+func (c *Client) Put(ctx context.Context, key string, data []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+"/objects?key="+url.QueryEscape(key), bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return writeError(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, resp.StatusCode)
+	}
+	return nil
+}
+
+// Objects returns the object store of the platform.
+func (c *Client) Objects() platform.Objects {
+	return objects{c}
+}
+
+type objects struct {
+	*Client
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
+	resp, err := o.get(ctx, "/objects?key="+url.QueryEscape(key))
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	return data, nil
+}
+
+// Limits implements platform.Weights.
+func (c *Client) Limits(ctx context.Context) (platform.WeightLimits, error) {
+	var limits platform.WeightLimits
+	err := c.read(ctx, "/weights", &limits)
+	return limits, err
+}
+
+// List implements platform.Membership.
+func (c *Client) List(ctx context.Context) ([]platform.VM, error) {
+	var vms []platform.VM
+	err := c.read(ctx, "/membership", &vms)
+	return vms, err
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	resp, err := c.get(ctx, path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+		return fmt.Errorf("%w: decode %s: %v", platform.ErrUnavailable, path, err)
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return nil, platform.ErrNotFound
+	}
+	return nil, fmt.Errorf("%w: status %d", platform.ErrUnavailable, resp.StatusCode)
+}
+
+// writeError turns a transport error of a write into one of package platform:
+// without a connection nothing was sent, after that the outcome is open.
+func writeError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %v", platform.ErrUnknown, err)
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,213 @@
+// Package process holds what the daemons share: the command line, the common
+// parts wired from the settings, and the order of start and shutdown.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc"
+
+	"chestnutgauge/internal/config"
+	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/node"
+	"chestnutgauge/internal/opshttp"
+	"chestnutgauge/internal/peer"
+	"chestnutgauge/internal/peer/peerpb"
+	"chestnutgauge/internal/platform/httpplatform"
+	"chestnutgauge/internal/settings"
+	"chestnutgauge/internal/supervise"
+)
+
+// Version is the version of the programs.
+const Version = "0.1.0"
+
+// Command returns the command line of a daemon. run gets the path of the
+// settings; with check it only checks them.
+func Command(use, short string, run func(ctx context.Context, file string, check bool) error) *cobra.Command {
+	var file string
+	var check bool
+	cmd := &cobra.Command{
+		Use:           use,
+		Short:         short,
+		Version:       versionText(),
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		Example: fmt.Sprintf("  %s --config /etc/chestnutgauge/%s.toml\n  %s --config %s.toml --check",
+			use, use, use, use),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), file, check)
+		},
+	}
+	cmd.Flags().StringVar(&file, "config", "", "settings file (TOML)")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+func versionText() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Version
+	}
+	return Version + " " + info.GoVersion
+}
+
+// Main runs a command until it ends or a signal asks for shutdown. A second
+// signal ends the process at once.
+func Main(cmd *cobra.Command) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, cmd.Name()+": "+err.Error())
+		os.Exit(1)
+	}
+}
+
+// NewLog returns a logger that writes one key=value line per event.
+func NewLog(level string) *slog.Logger {
+	var parsed slog.Level
+	if err := parsed.UnmarshalText([]byte(level)); err != nil {
+		parsed = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: parsed}))
+}
+
+// Parts are what every daemon has.
+type Parts struct {
+	Node     settings.Node
+	Role     membership.Role
+	Log      *slog.Logger
+	Events   *events.Recorder
+	Platform *httpplatform.Client
+	Store    *config.Store
+	Config   *config.Follower
+	Members  *membership.Tracker
+	Peers    *peer.Pool
+	// Server is the gRPC server for peers.
+	Server *grpc.Server
+	Tree   *supervise.Tree
+
+	draining atomic.Bool
+}
+
+// NewParts wires the common parts.
+func NewParts(role membership.Role, nodeSettings settings.Node, platformSettings settings.Platform) *Parts {
+	log := NewLog(nodeSettings.LogLevel).With("process", string(role)+"@"+nodeSettings.VM)
+	recorder := events.NewRecorder(string(role)+"@"+nodeSettings.VM, nodeSettings.EventRing, log)
+	client := httpplatform.New(platformSettings.Address)
+	store := config.NewStore(client)
+	p := &Parts{
+		Node:     nodeSettings,
+		Role:     role,
+		Log:      log,
+		Events:   recorder,
+		Platform: client,
+		Store:    store,
+		Config:   config.NewFollower(store, recorder, log),
+		Members:  membership.NewTracker(client, log),
+		Peers:    peer.NewPool(),
+		Server:   peer.NewServer(),
+		Tree:     supervise.New(string(role), log),
+	}
+	supervise.Add(p.Tree, "config", p.Config.Run)
+	supervise.Add(p.Tree, "membership", p.Members.Run)
+	return p
+}
+
+// Draining reports whether the process is shutting down.
+func (p *Parts) Draining() bool {
+	return p.draining.Load()
+}
+
+// Hooks are what a daemon adds to the common life of a process.
+type Hooks struct {
+	// Status adds to the node's status. It may be nil.
+	Status node.Status
+	// Ready tells whether the process is ready.
+	Ready opshttp.Ready
+	// Drain is called at the start of a graceful shutdown and returns once the
+	// process may end. ctx ends at the limit of the settings. It may be nil.
+	Drain func(ctx context.Context)
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (p *Parts) Run(ctx context.Context, hooks Hooks) error {
+	peerpb.RegisterNodeServer(p.Server, &node.Service{
+		VM:         p.Node.VM,
+		Role:       string(p.Role),
+		DataCentre: p.Node.DataCentre,
+		Config:     p.Config,
+		Events:     p.Events,
+		Status:     hooks.Status,
+		Draining:   p.Draining,
+	})
+	listener, err := net.Listen("tcp", p.Node.PeerListen)
+	if err != nil {
+		return fmt.Errorf("node.peer_listen: %w", err)
+	}
+	go func() {
+		if err := p.Server.Serve(listener); err != nil {
+			p.Log.Error("peer server ended", "error", err)
+		}
+	}()
+	ready := func() (bool, string) {
+		if p.Draining() {
+			return false, "draining"
+		}
+		return hooks.Ready()
+	}
+	supervise.Add(p.Tree, "ops", func(ctx context.Context) error {
+		return opshttp.Serve(ctx, p.Node.OpsListen, opshttp.Handler(ready))
+	})
+	p.Events.Record(events.Event{Kind: events.ProcessStarted})
+	lifeCtx, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	done := p.Tree.ServeBackground(lifeCtx)
+	<-ctx.Done()
+	p.shutDown(ctx, hooks)
+	end()
+	<-done
+	return nil
+}
+
+func (p *Parts) shutDown(ctx context.Context, hooks Hooks) {
+	p.draining.Store(true)
+	p.Events.Record(events.Event{Kind: events.ProcessDraining})
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.Node.ShutdownLimit.Std())
+	defer cancel()
+	if hooks.Drain != nil {
+		hooks.Drain(limit)
+	}
+	p.Server.Stop()
+	p.Peers.Close()
+}
+
+// ServeHTTP serves handler at address until ctx ends. It returns the server
+// so that a drain can shut it down.
+func (p *Parts) ServeHTTP(name, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.Log.Error("server ended", "server", name, "error", err)
+		}
+	}()
+	return server, nil
+}
--- /dev/null
+++ b/internal/router/answer.go
@@ -0,0 +1,256 @@
+package router
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/outcome"
+)
+
+// errorBody is the body of an answer that is an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      outcome.Reason `json:"code"`
+	Message   string         `json:"message"`
+	Field     string         `json:"field,omitempty"`
+	Run       outcome.Run    `json:"run"`
+	RequestID string         `json:"request_id,omitempty"`
+}
+
+// asOutcome turns any error into one for callers. One that is not typed says
+// nothing about the run, so the run is unknown.
+func asOutcome(err error) *outcome.Error {
+	var known *outcome.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error()}
+}
+
+func detail(requestID string, e *outcome.Error) errorDetail {
+	return errorDetail{Code: e.Reason, Message: e.Message, Field: e.Field, Run: e.Run, RequestID: requestID}
+}
+
+// writeError answers with an error.
+func writeError(w http.ResponseWriter, requestID string, err error) {
+	e := asOutcome(err)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerRun, string(e.Run))
+	if requestID != "" {
+		header.Set(headerRequestID, requestID)
+	}
+	if e.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status())
+	_ = json.NewEncoder(w).Encode(errorBody{Error: detail(requestID, e)})
+}
+
+// completion is the body of a whole answer.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   usage              `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int           `json:"index"`
+	Message      answerMessage `json:"message"`
+	FinishReason string        `json:"finish_reason"`
+}
+
+type answerMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// completionChunk is the data of one event of a streamed answer.
+type completionChunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Index        int        `json:"index"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Content string `json:"content"`
+}
+
+// sink takes an answer as it comes.
+type sink interface {
+	// start is called once before the first chunk, with the endpoint that
+	// answers.
+	start(requestID, endpoint string)
+	// chunk takes the next chunk. An error means that the caller has gone.
+	chunk(engine.Chunk) error
+	// started reports whether anything was sent to the caller.
+	started() bool
+	// end finishes a whole answer.
+	end() error
+	// fail tells the caller of an error.
+	fail(err error)
+}
+
+// wholeSink gathers the answer and sends it at the end.
+type wholeSink struct {
+	w         http.ResponseWriter
+	call      *chatCall
+	requestID string
+	endpoint  string
+	text      strings.Builder
+	tokens    int
+	finish    string
+}
+
+func (s *wholeSink) start(requestID, endpoint string) {
+	s.requestID, s.endpoint = requestID, endpoint
+	s.text.Reset()
+	s.tokens = 0
+}
+
+func (s *wholeSink) chunk(chunk engine.Chunk) error {
+	s.text.WriteString(chunk.Text)
+	s.tokens += chunk.Tokens
+	s.finish = chunk.FinishReason
+	return nil
+}
+
+func (s *wholeSink) started() bool {
+	return false
+}
+
+func (s *wholeSink) body() ([]byte, error) {
+	return json.Marshal(completion{
+		ID:      s.call.id,
+		Object:  "chat.completion",
+		Created: time.Now().Unix(),
+		Model:   s.call.name,
+		Choices: []completionChoice{{
+			Message:      answerMessage{Role: "assistant", Content: s.text.String()},
+			FinishReason: s.finish,
+		}},
+		Usage: usage{CompletionTokens: s.tokens},
+	})
+}
+
+func (s *wholeSink) end() error {
+	body, err := s.body()
+	if err != nil {
+		return err
+	}
+	writeKept(s.w, s.call.id, http.StatusOK, "application/json", body)
+	return nil
+}
+
+func (s *wholeSink) fail(err error) {
+	writeError(s.w, s.call.id, err)
+}
+
+// writeKept writes a whole answer that ran.
+func writeKept(w http.ResponseWriter, requestID string, status int, contentType string, body []byte) {
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set(headerRequestID, requestID)
+	w.Header().Set(headerRun, string(outcome.Ran))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// streamSink sends each chunk as a server-sent event.
+type streamSink struct {
+	w         http.ResponseWriter
+	call      *chatCall
+	requestID string
+	endpoint  string
+	begun     bool
+	created   int64
+}
+
+func (s *streamSink) start(requestID, endpoint string) {
+	s.requestID, s.endpoint = requestID, endpoint
+}
+
+func (s *streamSink) started() bool {
+	return s.begun
+}
+
+func (s *streamSink) open() {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.created = time.Now().Unix()
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set(headerRequestID, s.call.id)
+	header.Set(headerEndpoint, s.endpoint)
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamSink) chunk(chunk engine.Chunk) error {
+	s.open()
+	choice := chunkChoice{Delta: chunkDelta{Content: chunk.Text}}
+	if chunk.Done {
+		choice.FinishReason = &chunk.FinishReason
+	}
+	data, err := json.Marshal(completionChunk{
+		ID: s.call.id, Object: "chat.completion.chunk", Created: s.created,
+		Model: s.call.name, Choices: []chunkChoice{choice},
+	})
+	if err != nil {
+		return err
+	}
+	id := eventID{requestID: s.requestID, endpoint: s.endpoint, offset: chunk.Offset + chunk.Tokens}
+	return s.send(fmt.Sprintf("id: %s\ndata: %s\n\n", id, data))
+}
+
+func (s *streamSink) send(event string) error {
+	if _, err := s.w.Write([]byte(event)); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (s *streamSink) end() error {
+	s.open()
+	return s.send("data: [DONE]\n\n")
+}
+
+// fail sends the error as an event once the stream has begun. The stream then
+// ends without [DONE].
+func (s *streamSink) fail(err error) {
+	if !s.begun {
+		writeError(s.w, s.call.id, err)
+		return
+	}
+	data, encodeErr := json.Marshal(errorBody{Error: detail(s.call.id, asOutcome(err))})
+	if encodeErr != nil {
+		return
+	}
+	_ = s.send(fmt.Sprintf("event: error\ndata: %s\n\n", data))
+}
--- /dev/null
+++ b/internal/router/routerd/routerd.go
@@ -0,0 +1,98 @@
+// Package routerd wires chestnut-router from its settings.
+package routerd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"chestnutgauge/internal/claim"
+	"chestnutgauge/internal/endpoints"
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/engine/httpengine"
+	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/plain"
+	"chestnutgauge/internal/process"
+	"chestnutgauge/internal/router"
+	"chestnutgauge/internal/settings"
+	"chestnutgauge/internal/supervise"
+)
+
+// Settings of chestnut-router.
+type Settings struct {
+	Node     settings.Node     `toml:"node"`
+	Platform settings.Platform `toml:"platform"`
+	Callers  Callers           `toml:"callers"`
+}
+
+// Callers holds the settings of the callers' interface.
+type Callers struct {
+	// Listen is the host:port for callers.
+	Listen string `toml:"listen"`
+	// DrainDelay is how long a router that shuts down goes on accepting while
+	// the balancer learns that it is not ready.
+	DrainDelay settings.Duration `toml:"drain_delay"`
+}
+
+// Checks implements settings.Validator.
+func (s *Settings) Checks() []settings.Check {
+	checks := append(s.Node.Checks(), s.Platform.Checks()...)
+	return append(checks,
+		settings.Address("callers.listen", s.Callers.Listen),
+		settings.Check{Key: "callers.drain_delay", OK: s.Callers.DrainDelay >= 0, Reason: "must not be negative"},
+		settings.Check{Key: "callers.drain_delay", OK: s.Callers.DrainDelay < s.Node.ShutdownLimit, Reason: "must be below node.shutdown_limit"},
+	)
+}
+
+// LoadSettings reads and checks the settings.
+func LoadSettings(file string) (Settings, error) {
+	s := Settings{
+		Node:    settings.DefaultNode(),
+		Callers: Callers{DrainDelay: settings.Duration(3 * time.Second)},
+	}
+	err := settings.Load(file, &s)
+	return s, err
+}
+
+// Run runs the router until ctx ends.
+func Run(ctx context.Context, s Settings) error {
+	parts := process.NewParts(membership.RoleRouter, s.Node, s.Platform)
+	directory := endpoints.NewDirectory()
+	watcher := endpoints.NewWatcher(directory, parts.Members, parts.Peers, s.Node.DataCentre, parts.Events.Process(), parts.Log)
+	supervise.Add(parts.Tree, "endpoints", watcher.Run)
+	r := router.New(router.Parts{
+		VM:         s.Node.VM,
+		DataCentre: s.Node.DataCentre,
+		Config:     parts.Config,
+		Members:    parts.Members,
+		Directory:  directory,
+		Peers:      parts.Peers,
+		Connect: func(address string) engine.Engine {
+			return httpengine.New(address, httpengine.DefaultSettings())
+		},
+		Plain:  plain.NewCaller(),
+		Claims: claim.NewStore(parts.Platform, s.Node.VM),
+		Events: parts.Events,
+		Log:    parts.Log,
+	})
+	server, err := parts.ServeHTTP("callers", s.Callers.Listen, r.Handler())
+	if err != nil {
+		return fmt.Errorf("callers.listen: %w", err)
+	}
+	return parts.Run(ctx, process.Hooks{
+		Ready: r.Ready,
+		Drain: func(limit context.Context) { drain(limit, r, server, s.Callers.DrainDelay.Std()) },
+	})
+}
+
+// drain fails readiness, goes on accepting while the balancer learns, then
+// finishes what is in flight.
+func drain(limit context.Context, r *router.Router, server *http.Server, delay time.Duration) {
+	r.Drain()
+	select {
+	case <-time.After(delay):
+	case <-limit.Done():
+	}
+	_ = server.Shutdown(limit)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,182 @@
+// Package settings reads the TOML settings of a process. Unknown keys and
+// wrong values are errors that name the file and the key.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Error is a mistake in a settings file.
+type Error struct {
+	File string
+	// Key is the dotted path of the wrong key, if known.
+	Key    string
+	Reason string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("%s: %s", e.File, e.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", e.File, e.Key, e.Reason)
+}
+
+// Duration is a time span written with its unit, as in "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("want a duration with a unit, as in \"250ms\": %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// Node holds the settings that every process has.
+type Node struct {
+	// VM is the name of the VM in the membership list.
+	VM         string `toml:"vm"`
+	DataCentre string `toml:"data_centre"`
+	Region     string `toml:"region"`
+	// PeerListen is the host:port for the system's own processes.
+	PeerListen string `toml:"peer_listen"`
+	// OpsListen is the host:port for metrics and health.
+	OpsListen string `toml:"ops_listen"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `toml:"log_level"`
+	// ShutdownLimit ends a graceful shutdown that takes longer.
+	ShutdownLimit Duration `toml:"shutdown_limit"`
+	// EventRing is the number of events kept for the time line.
+	EventRing int `toml:"event_ring"`
+}
+
+// DefaultNode returns the defaults of Node.
+func DefaultNode() Node {
+	return Node{
+		LogLevel:      "info",
+		ShutdownLimit: Duration(2 * time.Minute),
+		EventRing:     4096,
+	}
+}
+
+// Platform holds the settings of the platform's interfaces.
+type Platform struct {
+	// Address is the host:port of the platform.
+	Address string `toml:"address"`
+}
+
+// Check is one condition on a key.
+type Check struct {
+	Key    string
+	OK     bool
+	Reason string
+}
+
+// Checks returns the conditions on the settings of a node, under the key
+// "node".
+func (n Node) Checks() []Check {
+	return []Check{
+		{"node.vm", n.VM != "", "must be set"},
+		{"node.data_centre", n.DataCentre != "", "must be set"},
+		{"node.region", n.Region != "", "must be set"},
+		Address("node.peer_listen", n.PeerListen),
+		Address("node.ops_listen", n.OpsListen),
+		{"node.log_level", levels[n.LogLevel], "must be debug, info, warn or error"},
+		Positive("node.shutdown_limit", n.ShutdownLimit),
+		{"node.event_ring", n.EventRing > 0, "must be above 0"},
+	}
+}
+
+var levels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
+
+// Checks returns the conditions on the settings of the platform, under the
+// key "platform".
+func (p Platform) Checks() []Check {
+	return []Check{Address("platform.address", p.Address)}
+}
+
+// Address is the condition that value is a host:port.
+func Address(key, value string) Check {
+	_, _, err := net.SplitHostPort(value)
+	return Check{key, err == nil, "must be host:port"}
+}
+
+// Positive is the condition that value is above 0.
+func Positive(key string, value Duration) Check {
+	return Check{key, value > 0, "must be above 0"}
+}
+
+// Validator is implemented by the settings of a process.
+type Validator interface {
+	Checks() []Check
+}
+
+// Load reads file into into, which holds the defaults, and checks it. The
+// error is an *Error.
+func Load(file string, into Validator) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return &Error{File: file, Reason: err.Error()}
+	}
+	return Decode(file, data, into)
+}
+
+// Decode is Load on data that was read from file.
+func Decode(file string, data []byte, into Validator) error {
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return decodeError(file, err)
+	}
+	for _, check := range into.Checks() {
+		if !check.OK {
+			return &Error{File: file, Key: check.Key, Reason: check.Reason}
+		}
+	}
+	return nil
+}
+
+func decodeError(file string, err error) error {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) && len(missing.Errors) > 0 {
+		first := missing.Errors[0]
+		row, _ := first.Position()
+		return &Error{File: file, Key: dotted(first.Key()), Reason: fmt.Sprintf("line %d: unknown key", row)}
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		row, _ := wrong.Position()
+		return &Error{File: file, Key: dotted(wrong.Key()), Reason: fmt.Sprintf("line %d: %v", row, wrong)}
+	}
+	return &Error{File: file, Reason: err.Error()}
+}
+
+func dotted(key toml.Key) string {
+	var out string
+	for i, part := range key {
+		if i > 0 {
+			out += "."
+		}
+		out += part
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testsystem/cut.go
@@ -0,0 +1,139 @@
+package testsystem
+
+import (
+	"context"
+	"net"
+
+	"google.golang.org/grpc/test/bufconn"
+
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/platform"
+)
+
+// cutConn is a connection whose data is lost while the node is cut off.
+type cutConn struct {
+	net.Conn
+	node *Node
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(data []byte) (int, error) {
+	if c.node.PeersCut.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// cutListener wraps accepted connections, so that a node's answers are lost
+// as well as its calls.
+type cutListener struct {
+	*bufconn.Listener
+	node *Node
+}
+
+// Accept implements net.Listener.
+func (l *cutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: conn, node: l.node}, nil
+}
+
+// cutTable is the table as a node reaches it.
+type cutTable struct {
+	node  *Node
+	table platform.Table
+}
+
+// Get implements platform.Table.
+func (c cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if c.node.PlatformCut.Load() {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return c.table.Get(ctx, key)
+}
+
+// Scan implements platform.Table.
+func (c cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if c.node.PlatformCut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return c.table.Scan(ctx, prefix, after, limit)
+}
+
+// Commit implements platform.Table.
+func (c cutTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	if c.node.PlatformCut.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return c.table.Commit(ctx, txn)
+}
+
+// cutMembership is the membership list as a node reaches it.
+type cutMembership struct {
+	node *Node
+	list platform.Membership
+}
+
+// List implements platform.Membership.
+func (c cutMembership) List(ctx context.Context) ([]platform.VM, error) {
+	if c.node.PlatformCut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return c.list.List(ctx)
+}
+
+// cutEngine is an engine as a node reaches it.
+type cutEngine struct {
+	node *Node
+	engine.Engine
+}
+
+// State implements engine.Engine.
+func (c cutEngine) State(ctx context.Context) (engine.State, error) {
+	if c.node.EndpointsCut.Load() {
+		return engine.State{}, engine.ErrNotSent
+	}
+	return c.Engine.State(ctx)
+}
+
+// Watch implements engine.Engine.
+func (c cutEngine) Watch(ctx context.Context, after int64) (engine.State, error) {
+	if c.node.EndpointsCut.Load() {
+		return engine.State{}, engine.ErrNotSent
+	}
+	return c.Engine.Watch(ctx, after)
+}
+
+// Order implements engine.Engine.
+func (c cutEngine) Order(ctx context.Context, order engine.Order) error {
+	if c.node.EndpointsCut.Load() {
+		return engine.ErrNotSent
+	}
+	return c.Engine.Order(ctx, order)
+}
+
+// Run implements engine.Engine.
+func (c cutEngine) Run(ctx context.Context, req engine.Request) (engine.Stream, error) {
+	if c.node.EndpointsCut.Load() {
+		return nil, engine.ErrNotSent
+	}
+	return c.Engine.Run(ctx, req)
+}
+
+// RunStatus implements engine.Engine.
+func (c cutEngine) RunStatus(ctx context.Context, requestID string) (engine.RunStatus, error) {
+	if c.node.EndpointsCut.Load() {
+		return engine.RunStatus{}, engine.ErrNotSent
+	}
+	return c.Engine.RunStatus(ctx, requestID)
+}
+
+// Resume implements engine.Engine.
+func (c cutEngine) Resume(ctx context.Context, requestID string, offset int) (engine.Stream, error) {
+	if c.node.EndpointsCut.Load() {
+		return nil, engine.ErrNotSent
+	}
+	return c.Engine.Resume(ctx, requestID, offset)
+}
--- /dev/null
+++ b/internal/testsystem/testsystem.go
@@ -0,0 +1,278 @@
+// Package testsystem wires routers, controllers and the stand-in into one
+// process for tests, with in-memory connections, so that a whole system runs
+// under the fake clock of testing/synctest. Each node can be cut off from its
+// peers, from the platform and from endpoints.
+package testsystem
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/test/bufconn"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/claim"
+	"chestnutgauge/internal/config"
+	"chestnutgauge/internal/controller"
+	"chestnutgauge/internal/endpoints"
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/node"
+	"chestnutgauge/internal/peer"
+	"chestnutgauge/internal/peer/peerpb"
+	"chestnutgauge/internal/plain"
+	"chestnutgauge/internal/platform"
+	"chestnutgauge/internal/router"
+	"chestnutgauge/internal/settings"
+	"chestnutgauge/internal/slots"
+	"chestnutgauge/internal/standin"
+)
+
+// bufferBytes is the buffer of an in-memory connection.
+const bufferBytes = 1 << 20
+
+// errCut is the error of a connection that a cut forbids.
+var errCut = errors.New("testsystem: cut off")
+
+// System is a running system.
+type System struct {
+	t           testing.TB
+	StandIn     *standin.StandIn
+	Store       *config.Store
+	Routers     []*RouterNode
+	Controllers []*ControllerNode
+
+	mu        sync.Mutex
+	listeners map[string]*bufconn.Listener
+	engines   map[string]*standin.Engine
+}
+
+// Node is what routers and controllers have in common.
+type Node struct {
+	VM         string
+	DataCentre string
+	Config     *config.Follower
+	Events     *events.Recorder
+	// PlatformCut, PeersCut and EndpointsCut cut the node off while true.
+	PlatformCut  atomic.Bool
+	PeersCut     atomic.Bool
+	EndpointsCut atomic.Bool
+
+	system  *System
+	role    membership.Role
+	members *membership.Tracker
+	peers   *peer.Pool
+	server  *grpc.Server
+	table   platform.Table
+	log     *slog.Logger
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// RouterNode is a router of the system.
+type RouterNode struct {
+	*Node
+	Router *router.Router
+}
+
+// ControllerNode is a controller of the system.
+type ControllerNode struct {
+	*Node
+	Controller *controller.Controller
+}
+
+// EngineEntry returns the settings of an engine for tests: quick, and with the
+// memory given.
+func EngineEntry(name string, memory int64, checksFences bool) standin.EngineEntry {
+	return standin.EngineEntry{
+		Name:            name,
+		Listen:          name + ":1",
+		MemoryBytes:     memory,
+		ChecksFences:    checksFences,
+		TokensPerSecond: 100,
+		FirstToken:      settings.Duration(50 * time.Millisecond),
+		MaxRunning:      16,
+		MaxQueued:       64,
+		ReportLag:       settings.Duration(500 * time.Millisecond),
+		LocalLoad:       settings.Duration(500 * time.Millisecond),
+		RestartTime:     settings.Duration(time.Second),
+	}
+}
+
+// New starts a system with one router and one controller on a VM of each name
+// in vms, which maps VMs to data centres. It ends with the test.
+func New(t testing.TB, settings standin.Settings, vms map[string]string) *System {
+	for vm, dataCentre := range vms {
+		settings.Membership.VMs = append(settings.Membership.VMs, standin.VMEntry{
+			ID: vm, Kind: platform.EntryVM, Region: "region", DataCentre: dataCentre,
+			Processes: map[string]string{"router": "router@" + vm, "controller": "controller@" + vm},
+		})
+	}
+	s := &System{
+		t:         t,
+		StandIn:   standin.New(settings),
+		listeners: map[string]*bufconn.Listener{},
+		engines:   map[string]*standin.Engine{},
+	}
+	s.Store = config.NewStore(s.StandIn.Table)
+	for _, entry := range settings.Engines {
+		s.engines[entry.Listen] = s.StandIn.Engines[entry.Name]
+	}
+	for vm, dataCentre := range vms {
+		s.Controllers = append(s.Controllers, s.StartController(vm, dataCentre))
+		s.Routers = append(s.Routers, s.StartRouter(vm, dataCentre))
+	}
+	return s
+}
+
+// Apply creates or replaces a deployment.
+func (s *System) Apply(deployment *pb.Deployment) *pb.DeploymentChange {
+	edit := config.Edit{
+		OperationID: fmt.Sprintf("%s-%d", deployment.GetName(), time.Now().UnixNano()),
+		Name:        deployment.GetName(),
+		Deployment:  deployment,
+	}
+	if current, err := s.Store.Get(context.Background(), deployment.GetName()); err == nil {
+		edit.Base = current.GetVersion()
+	}
+	change, err := s.Store.Change(context.Background(), edit)
+	require.NoError(s.t, err)
+	return change
+}
+
+func (s *System) newNode(role membership.Role, vm, dataCentre string) *Node {
+	name := string(role) + "@" + vm
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n := &Node{VM: vm, DataCentre: dataCentre, system: s, role: role, log: log}
+	n.table = cutTable{n, s.StandIn.Table}
+	n.Events = events.NewRecorder(name, 1024, log)
+	n.Config = config.NewFollower(config.NewStore(n.table), n.Events, log)
+	n.members = membership.NewTracker(cutMembership{n, s.StandIn.Membership}, log)
+	n.peers = peer.NewPool(grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		return s.dial(ctx, n, address)
+	}))
+	n.server = peer.NewServer()
+	return n
+}
+
+// dial connects a node with the peer at address.
+func (s *System) dial(ctx context.Context, from *Node, address string) (net.Conn, error) {
+	s.mu.Lock()
+	listener := s.listeners[address]
+	s.mu.Unlock()
+	if listener == nil || from.PeersCut.Load() {
+		return nil, errCut
+	}
+	conn, err := listener.DialContext(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: conn, node: from}, nil
+}
+
+// start serves the node's peers and runs its workers.
+func (n *Node) start(workers ...func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	peerpb.RegisterNodeServer(n.server, &node.Service{
+		VM: n.VM, Role: string(n.role), DataCentre: n.DataCentre,
+		Config: n.Config, Events: n.Events, Draining: func() bool { return false },
+	})
+	listener := bufconn.Listen(bufferBytes)
+	n.system.mu.Lock()
+	n.system.listeners[n.Events.Process()] = listener
+	n.system.mu.Unlock()
+	n.done.Go(func() { _ = n.server.Serve(&cutListener{listener, n}) })
+	workers = append(workers, n.Config.Run, n.members.Run)
+	for _, worker := range workers {
+		n.done.Go(func() { _ = worker(ctx) })
+	}
+	n.system.t.Cleanup(n.Kill)
+}
+
+// Kill ends the node at once.
+func (n *Node) Kill() {
+	n.cancel()
+	n.server.Stop()
+	n.peers.Close()
+	n.done.Wait()
+}
+
+func (n *Node) connect(address string) engine.Engine {
+	return cutEngine{n, n.system.engines[address]}
+}
+
+// StartController starts a controller on a VM.
+func (s *System) StartController(vm, dataCentre string) *ControllerNode {
+	n := s.newNode(membership.RoleController, vm, dataCentre)
+	directory := endpoints.NewDirectory()
+	watcher := endpoints.NewWatcher(directory, n.members, n.peers, dataCentre, n.Events.Process(), n.log)
+	c := controller.New(controller.Parts{
+		VM:         vm,
+		DataCentre: dataCentre,
+		Table:      n.table,
+		Config:     n.Config,
+		Slots:      slots.NewStore(n.table, config.NewStore(n.table)),
+		Members:    n.members,
+		Directory:  directory,
+		Peers:      n.peers,
+		Connect:    n.connect,
+		Events:     n.Events,
+		Log:        n.log,
+	})
+	peerpb.RegisterControllerServer(n.server, c)
+	n.start(watcher.Run, c.RunOwnership)
+	return &ControllerNode{n, c}
+}
+
+// StartRouter starts a router on a VM.
+func (s *System) StartRouter(vm, dataCentre string) *RouterNode {
+	n := s.newNode(membership.RoleRouter, vm, dataCentre)
+	directory := endpoints.NewDirectory()
+	watcher := endpoints.NewWatcher(directory, n.members, n.peers, dataCentre, n.Events.Process(), n.log)
+	r := router.New(router.Parts{
+		VM:         vm,
+		DataCentre: dataCentre,
+		Config:     n.Config,
+		Members:    n.members,
+		Directory:  directory,
+		Peers:      n.peers,
+		Connect:    n.connect,
+		Plain:      plain.NewCaller(),
+		Claims:     claim.NewStore(n.table, vm),
+		Events:     n.Events,
+		Log:        n.log,
+	})
+	n.start(watcher.Run)
+	return &RouterNode{n, r}
+}
+
+// Chat sends a chat request to the router and returns its whole answer.
+func (r *RouterNode) Chat(ctx context.Context, body string, headers map[string]string) *httptest.ResponseRecorder {
+	return r.Post(ctx, "/v1/chat/completions", body, headers)
+}
+
+// Post sends a request to the router and returns its whole answer.
+func (r *RouterNode) Post(ctx context.Context, path, body string, headers map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
+	for key, value := range headers {
+		req.Header.Set(key, value)
+	}
+	recorder := httptest.NewRecorder()
+	r.Router.Handler().ServeHTTP(recorder, req)
+	return recorder
+}
--- /dev/null
+++ b/test/elf_test.go
@@ -0,0 +1,25 @@
+// Package test checks the built programs.
+package test
+
+import (
+	"debug/elf"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// programs are those that ship.
+var programs = []string{"chestnut-router", "chestnut-controller", "chestnut-admin", "chestnutctl", "chestnut-standin"}
+
+// TestLinkedToTheCLibrary checks that each program needs libc.
+func TestLinkedToTheCLibrary(t *testing.T) {
+	for _, program := range programs {
+		file, err := elf.Open(filepath.Join("..", "bin", program))
+		require.NoError(t, err, "run make build first")
+		libraries, err := file.ImportedLibraries()
+		require.NoError(t, err)
+		require.NoError(t, file.Close())
+		require.Contains(t, libraries, "libc.so.6", program)
+	}
+}
