Let a controller wait for the configuration that a router acts on

Cause: a router that had a new version in force asked a controller that had not; the controller answered that the model is not offered, and the caller got a refusal for a model that was accepted seconds before.

Ruled out: a retry in the router (the next controller may be as far behind, and the time is better spent waiting where the version arrives).

Change: calls between router and controllers name the configuration version; the callee waits until it has that version in force, within the call's deadline.

--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -55,6 +55,23 @@
 	return f.changed
 }
 
+// Await waits until a version, or a newer one, is in force.
+func (f *Follower) Await(ctx context.Context, version int64) error {
+	for {
+		f.mu.Lock()
+		current, changed := f.current.Version, f.changed
+		f.mu.Unlock()
+		if current >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Apply puts changes in force that follow the current version. Others are
 // left out.
 func (f *Follower) Apply(changes []*pb.DeploymentChange) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,6 +46,10 @@
 	peerpb.UnimplementedControllerServer
 
 	flights singleflight.Group
+	// life ends when the controller does; it ends flights and watches.
+	life    context.Context
+	end     context.CancelFunc
+	watches sync.WaitGroup
 
 	mu      sync.Mutex
 	owned   map[string]*ownedEngine
@@ -54,11 +58,13 @@
 
 // New returns a controller with the given parts, which owns nothing yet.
 func New(parts Parts) *Controller {
-	return &Controller{
+	c := &Controller{
 		Parts:   parts,
 		owned:   map[string]*ownedEngine{},
 		changed: make(chan struct{}),
 	}
+	c.life, c.end = context.WithCancel(context.Background())
+	return c
 }
 
 // owner returns the engine if this controller owns it.
@@ -94,13 +100,13 @@
 }
 
 // take starts watching an engine that was just taken.
-func (c *Controller) take(ctx context.Context, owned *ownedEngine) {
-	ctx, cancel := context.WithCancel(ctx)
+func (c *Controller) take(owned *ownedEngine) {
+	ctx, cancel := context.WithCancel(c.life)
 	owned.stop = cancel
 	c.mu.Lock()
 	c.owned[owned.name] = owned
 	c.mu.Unlock()
 	c.Events.Record(events.Event{Kind: events.EndpointTaken, Endpoint: owned.name, Fence: owned.fence})
-	go owned.watch(ctx)
+	c.watches.Go(func() { owned.watch(ctx) })
 	c.wake()
 }
--- a/internal/controller/home.go
+++ b/internal/controller/home.go
@@ -27,6 +27,9 @@
 // EnsureLoaded implements peerpb.ControllerServer. Calls for one model share
 // one flight.
 func (c *Controller) EnsureLoaded(ctx context.Context, req *peerpb.EnsureLoadedRequest) (*peerpb.EnsureLoadedResponse, error) {
+	if err := c.Config.Await(ctx, req.GetConfigVersion()); err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
 	model, ok := c.Config.Current().Model(req.GetModel())
 	if !ok {
 		return nil, status.Errorf(codes.NotFound, "model %s is not offered", req.GetModel())
@@ -35,7 +38,7 @@
 		return found, nil
 	}
 	result := c.flights.DoChan(req.GetModel(), func() (any, error) {
-		flight, cancel := context.WithTimeout(context.WithoutCancel(ctx), flightLimit)
+		flight, cancel := context.WithTimeout(c.life, flightLimit)
 		defer cancel()
 		return c.bringUp(flight, model, req)
 	})
@@ -152,11 +155,12 @@
 // loadAt asks the owner of an engine for the load.
 func (c *Controller) loadAt(ctx context.Context, state *peerpb.EndpointState, req *peerpb.EnsureLoadedRequest, newlyBound bool) (*peerpb.EnsureLoadedResponse, error) {
 	load := &peerpb.LoadRequest{
-		Endpoint:   state.GetName(),
-		Model:      req.GetModel(),
-		RequestId:  req.GetRequestId(),
-		DeadlineMs: req.GetDeadlineMs(),
-		NewlyBound: newlyBound,
+		Endpoint:      state.GetName(),
+		Model:         req.GetModel(),
+		RequestId:     req.GetRequestId(),
+		DeadlineMs:    req.GetDeadlineMs(),
+		NewlyBound:    newlyBound,
+		ConfigVersion: c.Config.Current().Version,
 	}
 	resp, err := c.callOwner(ctx, state.GetOwner(), load)
 	if err != nil {
@@ -196,11 +200,12 @@
 		return nil, errAway
 	}
 	return client.EnsureLoaded(ctx, &peerpb.EnsureLoadedRequest{
-		Model:      req.GetModel(),
-		RequestId:  req.GetRequestId(),
-		DeadlineMs: req.GetDeadlineMs(),
-		Avoid:      req.GetAvoid(),
-		Forwarded:  true,
+		Model:         req.GetModel(),
+		RequestId:     req.GetRequestId(),
+		DeadlineMs:    req.GetDeadlineMs(),
+		Avoid:         req.GetAvoid(),
+		Forwarded:     true,
+		ConfigVersion: c.Config.Current().Version,
 	})
 }
 
@@ -210,6 +215,9 @@
 	if !ok {
 		return nil, status.Errorf(codes.FailedPrecondition, "%s does not own %s", c.VM, req.GetEndpoint())
 	}
+	if err := c.Config.Await(ctx, req.GetConfigVersion()); err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
 	model, ok := c.Config.Current().Model(req.GetModel())
 	if !ok {
 		return nil, status.Errorf(codes.NotFound, "model %s is not offered", req.GetModel())
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -33,6 +33,8 @@
 
 // RunOwnership takes and drops engines until ctx ends.
 func (c *Controller) RunOwnership(ctx context.Context) error {
+	defer c.watches.Wait()
+	defer c.end()
 	for {
 		for _, endpoint := range c.Config.Current().Endpoints() {
 			if err := c.settle(ctx, endpoint); err != nil {
@@ -99,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	c.take(ctx, newOwnedEngine(c, endpoint.Spec.GetName(), fence, client, state, bound))
+	c.take(newOwnedEngine(c, endpoint.Spec.GetName(), fence, client, state, bound))
 	return nil
 }
 
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -27,7 +27,11 @@
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		}
-		time.Sleep(publishInterval)
+		select {
+		case <-time.After(publishInterval):
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
 	}
 }
 
--- a/internal/endpoints/watcher.go
+++ b/internal/endpoints/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"chestnutgauge/internal/membership"
@@ -34,6 +35,8 @@
 
 // Run keeps the streams until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	var followers sync.WaitGroup
+	defer followers.Wait()
 	streams := map[membership.Member]context.CancelFunc{}
 	for {
 		live := map[membership.Member]bool{}
@@ -43,7 +46,7 @@
 			if streams[member] == nil {
 				streamCtx, cancel := context.WithCancel(ctx)
 				streams[member] = cancel
-				go w.follow(streamCtx, member)
+				followers.Go(func() { w.follow(streamCtx, member) })
 			}
 		}
 		for member, cancel := range streams {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -89,6 +89,7 @@
 // NewServer returns a gRPC server for peers.
 func NewServer() *grpc.Server {
 	return grpc.NewServer(
+		grpc.WaitForHandlers(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
 	)
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -155,10 +155,11 @@
 // first.
 func (r *Router) ensureLoaded(ctx context.Context, c *chatCall, avoid []string) (*peerpb.EnsureLoadedResponse, error) {
 	req := &peerpb.EnsureLoadedRequest{
-		Model:      c.name,
-		RequestId:  c.id,
-		DeadlineMs: time.Until(c.deadline).Milliseconds(),
-		Avoid:      avoid,
+		Model:         c.name,
+		RequestId:     c.id,
+		DeadlineMs:    time.Until(c.deadline).Milliseconds(),
+		Avoid:         avoid,
+		ConfigVersion: r.Config.Current().Version,
 	}
 	addresses := map[string]string{}
 	var vms []string
@@ -188,11 +189,8 @@
 // loadError turns a controller's error into one for the caller. Nothing has
 // been dispatched, so the request did not run.
 func loadError(err error) error {
-	switch status.Code(err) {
-	case codes.DeadlineExceeded:
+	if status.Code(err) == codes.DeadlineExceeded {
 		return outcome.Refuse(outcome.ReasonDeadline, "the model could not be loaded in time")
-	case codes.ResourceExhausted:
-		return &outcome.Error{Reason: outcome.ReasonNoReplica, Run: outcome.NotRun, Message: status.Convert(err).Message(), RetryAfter: time.Second}
 	}
 	return &outcome.Error{Reason: outcome.ReasonNoReplica, Run: outcome.NotRun, Message: status.Convert(err).Message(), RetryAfter: time.Second}
 }
