--- /dev/null
+++ b/internal/controller/confirm.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chestnutgauge/internal/engine"
+)
+
+// agreeInterval is the time between two readings of a quarantined engine.
+const agreeInterval = time.Second
+
+// confirm makes sure that the engine may be ordered: its row stands, the
+// engine has the fence, and its memory was read after that. An engine that
+// started anew has forgotten its fence and is confirmed again. If it can't be
+// confirmed yet, confirm returns the time after which to try again.
+func (o *ownedEngine) confirm(ctx context.Context) (time.Duration, bool) {
+	o.mu.Lock()
+	state, reachable, confirmed := o.state, o.reachable, o.confirmed
+	synced := o.synced > 0
+	if reachable && confirmed != "" && state.Incarnation != confirmed && o.fenced && state.Fence < o.fence {
+		// An engine that lost its fence would obey an owner that was replaced,
+		// perhaps this one: only the row can tell.
+		o.rowStands = false
+		o.confirmed = ""
+	}
+	stands := o.rowStands
+	o.mu.Unlock()
+	switch {
+	case !reachable:
+		return 0, false
+	case !stands || !synced || !o.leased():
+		o.controller.tableQueue.Add(o.name)
+		return 0, false
+	case confirmed == state.Incarnation:
+		return 0, true
+	}
+	if err := o.reconfirm(ctx); err != nil {
+		o.controller.Log.Debug("engine not confirmed", "endpoint", o.name, "error", err)
+		return jitter(o.controller.settings.Retry), false
+	}
+	return o.release()
+}
+
+// leased reports whether the engine may be ordered as far as the lease goes.
+func (o *ownedEngine) leased() bool {
+	if o.fenced {
+		return true
+	}
+	_, ok := o.leaseEnd()
+	return ok
+}
+
+// reconfirm raises the fence at the engine, and then reads what it holds.
+func (o *ownedEngine) reconfirm(ctx context.Context) error {
+	if o.fenced {
+		order := engine.Order{ID: newOperationID(), Kind: engine.OrderRaiseFence, Fence: o.fence}
+		if err := o.send(ctx, order); err != nil && !errors.Is(err, engine.ErrOldFence) {
+			return err
+		}
+	}
+	started := time.Now()
+	readCtx, cancel := context.WithTimeout(ctx, o.controller.settings.OrderTimeout)
+	defer cancel()
+	state, err := o.client.State(readCtx)
+	if err != nil {
+		return err
+	}
+	o.observe(state, started, nil)
+	if o.fenced && state.Fence != o.fence {
+		return engine.ErrOldFence
+	}
+	return nil
+}
+
+// release ends the quarantine once two readings agree, and confirms the
+// engine.
+func (o *ownedEngine) release() (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.quarantine {
+		if o.suspect == nil || !agree(*o.suspect, o.state) {
+			reading := o.state
+			o.suspect = &reading
+			return agreeInterval, false
+		}
+		o.quarantine = false
+		o.suspect = nil
+	}
+	o.confirmed = o.state.Incarnation
+	return 0, true
+}
+
+// agree reports whether two readings show the same holdings.
+func agree(a, b engine.State) bool {
+	if a.Incarnation != b.Incarnation || len(a.Loaded) != len(b.Loaded) || len(a.Loading)+len(b.Loading) > 0 {
+		return false
+	}
+	for i, loaded := range a.Loaded {
+		other := b.Loaded[i]
+		if loaded.Model != other.Model || loaded.Version != other.Version || len(loaded.Adapters) != len(other.Adapters) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"golang.org/x/sync/singleflight"
@@ -15,10 +16,12 @@
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/ownership"
 	"chestnutgauge/internal/peer"
 	"chestnutgauge/internal/peer/peerpb"
 	"chestnutgauge/internal/platform"
 	"chestnutgauge/internal/slots"
+	"chestnutgauge/internal/workqueue"
 )
 
 // Connect returns a client of the engine at an address.
@@ -37,6 +40,8 @@
 	Connect    Connect
 	Events     *events.Recorder
 	Log        *slog.Logger
+	// Settings are DefaultSettings if left unset.
+	Settings *Settings
 }
 
 // Controller owns engines of one data centre.
@@ -45,7 +50,14 @@
 
 	peerpb.UnimplementedControllerServer
 
-	flights singleflight.Group
+	settings Settings
+	flights  singleflight.Group
+	// engineQueue holds the owned engines to look at, tableQueue the engines
+	// for which the table may have to be asked. A pass of the first kind never
+	// waits for the table.
+	engineQueue *workqueue.Queue
+	tableQueue  *workqueue.Queue
+	lease       leaseKeeper
 	// life ends when the controller does; it ends flights and watches.
 	life    context.Context
 	end     context.CancelFunc
@@ -54,14 +66,32 @@
 	mu      sync.Mutex
 	owned   map[string]*ownedEngine
 	changed chan struct{}
+	// handing is set once the controller hands its engines over.
+	handing bool
+	// rows are the owner rows as last read, only to decide what to look at.
+	rows map[string]ownership.Row
+	// unheard is since when no stream has shown an owner of an engine.
+	unheard map[string]time.Time
+	// leases is what has been seen of other controllers' leases.
+	leases map[string]seenLease
 }
 
 // New returns a controller with the given parts, which owns nothing yet.
 func New(parts Parts) *Controller {
+	settings := DefaultSettings()
+	if parts.Settings != nil {
+		settings = *parts.Settings
+	}
 	c := &Controller{
-		Parts:   parts,
-		owned:   map[string]*ownedEngine{},
-		changed: make(chan struct{}),
+		Parts:       parts,
+		settings:    settings,
+		engineQueue: workqueue.New(),
+		tableQueue:  workqueue.New(),
+		owned:       map[string]*ownedEngine{},
+		changed:     make(chan struct{}),
+		rows:        map[string]ownership.Row{},
+		unheard:     map[string]time.Time{},
+		leases:      map[string]seenLease{},
 	}
 	c.life, c.end = context.WithCancel(context.Background())
 	return c
@@ -99,14 +129,39 @@
 	return uuid.NewString()
 }
 
-// take starts watching an engine that was just taken.
+// take starts watching an engine whose row this controller has written.
 func (c *Controller) take(owned *ownedEngine) {
 	ctx, cancel := context.WithCancel(c.life)
 	owned.stop = cancel
 	c.mu.Lock()
+	if c.handing {
+		c.mu.Unlock()
+		cancel()
+		return
+	}
 	c.owned[owned.name] = owned
+	delete(c.unheard, owned.name)
 	c.mu.Unlock()
 	c.Events.Record(events.Event{Kind: events.EndpointTaken, Endpoint: owned.name, Fence: owned.fence})
 	c.watches.Go(func() { owned.watch(ctx) })
+	c.engineQueue.Add(owned.name)
+	c.tableQueue.Add(owned.name)
+	c.wake()
+}
+
+// drop stops watching and ordering an engine that this controller no longer
+// owns.
+func (c *Controller) drop(owned *ownedEngine, kind events.Kind) {
+	c.mu.Lock()
+	if c.owned[owned.name] != owned {
+		c.mu.Unlock()
+		return
+	}
+	delete(c.owned, owned.name)
+	c.mu.Unlock()
+	owned.stop()
+	owned.endWants(errAway)
+	c.Events.Record(events.Event{Kind: kind, Endpoint: owned.name, Fence: owned.fence})
+	c.tableQueue.AddAfter(owned.name, c.settings.Retry)
 	c.wake()
 }
--- a/internal/controller/controllerd/controllerd.go
+++ b/internal/controller/controllerd/controllerd.go
@@ -57,5 +57,5 @@
 	})
 	peerpb.RegisterControllerServer(parts.Server, c)
 	supervise.Add(parts.Tree, "ownership", c.RunOwnership)
-	return parts.Run(ctx, process.Hooks{Ready: c.Ready, Status: c.Status})
+	return parts.Run(ctx, process.Hooks{Ready: c.Ready, Status: c.Status, Drain: c.HandOver})
 }
--- a/internal/controller/home.go
+++ b/internal/controller/home.go
@@ -223,11 +223,9 @@
 		return nil, status.Errorf(codes.NotFound, "model %s is not offered", req.GetModel())
 	}
 	if req.GetNewlyBound() {
-		bound, err := c.Slots.Bound(ctx, req.GetEndpoint())
-		if err != nil {
+		if err := owned.refreshBindings(ctx); err != nil {
 			return nil, flightError(err)
 		}
-		owned.setBound(bound)
 	}
 	if err := owned.load(ctx, model, req.GetRequestId()); err != nil {
 		return nil, flightError(err)
--- /dev/null
+++ b/internal/controller/lease.go
@@ -0,0 +1,152 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"chestnutgauge/internal/ownership"
+	"chestnutgauge/internal/platform"
+)
+
+// leaseKeeper keeps this controller's own lease.
+type leaseKeeper struct {
+	// writing lets one write of the lease row at a time.
+	writing sync.Mutex
+
+	mu    sync.Mutex
+	lease ownership.Lease
+}
+
+func (k *leaseKeeper) current() ownership.Lease {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease
+}
+
+func (k *leaseKeeper) set(lease ownership.Lease) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease = lease
+}
+
+// seenLease is what a candidate has seen of another controller's lease row.
+type seenLease struct {
+	version int64
+	since   time.Time
+}
+
+// keepLease renews the lease while this controller owns an engine that does
+// not check fences.
+func (c *Controller) keepLease(ctx context.Context) error {
+	for {
+		if c.needsLease() {
+			if err := c.renewLease(ctx); err != nil {
+				c.Log.Debug("lease not renewed", "error", err)
+			}
+		}
+		sleep(ctx, c.settings.Ownership.Renew)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Controller) needsLease() bool {
+	owned, _ := c.snapshot()
+	for _, o := range owned {
+		if !o.fenced {
+			return true
+		}
+	}
+	return false
+}
+
+// renewLease renews the lease, or begins a new chain if there is none. A
+// conflict means that a successor has broken the lease: what was read of the
+// owner rows before no longer counts.
+func (c *Controller) renewLease(ctx context.Context) error {
+	c.lease.writing.Lock()
+	defer c.lease.writing.Unlock()
+	lease := c.lease.current()
+	sent := time.Now()
+	if lease.Version == 0 {
+		version, err := c.beginLease(ctx)
+		if err != nil {
+			return err
+		}
+		c.lease.set(lease.Begin(c.settings.Ownership, version, sent))
+		return nil
+	}
+	version, err := c.writeLease(ctx, lease.Version)
+	if platform.IsConflict(err) {
+		c.lease.set(lease.Broken())
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	c.lease.set(lease.Renewed(c.settings.Ownership, version, sent))
+	return nil
+}
+
+// beginLease writes a lease row over whatever is there: an earlier write of
+// this life of the controller whose answer was lost.
+func (c *Controller) beginLease(ctx context.Context) (int64, error) {
+	row, err := c.Table.Get(ctx, c.leaseKey())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return 0, err
+	}
+	return c.writeLease(ctx, row.Version)
+}
+
+func (c *Controller) writeLease(ctx context.Context, version int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Ownership.Renew)
+	defer cancel()
+	return platform.CommitResolved(ctx, c.Table, platform.Txn{
+		OperationID: newOperationID(),
+		Guards:      []platform.Guard{guard(c.leaseKey(), version)},
+		Writes:      []platform.Write{{Key: c.leaseKey(), Value: []byte(c.VM)}},
+	})
+}
+
+func (c *Controller) leaseKey() string {
+	return ownership.LeaseKey(c.VM, c.Events.Incarnation())
+}
+
+// ensureLease returns the generation of a lease that is in force.
+func (c *Controller) ensureLease(ctx context.Context) (int64, error) {
+	for range 2 {
+		lease := c.lease.current()
+		if _, ok := lease.End(lease.Generation, time.Now()); ok {
+			return lease.Generation, nil
+		}
+		if err := c.renewLease(ctx); err != nil && !platform.IsConflict(err) {
+			return 0, err
+		}
+	}
+	return 0, errNoLease
+}
+
+// seeLease reads the lease row of an engine's owner. It returns the row's
+// version, 0 if there is none, and how long the row has been seen unchanged.
+func (c *Controller) seeLease(ctx context.Context, row ownership.Row) (int64, time.Duration, error) {
+	key := ownership.LeaseKey(row.VM, row.Incarnation)
+	found, err := c.Table.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return 0, 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if found.Version == 0 {
+		delete(c.leases, key)
+		return 0, 0, nil
+	}
+	seen := c.leases[key]
+	if seen.version != found.Version {
+		seen = seenLease{version: found.Version, since: time.Now()}
+		c.leases[key] = seen
+	}
+	return found.Version, time.Since(seen.since), nil
+}
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/engine"
-	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/ledger"
+	"chestnutgauge/internal/ownership"
 	"chestnutgauge/internal/peer/peerpb"
 )
 
@@ -20,6 +20,7 @@
 	errNotBound  = errors.New("controller: no slot of the model is bound to the engine")
 	errLoadEnded = errors.New("controller: the engine dropped the load")
 	errAway      = errors.New("controller: the engine can't be reached")
+	errNoLease   = errors.New("controller: the lease has ended")
 )
 
 // watchRetry is the pause after a failed reading of an engine.
@@ -29,33 +30,80 @@
 type ownedEngine struct {
 	controller *Controller
 	name       string
+	address    string
 	fence      int64
+	fenced     bool
 	client     engine.Engine
 	stop       context.CancelFunc
 
-	// orders lets one order sequence at a time change what the engine holds.
-	orders sync.Mutex
+	// passes lets one pass at a time order the engine.
+	passes sync.Mutex
 
 	mu        sync.Mutex
 	state     engine.State
 	reachable bool
+	// readAt is when the last reading ended, and startedAt when it was
+	// started.
 	readAt    time.Time
-	bound     []string
-	lastUsed  map[string]time.Time
-	revision  int64
-	changed   chan struct{}
-}
-
-func newOwnedEngine(c *Controller, name string, fence int64, client engine.Engine, state engine.State, bound []string) *ownedEngine {
+	startedAt time.Time
+	ledger    ledger.Ledger
+	// confirmed is the incarnation of the engine that may be ordered: the one
+	// that has the owner's fence, and whose memory has been read since.
+	confirmed string
+	// quarantine means that the engine may still carry out an order of the
+	// owner before, until two readings agree.
+	quarantine bool
+	suspect    *engine.State
+	// row is the version of the owner row. rowStands is false if the row has
+	// to be read again before anything is ordered; generation is the chain of
+	// the lease in which it was read.
+	row        int64
+	rowStands  bool
+	generation int64
+
+	// bound maps the bound models to whether their slot may be kept, and
+	// checked to the limit by which that was decided.
+	bound   map[string]bool
+	checked map[string]int32
+	// synced counts the readings of the bindings, and asked those that are
+	// wanted; syncAt is when the next one is due anyway.
+	synced, asked int64
+	syncAt        time.Time
+	// releasing are models that are gone from the engine and whose slot is
+	// being given back.
+	releasing map[string]bool
+	// listed means that the membership list has shown the engine, and
+	// unlistedAt since when it no longer does.
+	listed     bool
+	unlistedAt time.Time
+	lostAt     time.Time
+
+	wants    []*want
+	wantID   int64
+	draining map[string]time.Time
+	lastUsed map[string]time.Time
+	revision int64
+	changed  chan struct{}
+}
+
+// newOwnedEngine returns the engine of a row that this controller has written
+// as a version.
+func newOwnedEngine(c *Controller, name string, row ownership.Row, version, generation int64) *ownedEngine {
 	return &ownedEngine{
 		controller: c,
 		name:       name,
-		fence:      fence,
-		client:     client,
-		state:      state,
-		reachable:  true,
-		readAt:     time.Now(),
-		bound:      bound,
+		address:    row.Address,
+		fence:      row.Fence,
+		fenced:     row.Fenced,
+		client:     c.Connect(row.Address),
+		row:        version,
+		rowStands:  true,
+		generation: generation,
+		listed:     row.Listed,
+		checked:    map[string]int32{},
+		releasing:  map[string]bool{},
+		asked:      1,
+		draining:   map[string]time.Time{},
 		lastUsed:   map[string]time.Time{},
 		changed:    make(chan struct{}),
 	}
@@ -64,38 +112,66 @@
 // watch reads the engine's state as it changes, until ctx ends.
 func (o *ownedEngine) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		started := time.Now()
 		state, err := o.client.Watch(ctx, o.read().Revision)
 		if ctx.Err() != nil {
 			return
 		}
-		o.observe(state, err)
+		o.observe(state, started, err)
 		if err != nil {
-			time.Sleep(watchRetry)
+			sleep(ctx, watchRetry)
 		}
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (o *ownedEngine) read() engine.State {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.state
 }
 
-func (o *ownedEngine) observe(state engine.State, err error) {
+// observe takes over a reading that was started at a time.
+func (o *ownedEngine) observe(state engine.State, started time.Time, err error) {
 	o.mu.Lock()
+	switch {
+	case err != nil && o.reachable:
+		o.lostAt = time.Now()
+	case err == nil && started.Before(o.startedAt):
+		// An older reading than the one at hand.
+		o.mu.Unlock()
+		return
+	}
 	o.reachable = err == nil
 	if err == nil {
 		o.state = state
+		o.startedAt = started
 		o.readAt = time.Now()
+		o.ledger.Observe(state, started)
 	}
+	o.touch()
+	o.mu.Unlock()
+	o.controller.wake()
+	o.controller.event(o.name)
+}
+
+// touch wakes those who wait for a change. The caller holds mu.
+func (o *ownedEngine) touch() {
 	o.revision++
 	close(o.changed)
 	o.changed = make(chan struct{})
-	o.mu.Unlock()
-	o.controller.wake()
 }
 
-// published returns the state for routers.
+// published returns the state for routers. Models that drain are left out of
+// those loaded.
 func (o *ownedEngine) published() *peerpb.EndpointState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -106,8 +182,8 @@
 		Revision:        o.revision,
 		Reachable:       o.reachable,
 		Leaving:         o.state.Leaving,
-		Bound:           slices.Clone(o.bound),
-		MemoryUsed:      o.state.MemoryUsed,
+		Bound:           o.keptBindings(),
+		MemoryUsed:      o.ledger.Used(o.state, o.sizes()),
 		MemoryTotal:     o.state.MemoryTotal,
 		Running:         int32(o.state.Load.Running),
 		Queued:          int32(o.state.Load.Queued),
@@ -115,6 +191,9 @@
 		ReportAgeMs:     time.Since(o.state.Load.At).Milliseconds(),
 	}
 	for _, loaded := range o.state.Loaded {
+		if _, draining := o.draining[loaded.Model]; draining {
+			continue
+		}
 		replica := &peerpb.Replica{Model: loaded.Model, Version: loaded.Version, Running: int32(loaded.Running)}
 		for _, adapter := range loaded.Adapters {
 			replica.Adapters = append(replica.Adapters, adapter.Name)
@@ -127,170 +206,36 @@
 	return out
 }
 
-// load loads a bound model, and the adapter if one is named, and waits until
-// the engine holds them.
-func (o *ownedEngine) load(ctx context.Context, model config.Model, requestID string) error {
-	o.orders.Lock()
-	defer o.orders.Unlock()
-	spec := model.Spec
-	if !o.isBound(spec.GetName()) {
-		return errNotBound
-	}
-	o.use(spec.GetName())
-	if !o.holds(spec.GetName(), "") {
-		if err := o.makeRoom(ctx, spec.GetMemoryBytes(), spec.GetName()); err != nil {
-			return err
-		}
-		order := engine.Order{
-			ID: newOperationID(), Kind: engine.OrderLoad, Fence: o.fence,
-			Model: spec.GetName(), Version: spec.GetVersion(),
-			MemoryBytes: spec.GetMemoryBytes(), CheckpointBytes: spec.GetCheckpointBytes(),
-		}
-		if err := o.orderLoad(ctx, order, requestID); err != nil {
-			return err
-		}
-	}
-	if model.Adapter == nil || o.holds(spec.GetName(), model.Adapter.GetName()) {
-		return nil
-	}
-	if err := o.makeRoom(ctx, model.Adapter.GetMemoryBytes(), spec.GetName()); err != nil {
-		return err
-	}
-	return o.orderLoad(ctx, engine.Order{
-		ID: newOperationID(), Kind: engine.OrderLoadAdapter, Fence: o.fence,
-		Model: spec.GetName(), Version: model.Adapter.GetVersion(),
-		Adapter: model.Adapter.GetName(), MemoryBytes: model.Adapter.GetMemoryBytes(),
-	}, requestID)
-}
-
-// orderLoad sends a load order and waits for its end. An order whose answer
-// was lost is watched like one that was accepted.
-func (o *ownedEngine) orderLoad(ctx context.Context, order engine.Order, requestID string) error {
-	incarnation := o.read().Incarnation
-	o.record(events.LoadOrdered, order, requestID)
-	err := o.client.Order(ctx, order)
-	if err != nil && !errors.Is(err, engine.ErrUnknown) {
-		return err
-	}
-	err = o.await(ctx, func(state engine.State) (bool, error) {
-		if state.Incarnation != incarnation {
-			return false, errLoadEnded
-		}
-		return holds(state, order.Model, order.Adapter), nil
-	})
-	if err == nil {
-		o.record(events.LoadEnded, order, requestID)
-	}
-	return err
-}
-
-func (o *ownedEngine) record(kind events.Kind, order engine.Order, requestID string) {
-	event := events.Event{Kind: kind, RequestID: requestID, Model: order.Model, Endpoint: o.name, Fence: o.fence}
-	if order.Adapter != "" {
-		event.Attributes = map[string]string{"adapter": order.Adapter}
-	}
-	o.controller.Events.Record(event)
-}
-
-// makeRoom unloads idle models, the least recently used first, until need
-// bytes are free.
-func (o *ownedEngine) makeRoom(ctx context.Context, need int64, keep string) error {
-	for {
-		state := o.read()
-		if state.MemoryTotal-state.MemoryUsed >= need {
-			return nil
-		}
-		victim, ok := o.victim(state, keep)
-		if !ok {
-			return errNoMemory
-		}
-		if err := o.unload(ctx, victim); err != nil {
-			return err
-		}
-	}
-}
-
-// victim chooses the idle model that was used least recently.
-func (o *ownedEngine) victim(state engine.State, keep string) (string, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	best, found := "", false
-	for _, loaded := range state.Loaded {
-		if loaded.Model == keep || loaded.Running > 0 {
-			continue
-		}
-		if !found || o.lastUsed[loaded.Model].Before(o.lastUsed[best]) {
-			best, found = loaded.Model, true
+// keptBindings returns the models that may be loaded. The caller holds mu.
+func (o *ownedEngine) keptBindings() []string {
+	var out []string
+	for model, keep := range o.bound {
+		if keep {
+			out = append(out, model)
 		}
 	}
-	return best, found
+	slices.Sort(out)
+	return out
 }
 
-// unload orders an unload and waits until the engine's state shows it.
-func (o *ownedEngine) unload(ctx context.Context, model string) error {
-	order := engine.Order{ID: newOperationID(), Kind: engine.OrderUnload, Fence: o.fence, Model: model}
-	o.record(events.UnloadOrdered, order, "")
-	err := o.client.Order(ctx, order)
-	if err != nil && !errors.Is(err, engine.ErrUnknown) {
-		return err
-	}
-	err = o.await(ctx, func(state engine.State) (bool, error) { return !holds(state, model, ""), nil })
-	if err == nil {
-		o.record(events.UnloadEnded, order, "")
+// sizes returns the sizes of models by the configuration in force.
+func (o *ownedEngine) sizes() ledger.Sizes {
+	current := o.controller.Config.Current()
+	return func(model, adapter string) int64 {
+		return memoryBytes(current, model, adapter)
 	}
-	return err
 }
 
-// await waits until the engine's state passes the test.
-func (o *ownedEngine) await(ctx context.Context, test func(engine.State) (bool, error)) error {
-	for {
-		o.mu.Lock()
-		state, changed, reachable := o.state, o.changed, o.reachable
-		o.mu.Unlock()
-		done, err := test(state)
-		if done || err != nil {
-			return err
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			if !reachable {
-				return errAway
-			}
-			return fmt.Errorf("controller: waiting for %s: %w", o.name, ctx.Err())
-		}
+func memoryBytes(current *config.Snapshot, model, adapter string) int64 {
+	offer, ok := current.Model(model)
+	switch {
+	case !ok:
+		return 0
+	case adapter == "":
+		return offer.Spec.GetMemoryBytes()
 	}
-}
-
-func (o *ownedEngine) holds(model, adapter string) bool {
-	return holds(o.read(), model, adapter)
-}
-
-func holds(state engine.State, model, adapter string) bool {
-	for _, loaded := range state.Loaded {
-		if loaded.Model != model {
-			continue
-		}
-		return adapter == "" || slices.ContainsFunc(loaded.Adapters, func(a engine.Adapter) bool { return a.Name == adapter })
+	if offer, ok = current.Model(adapter); !ok || offer.Adapter == nil {
+		return 0
 	}
-	return false
-}
-
-func (o *ownedEngine) isBound(model string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return slices.Contains(o.bound, model)
-}
-
-func (o *ownedEngine) setBound(models []string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.bound = models
-	o.revision++
-}
-
-func (o *ownedEngine) use(model string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lastUsed[model] = time.Now()
+	return offer.Adapter.GetMemoryBytes()
 }
--- /dev/null
+++ b/internal/controller/pass.go
@@ -0,0 +1,251 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/ledger"
+	"chestnutgauge/internal/plan"
+)
+
+// passEngine brings an owned engine closer to what is wanted there. It reads
+// what is wanted and what is the case, acts on the difference, and does nothing
+// if there is none. It never waits for the table. It returns the time after
+// which to pass again although nothing changes, 0 if there is none.
+func (c *Controller) passEngine(ctx context.Context, name string) time.Duration {
+	o, ok := c.owner(name)
+	if !ok {
+		return 0
+	}
+	o.passes.Lock()
+	defer o.passes.Unlock()
+	if o.replaced() {
+		c.drop(o, events.EndpointLost)
+		return 0
+	}
+	if c.isHanding() {
+		return 0
+	}
+	if wait, ok := o.confirm(ctx); !ok {
+		return wait
+	}
+	return o.carryOut(ctx, o.plan())
+}
+
+// replaced reports whether another controller is known to own the engine.
+func (o *ownedEngine) replaced() bool {
+	heard, ok := o.controller.Directory.Get(o.name)
+	if ok && heard.State.GetFence() > o.fence {
+		return true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.fenced && o.state.Fence > o.fence
+}
+
+// plan makes a plan from the state at hand, and takes over the models that
+// drain and the slots that can be given back.
+func (o *ownedEngine) plan() plan.Plan {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	made := plan.Make(o.planSnapshot(now))
+	changed := len(made.Draining) != len(o.draining)
+	for model := range made.Draining {
+		if _, ok := o.draining[model]; !ok {
+			changed = true
+		}
+	}
+	o.draining = made.Draining
+	for _, model := range made.Free {
+		delete(o.bound, model)
+		delete(o.checked, model)
+		o.releasing[model] = true
+		changed = true
+	}
+	for id, failure := range made.Failed {
+		for _, w := range o.wantsOf([]int64{id}) {
+			w.err = failureError(failure)
+			changed = true
+		}
+	}
+	if len(made.Free) > 0 {
+		o.controller.tableQueue.Add(o.name)
+	}
+	if changed {
+		o.touch()
+		defer o.controller.wake()
+	}
+	return made
+}
+
+func failureError(failure plan.Failure) error {
+	switch failure {
+	case plan.NoMemory:
+		return errNoMemory
+	case plan.LoadEnded:
+		return errLoadEnded
+	}
+	return errNotBound
+}
+
+// planSnapshot gathers what a plan is made from. The caller holds mu.
+func (o *ownedEngine) planSnapshot(now time.Time) plan.Snapshot {
+	s := plan.Snapshot{
+		Now:      now,
+		State:    o.state,
+		Ledger:   &o.ledger,
+		Bound:    o.bound,
+		Offers:   map[string]plan.Offer{},
+		Wants:    o.planned(),
+		Draining: o.draining,
+		Settle:   o.controller.settings.Settle,
+		Closing:  o.closing(),
+		Expected: func(model string) bool {
+			return now.Sub(o.lastUsed[model]) < o.controller.settings.ArrivalHold
+		},
+		Value: func(model string) float64 {
+			return 1 / max(now.Sub(o.lastUsed[model]).Seconds(), 1e-3)
+		},
+	}
+	for model := range o.bound {
+		o.offer(s.Offers, model)
+	}
+	for _, loaded := range o.state.Loaded {
+		o.offer(s.Offers, loaded.Model)
+	}
+	return s
+}
+
+// closing reports whether the engine is no longer in the configuration.
+func (o *ownedEngine) closing() bool {
+	endpoint, ok := o.controller.Config.Current().Endpoint(o.name)
+	return !ok || endpoint.Spec.GetAddress() != o.address || endpoint.Spec.GetDataCentre() != o.controller.DataCentre
+}
+
+func (o *ownedEngine) offer(offers map[string]plan.Offer, name string) {
+	model, ok := o.controller.Config.Current().Model(name)
+	if !ok || model.Adapter != nil {
+		return
+	}
+	offer := plan.Offer{
+		Version:         model.Spec.GetVersion(),
+		Bytes:           model.Spec.GetMemoryBytes(),
+		CheckpointBytes: model.Spec.GetCheckpointBytes(),
+		Adapters:        map[string]plan.AdapterOffer{},
+	}
+	for _, adapter := range model.Spec.GetAdapters() {
+		offer.Adapters[adapter.GetName()] = plan.AdapterOffer{Version: adapter.GetVersion(), Bytes: adapter.GetMemoryBytes()}
+	}
+	offers[name] = offer
+}
+
+// carryOut sends the orders of a plan.
+func (o *ownedEngine) carryOut(ctx context.Context, made plan.Plan) time.Duration {
+	for _, step := range made.Steps {
+		if err := o.step(ctx, step); err != nil {
+			o.controller.Log.Debug("order failed", "endpoint", o.name, "order", step.Kind, "model", step.Model, "error", err)
+			return jitter(o.controller.settings.Retry)
+		}
+	}
+	if made.Again.IsZero() {
+		return 0
+	}
+	return max(time.Until(made.Again), time.Millisecond)
+}
+
+// step sends one order and enters it in the ledger, before it is sent.
+func (o *ownedEngine) step(ctx context.Context, step plan.Step) error {
+	order := engine.Order{
+		ID: newOperationID(), Kind: step.Kind, Fence: o.fence,
+		Model: step.Model, Version: step.Version, Adapter: step.Adapter,
+		MemoryBytes: step.Bytes, CheckpointBytes: step.CheckpointBytes,
+	}
+	o.mu.Lock()
+	o.ledger.Send(ledger.Order{
+		ID: order.ID, Model: order.Model, Version: order.Version, Adapter: order.Adapter, Bytes: order.MemoryBytes,
+		Unload: order.Kind == engine.OrderUnload || order.Kind == engine.OrderUnloadAdapter,
+	})
+	wants := o.wantsOf(step.Wants)
+	requestID := ""
+	if len(wants) > 0 {
+		requestID = wants[0].requestID
+	}
+	o.mu.Unlock()
+	o.record(step.Kind, order, requestID)
+	err := o.send(ctx, order)
+	o.answered(order, step, wants, err)
+	return err
+}
+
+func (o *ownedEngine) record(kind engine.OrderKind, order engine.Order, requestID string) {
+	event := events.Event{Kind: events.LoadOrdered, RequestID: requestID, Model: order.Model, Endpoint: o.name, Fence: o.fence}
+	if kind == engine.OrderUnload || kind == engine.OrderUnloadAdapter {
+		event.Kind = events.UnloadOrdered
+	}
+	if order.Adapter != "" {
+		event.Attributes = map[string]string{"adapter": order.Adapter}
+	}
+	o.controller.Events.Record(event)
+}
+
+// send sends an order under the guard that the engine needs: its fence, or the
+// lease. The lease is looked at just before the order is sent, and the order's
+// deadline is the lease's end.
+func (o *ownedEngine) send(ctx context.Context, order engine.Order) error {
+	deadline := time.Now().Add(o.controller.settings.OrderTimeout)
+	if !o.fenced {
+		end, ok := o.leaseEnd()
+		if !ok {
+			return errNoLease
+		}
+		if end.Before(deadline) {
+			deadline = end
+		}
+	}
+	orderCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return o.client.Order(orderCtx, order)
+}
+
+// leaseEnd returns the end of the lease under which the engine may be ordered,
+// and whether it is still to come.
+func (o *ownedEngine) leaseEnd() (time.Time, bool) {
+	o.mu.Lock()
+	generation := o.generation
+	o.mu.Unlock()
+	return o.controller.lease.current().End(generation, time.Now())
+}
+
+// answered takes the answer to an order into the ledger.
+func (o *ownedEngine) answered(order engine.Order, step plan.Step, wants []*want, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil:
+		o.ledger.Accept(order.ID, now)
+	case errors.Is(err, engine.ErrUnknown):
+		o.ledger.Lose(order.ID, now.Add(o.controller.settings.Ownership.OrderFlight))
+	default:
+		o.ledger.Refuse(order.ID)
+	}
+	sent := err == nil || errors.Is(err, engine.ErrUnknown)
+	for _, w := range wants {
+		switch {
+		case sent:
+			w.ordered = step.OrderedAs()
+		case errors.Is(err, engine.ErrNoMemory):
+			w.err = errNoMemory
+		}
+	}
+	o.ledger.Observe(o.state, o.startedAt)
+	o.touch()
+	if errors.Is(err, engine.ErrOldFence) {
+		o.controller.engineQueue.Add(o.name)
+		o.state.Fence = max(o.state.Fence, o.fence+1)
+	}
+}
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -23,12 +23,14 @@
 type Directory struct {
 	mu      sync.Mutex
 	entries map[string]Entry
+	// live holds the controllers whose streams are up.
+	live    map[string]bool
 	changed chan struct{}
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[string]Entry{}, changed: make(chan struct{})}
+	return &Directory{entries: map[string]Entry{}, live: map[string]bool{}, changed: make(chan struct{})}
 }
 
 // Apply takes over a delta from a controller. A state with a lower fence than
@@ -79,6 +81,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	maps.DeleteFunc(d.entries, func(_ string, e Entry) bool { return e.Source == source })
+	delete(d.live, source)
 	d.wake()
 }
 
--- a/internal/endpoints/watcher.go
+++ b/internal/endpoints/watcher.go
@@ -67,6 +67,7 @@
 func (w *Watcher) follow(ctx context.Context, member membership.Member) {
 	for ctx.Err() == nil {
 		err := w.stream(ctx, member)
+		w.directory.StreamDown(member.Name())
 		w.log.Debug("endpoint stream ended", "controller", member.Name(), "error", err)
 		select {
 		case <-time.After(retryInterval):
@@ -91,5 +92,6 @@
 			return err
 		}
 		w.directory.Apply(member.Name(), delta)
+		w.directory.StreamUp(member.Name())
 	}
 }
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,201 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/ledger"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds int) time.Time {
+	return start.Add(time.Duration(seconds) * time.Second)
+}
+
+func noSizes(string, string) int64 { return 0 }
+
+func load(id, model string, bytes int64) ledger.Order {
+	return ledger.Order{ID: id, Model: model, Version: "1", Bytes: bytes}
+}
+
+func loaded(model string, bytes int64) engine.Loaded {
+	return engine.Loaded{Model: model, Version: "1", MemoryBytes: bytes}
+}
+
+func TestUsed(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		do    func(l *ledger.Ledger)
+		state engine.State
+		sizes ledger.Sizes
+		want  int64
+	}{
+		{name: "reported sum above the parts", state: engine.State{MemoryUsed: 9, Loaded: []engine.Loaded{loaded("m", 5)}}, want: 9},
+		{name: "parts above the reported sum", state: engine.State{MemoryUsed: 3, Loaded: []engine.Loaded{loaded("m", 5)}}, want: 5},
+		{
+			name: "own sizes above the reported, with KV space", state: engine.State{MemoryUsed: 5, Loaded: []engine.Loaded{loaded("m", 5)}},
+			sizes: func(string, string) int64 { return 8 }, want: 8,
+		},
+		{
+			name: "adapters count",
+			state: engine.State{MemoryUsed: 5, Loaded: []engine.Loaded{{
+				Model: "m", MemoryBytes: 5, Adapters: []engine.Adapter{{Name: "a", MemoryBytes: 2}},
+			}}},
+			want: 7,
+		},
+		{name: "loading counts", state: engine.State{Loading: []engine.Loading{{Model: "m", MemoryBytes: 4}}}, want: 4},
+		{
+			name: "an order that was sent counts", want: 4,
+			do: func(l *ledger.Ledger) { l.Send(load("1", "m", 4)) },
+		},
+		{
+			name: "a lost answer keeps its memory while the order may arrive", want: 4,
+			do: func(l *ledger.Ledger) {
+				l.Send(load("1", "m", 4))
+				l.Lose("1", at(5))
+				l.Observe(engine.State{}, at(5))
+			},
+		},
+		{
+			name: "a later reading settles a lost answer", want: 0,
+			do: func(l *ledger.Ledger) {
+				l.Send(load("1", "m", 4))
+				l.Lose("1", at(5))
+				l.Observe(engine.State{}, at(6))
+			},
+		},
+		{
+			name: "a reading begun before the answer does not settle an accepted load", want: 4,
+			do: func(l *ledger.Ledger) {
+				l.Send(load("1", "m", 4))
+				l.Accept("1", at(2))
+				l.Observe(engine.State{}, at(1))
+			},
+		},
+		{
+			name: "a load that the reading shows is counted once", want: 4,
+			state: engine.State{MemoryUsed: 4, Loading: []engine.Loading{{OrderID: "1", Model: "m", MemoryBytes: 4}}},
+			do: func(l *ledger.Ledger) {
+				l.Send(load("1", "m", 4))
+				l.Accept("1", at(2))
+				l.Observe(engine.State{Loading: []engine.Loading{{OrderID: "1", Model: "m"}}}, at(1))
+			},
+		},
+		{
+			name: "the old version does not settle the load of the new one", want: 4,
+			do: func(l *ledger.Ledger) {
+				l.Send(ledger.Order{ID: "1", Model: "m", Version: "2", Bytes: 4})
+				l.Accept("1", at(2))
+				l.Observe(engine.State{Loaded: []engine.Loaded{loaded("m", 4)}}, at(1))
+			},
+		},
+		{
+			name: "a refused order takes nothing", want: 0,
+			do: func(l *ledger.Ledger) {
+				l.Send(load("1", "m", 4))
+				l.Refuse("1")
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var l ledger.Ledger
+			if tc.do != nil {
+				tc.do(&l)
+			}
+			if tc.sizes == nil {
+				tc.sizes = noSizes
+			}
+			require.Equal(t, tc.want, l.Used(tc.state, tc.sizes))
+		})
+	}
+}
+
+func TestVictims(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		have []ledger.Candidate
+		need int64
+		want []string
+		ok   bool
+	}{
+		{name: "nothing needed", need: 0, ok: true},
+		{name: "too little in all", have: []ledger.Candidate{{Model: "a", Bytes: 3}}, need: 4},
+		{
+			name: "least value per byte first, not least value", ok: true, need: 4, want: []string{"large"},
+			have: []ledger.Candidate{{Model: "small", Bytes: 1, Value: 1}, {Model: "large", Bytes: 8, Value: 2}},
+		},
+		{
+			name: "what later victims make unnecessary is kept", ok: true, need: 8, want: []string{"large"},
+			have: []ledger.Candidate{{Model: "small", Bytes: 1, Value: 0.1}, {Model: "large", Bytes: 8, Value: 2}},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			victims, ok := ledger.Victims(tc.have, tc.need)
+			require.Equal(t, tc.ok, ok)
+			var names []string
+			for _, victim := range victims {
+				names = append(names, victim.Model)
+			}
+			require.Equal(t, tc.want, names)
+		})
+	}
+}
+
+// TestNeverBelowTheEngine drives an engine through orders whose answers are
+// lost, refused or late, and checks that the ledger never counts less than
+// what the engine holds or may still come to hold.
+func TestNeverBelowTheEngine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const flight = 5
+		var l ledger.Ledger
+		held := map[string]int64{}        // model to bytes, at the engine
+		flying := map[string][2]int64{}   // order to bytes and latest arrival
+		read, readAt := engine.State{}, 0 // the owner's last reading
+		for now := 1; now < 40; now++ {
+			for id, order := range flying {
+				if rapid.Bool().Draw(t, "arrives") || int64(now) >= order[1] {
+					held[id] = order[0]
+					delete(flying, id)
+				}
+			}
+			id := fmt.Sprint(now)
+			bytes := int64(rapid.IntRange(1, 9).Draw(t, "bytes"))
+			switch rapid.SampledFrom([]string{"accepted", "lost", "flying", "refused", "read", "none"}).Draw(t, "step") {
+			case "accepted":
+				l.Send(load(id, id, bytes))
+				held[id] = bytes
+				l.Accept(id, at(now))
+			case "lost":
+				l.Send(load(id, id, bytes))
+				l.Lose(id, at(now+flight))
+			case "flying":
+				l.Send(load(id, id, bytes))
+				flying[id] = [2]int64{bytes, int64(now + flight)}
+				l.Lose(id, at(now+flight))
+			case "refused":
+				l.Send(load(id, id, bytes))
+				l.Refuse(id)
+			case "read":
+				read, readAt = engine.State{}, now
+				for model, bytes := range held {
+					read.Loaded = append(read.Loaded, loaded(model, bytes))
+				}
+				l.Observe(read, at(readAt))
+			}
+			var engineMax int64
+			for _, bytes := range held {
+				engineMax += bytes
+			}
+			for _, order := range flying {
+				engineMax += order[0]
+			}
+			require.GreaterOrEqual(t, l.Used(read, noSizes), engineMax)
+		}
+	})
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,187 @@
+package plan_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/ledger"
+	"chestnutgauge/internal/plan"
+)
+
+var now = time.Unix(1000, 0)
+
+const settle = 100 * time.Millisecond
+
+// fixture is an engine of 10 bytes that may hold the models m1, m2 and m3 of
+// 4 bytes each, with an adapter of 2 bytes.
+func fixture(change func(s *plan.Snapshot)) plan.Snapshot {
+	s := plan.Snapshot{
+		Now:      now,
+		State:    engine.State{MemoryTotal: 10},
+		Ledger:   &ledger.Ledger{},
+		Bound:    map[string]bool{"m1": true, "m2": true, "m3": true},
+		Offers:   map[string]plan.Offer{},
+		Draining: map[string]time.Time{},
+		Expected: func(string) bool { return false },
+		Value:    func(model string) float64 { return map[string]float64{"m1": 1, "m2": 2, "m3": 3}[model] },
+		Settle:   settle,
+	}
+	for model := range s.Bound {
+		s.Offers[model] = plan.Offer{Version: "1", Bytes: 4, Adapters: map[string]plan.AdapterOffer{"a": {"1", 2}}}
+	}
+	change(&s)
+	return s
+}
+
+func holding(models ...string) func(s *plan.Snapshot) {
+	return func(s *plan.Snapshot) {
+		for _, model := range models {
+			s.State.Loaded = append(s.State.Loaded, engine.Loaded{Model: model, Version: "1", MemoryBytes: 4})
+			s.State.MemoryUsed += 4
+		}
+	}
+}
+
+func all(changes ...func(s *plan.Snapshot)) func(s *plan.Snapshot) {
+	return func(s *plan.Snapshot) {
+		for _, change := range changes {
+			change(s)
+		}
+	}
+}
+
+func wants(wants ...plan.Want) func(s *plan.Snapshot) {
+	return func(s *plan.Snapshot) { s.Wants = wants }
+}
+
+func drained(models ...string) func(s *plan.Snapshot) {
+	return func(s *plan.Snapshot) {
+		for _, model := range models {
+			s.Draining[model] = now.Add(-settle)
+		}
+	}
+}
+
+func pending(order ledger.Order) func(s *plan.Snapshot) {
+	return func(s *plan.Snapshot) { s.Ledger.Send(order) }
+}
+
+func TestMake(t *testing.T) {
+	m1 := plan.Want{ID: 1, Model: "m1"}
+	m3 := plan.Want{ID: 3, Model: "m3"}
+	for _, tc := range []struct {
+		name   string
+		change func(s *plan.Snapshot)
+		// orders are written as kind, model and adapter.
+		orders   []string
+		draining []string
+		free     []string
+		failed   map[int64]plan.Failure
+	}{
+		{name: "nothing wanted, nothing to do", change: holding("m1")},
+		{name: "a bound model is loaded", change: wants(m1), orders: []string{"load m1 "}},
+		{name: "two wants of a model share a load", change: wants(m1, plan.Want{ID: 2, Model: "m1"}), orders: []string{"load m1 "}},
+		{
+			name: "without a slot nothing is loaded", failed: map[int64]plan.Failure{1: plan.NotBound},
+			change: all(wants(m1), func(s *plan.Snapshot) { delete(s.Bound, "m1") }),
+		},
+		{
+			name: "a slot above the limit is not loaded, and freed", failed: map[int64]plan.Failure{1: plan.NotBound}, free: []string{"m1"},
+			change: all(wants(m1), func(s *plan.Snapshot) { s.Bound["m1"] = false }),
+		},
+		{name: "a model that loads is not ordered again", change: all(wants(m1), func(s *plan.Snapshot) {
+			s.State.Loading = []engine.Loading{{Model: "m1", Version: "1", MemoryBytes: 4}}
+		})},
+		{name: "an order that may take effect is not sent again", change: all(wants(m1), pending(ledger.Order{ID: "x", Model: "m1", Version: "1", Bytes: 4}))},
+		{
+			name: "a load that ended without a result fails its want", failed: map[int64]plan.Failure{1: plan.LoadEnded},
+			change: wants(plan.Want{ID: 1, Model: "m1", Ordered: "load 1"}),
+		},
+		{name: "the least value per byte makes room", change: all(holding("m1", "m2"), wants(m3)), draining: []string{"m1"}},
+		{name: "an eviction finishes before the load starts", change: all(holding("m1", "m2"), wants(m3), drained("m1")), draining: []string{"m1"}, orders: []string{"unload m1 "}},
+		{
+			name: "what is in use is not evicted", draining: []string{"m2"},
+			change: all(holding("m1", "m2"), wants(m3), func(s *plan.Snapshot) { s.State.Loaded[0].Running = 1 }),
+		},
+		{
+			name: "what is wanted or expected is not evicted", failed: map[int64]plan.Failure{3: plan.NoMemory},
+			change: all(holding("m1", "m2"), wants(m1, m3), func(s *plan.Snapshot) {
+				s.Expected = func(model string) bool { return model == "m2" }
+			}),
+		},
+		{
+			name: "a request that began while draining keeps the model", draining: []string{"m1"},
+			change: all(holding("m1", "m2"), wants(m3), drained("m1"), func(s *plan.Snapshot) {
+				s.State.Loaded[0].Running = 1
+				s.Bound["m1"] = false
+			}),
+		},
+		{
+			name: "memory of a lost order is not given away", failed: map[int64]plan.Failure{3: plan.NoMemory},
+			change: all(wants(m3), pending(ledger.Order{ID: "x", Model: "gone", Version: "1", Bytes: 7})),
+		},
+		{
+			name: "one plan does not give memory away twice", orders: []string{"load m1 ", "load m2 "}, failed: map[int64]plan.Failure{3: plan.NoMemory},
+			change: wants(m1, plan.Want{ID: 2, Model: "m2"}, m3),
+		},
+		{
+			name: "a model without a slot is unloaded after its requests", draining: []string{"m1"},
+			change: all(holding("m1"), drained("m1"), func(s *plan.Snapshot) {
+				delete(s.Bound, "m1")
+				s.State.Loaded[0].Running = 1
+			}),
+		},
+		{
+			name: "a slot above the limit is not freed while the engine holds the model", draining: []string{"m1"}, orders: []string{"unload m1 "},
+			change: all(holding("m1"), drained("m1"), func(s *plan.Snapshot) { s.Bound["m1"] = false }),
+		},
+		{
+			name:   "nor while an order may still bring it",
+			change: all(pending(ledger.Order{ID: "x", Model: "m1", Bytes: 4}), func(s *plan.Snapshot) { s.Bound["m1"] = false }),
+		},
+		{
+			name: "a load without a slot is ended", orders: []string{"unload m1 "},
+			change: func(s *plan.Snapshot) {
+				s.State.Loading = []engine.Loading{{Model: "m1", Version: "1", MemoryBytes: 4}}
+				delete(s.Bound, "m1")
+			},
+		},
+		{
+			name: "another version is unloaded before the new one is loaded", draining: []string{"m1"}, orders: []string{"unload m1 "},
+			change: all(holding("m1"), wants(m1), drained("m1"), func(s *plan.Snapshot) { s.State.Loaded[0].Version = "0" }),
+		},
+		{
+			name: "an engine that leaves is emptied and frees its slots", draining: []string{"m1"}, orders: []string{"unload m1 "}, free: []string{"m2", "m3"},
+			change: all(holding("m1"), drained("m1"), func(s *plan.Snapshot) { s.Closing = true }),
+		},
+		{name: "an adapter is loaded with its model", change: all(holding("m1"), wants(plan.Want{ID: 1, Model: "m1", Adapter: "a"})), orders: []string{"load_adapter m1 a"}},
+		{
+			name: "an adapter needs room of its own", draining: []string{"m2"},
+			change: all(holding("m1", "m2"), wants(plan.Want{ID: 1, Model: "m1", Adapter: "a"}), func(s *plan.Snapshot) { s.State.MemoryTotal = 9 }),
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := fixture(tc.change)
+			made := plan.Make(s)
+			var orders, draining []string
+			for _, step := range made.Steps {
+				orders = append(orders, string(step.Kind)+" "+step.Model+" "+step.Adapter)
+			}
+			for model := range made.Draining {
+				draining = append(draining, model)
+			}
+			require.Equal(t, tc.orders, orders)
+			require.ElementsMatch(t, tc.draining, draining)
+			require.Equal(t, tc.free, made.Free)
+			if tc.failed == nil {
+				tc.failed = map[int64]plan.Failure{}
+			}
+			require.Equal(t, tc.failed, made.Failed)
+			s.Draining = made.Draining
+			require.Equal(t, made, plan.Make(s), "planning again must change nothing")
+		})
+	}
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 
+	"github.com/google/uuid"
+
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/platform"
 )
@@ -73,29 +75,93 @@
 	return bindings, row.Version, nil
 }
 
-// Bound returns the models that are bound to an engine.
+// Bound returns the models that are bound to an engine. A transaction of
+// guards alone proves that all those bindings stand at once, so that an old
+// read can't give back a slot that has been freed since.
 func (s *Store) Bound(ctx context.Context, engine string) ([]string, error) {
+	for {
+		models, guards, err := s.scan(ctx, engine)
+		if err == nil {
+			err = s.prove(ctx, guards...)
+		}
+		if !platform.IsConflict(err) || ctx.Err() != nil {
+			return models, storeError(err)
+		}
+	}
+}
+
+// scan reads the index rows of an engine, with their guards.
+func (s *Store) scan(ctx context.Context, engine string) ([]string, []platform.Guard, error) {
 	const page = 256
 	var models []string
+	var guards []platform.Guard
 	after := ""
 	for {
 		rows, err := s.table.Scan(ctx, indexPrefix(engine), after, page)
 		if err != nil {
-			return nil, storeError(err)
+			return nil, nil, err
 		}
 		for _, row := range rows {
 			models = append(models, strings.TrimPrefix(row.Key, indexPrefix(engine)))
+			guards = append(guards, platform.Guard{Key: row.Key, Version: row.Version})
 			after = row.Key
 		}
 		if len(rows) < page {
-			return models, nil
+			return models, guards, nil
 		}
 	}
 }
 
+// prove commits guards without a write. A ConflictError means that what was
+// read no longer stands.
+func (s *Store) prove(ctx context.Context, guards ...platform.Guard) error {
+	if len(guards) == 0 {
+		return nil
+	}
+	txn := platform.Txn{OperationID: uuid.NewString(), Guards: guards}
+	_, err := s.table.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrUnknown) {
+		// The transaction has no effect to lose, only its answer.
+		return platform.ErrUnavailable
+	}
+	return err
+}
+
+// Keep reports whether the slot of a model that is bound to an engine is
+// within the limit of the newest configuration. The slots that were bound
+// first are kept. A slot that is not kept has to be released once the engine
+// no longer holds the model. deployment is the one that offers the model by
+// the caller's configuration, "" if none does, and version is that of the
+// caller's configuration.
+func (s *Store) Keep(ctx context.Context, deployment, model, engine string, version int64) (bool, error) {
+	if deployment == "" {
+		return s.olderThanHead(ctx, version)
+	}
+	limit, _, err := s.limit(ctx, deployment, model)
+	if errors.Is(err, ErrUnknownModel) {
+		return s.olderThanHead(ctx, version)
+	}
+	if err != nil {
+		return false, storeError(err)
+	}
+	bindings, _, err := s.read(ctx, model)
+	if err != nil {
+		return false, storeError(err)
+	}
+	i := slices.Index(bindings, Binding{Engine: engine})
+	return i >= 0 && i < limit, nil
+}
+
+// olderThanHead keeps the slot of a model that only a newer configuration than
+// the caller's may offer.
+func (s *Store) olderThanHead(ctx context.Context, version int64) (bool, error) {
+	head, err := s.config.Head(ctx)
+	return head > version, storeError(err)
+}
+
 // Bind binds a free slot of a model to an engine. The limit is checked against
-// the newest configuration in the same transaction. A slot that is bound to
-// the engine already is no error.
+// the newest configuration in the same transaction. A slot within the limit
+// that is bound to the engine already is no error.
 func (s *Store) Bind(ctx context.Context, operationID, deployment, model, engine string) error {
 	for {
 		err := s.tryBind(ctx, operationID, deployment, model, engine)
@@ -115,8 +181,12 @@
 		return err
 	}
 	binding := Binding{Engine: engine}
-	if slices.Contains(bindings, binding) {
-		return nil
+	if i := slices.Index(bindings, binding); i >= 0 {
+		if i >= limit {
+			// The limit was lowered: this slot is about to be released.
+			return ErrNoSlot
+		}
+		return s.prove(ctx, guard, platform.Guard{Key: modelKey(model), Version: version})
 	}
 	if len(bindings) >= limit {
 		return ErrNoSlot
@@ -151,10 +221,11 @@
 	if err != nil {
 		return err
 	}
+	row := platform.Write{Key: modelKey(model), Value: value, Delete: len(bindings) == 0}
 	txn := platform.Txn{
 		OperationID: operationID,
 		Guards:      append(guards, platform.Guard{Key: modelKey(model), Version: version}),
-		Writes:      []platform.Write{{Key: modelKey(model), Value: value}, index},
+		Writes:      []platform.Write{row, index},
 	}
 	_, err = platform.CommitResolved(ctx, s.table, txn)
 	return err
