--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
 	"chestnutgauge/internal/config"
@@ -92,6 +93,7 @@
 		rows:        map[string]ownership.Row{},
 		unheard:     map[string]time.Time{},
 		leases:      map[string]seenLease{},
+		lease:       leaseKeeper{writing: semaphore.NewWeighted(1)},
 	}
 	c.life, c.end = context.WithCancel(context.Background())
 	return c
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -44,8 +44,10 @@
 // handOver releases one engine. An order whose answer was lost may still
 // reach an engine that does not check fences, so it is waited for.
 func (o *ownedEngine) handOver(ctx context.Context) error {
-	o.passes.Lock()
-	defer o.passes.Unlock()
+	if err := o.passes.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer o.passes.Release(1)
 	o.mu.Lock()
 	settled, open := o.ledger.Settling()
 	version := o.row
@@ -75,8 +77,10 @@
 
 // endLease deletes the lease row once no engine is left that relies on it.
 func (c *Controller) endLease(ctx context.Context) {
-	c.lease.writing.Lock()
-	defer c.lease.writing.Unlock()
+	if c.lease.writing.Acquire(ctx, 1) != nil {
+		return
+	}
+	defer c.lease.writing.Release(1)
 	lease := c.lease.current()
 	if lease.Version == 0 || c.needsLease() {
 		return
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"chestnutgauge/internal/ownership"
 	"chestnutgauge/internal/platform"
 )
@@ -13,7 +15,7 @@
 // leaseKeeper keeps this controller's own lease.
 type leaseKeeper struct {
 	// writing lets one write of the lease row at a time.
-	writing sync.Mutex
+	writing *semaphore.Weighted
 
 	mu    sync.Mutex
 	lease ownership.Lease
@@ -67,8 +69,10 @@
 // conflict means that a successor has broken the lease: what was read of the
 // owner rows before no longer counts.
 func (c *Controller) renewLease(ctx context.Context) error {
-	c.lease.writing.Lock()
-	defer c.lease.writing.Unlock()
+	if err := c.lease.writing.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer c.lease.writing.Release(1)
 	lease := c.lease.current()
 	sent := time.Now()
 	if lease.Version == 0 {
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/ledger"
@@ -37,7 +39,7 @@
 	stop       context.CancelFunc
 
 	// passes lets one pass at a time order the engine.
-	passes sync.Mutex
+	passes *semaphore.Weighted
 
 	mu        sync.Mutex
 	state     engine.State
@@ -96,6 +98,7 @@
 		fence:      row.Fence,
 		fenced:     row.Fenced,
 		client:     c.Connect(row.Address),
+		passes:     semaphore.NewWeighted(1),
 		row:        version,
 		rowStands:  true,
 		generation: generation,
--- /dev/null
+++ b/internal/controller/ownership_test.go
@@ -0,0 +1,144 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/standin"
+)
+
+// recovery bounds the time until all models are served again.
+const recovery = 60 * time.Second
+
+// TestOwnershipFaults brings about each failure under traffic, for engines that
+// check fences and for those that ignore them. The journal of the stand-in is
+// held against the promises at the end of each.
+func TestOwnershipFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(w *world)
+	}{
+		{"owner killed", func(w *world) {
+			node := w.owner("e1")
+			node.Kill()
+			w.remove(node)
+		}},
+		{"owner killed and restarted on its VM", func(w *world) {
+			node := w.owner("e1")
+			node.Kill()
+			w.remove(node)
+			time.Sleep(time.Second)
+			w.Controllers = append(w.Controllers, w.StartController(node.VM, "a"))
+		}},
+		{"owner hands over", func(w *world) {
+			node := w.owner("e1")
+			node.Controller.HandOver(w.t.Context())
+			node.Kill()
+			w.remove(node)
+		}},
+		{"answers to the take lost", func(w *world) {
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultTableLost, Prefix: "owner/", Count: 3})
+			node := w.owner("e1")
+			node.Kill()
+			w.remove(node)
+		}},
+		{"owner frozen past its lease, thawed after the takeover", func(w *world) {
+			node := w.owner("e1")
+			node.Freeze()
+			time.Sleep(40 * time.Second)
+			node.Thaw()
+		}},
+		{"owner cut off from peers and platform goes on", func(w *world) {
+			node := w.owner("e1")
+			node.PlatformCut.Store(true)
+			node.PeersCut.Store(true)
+			time.Sleep(40 * time.Second)
+			node.PlatformCut.Store(false)
+			node.PeersCut.Store(false)
+		}},
+		{"owner cut off from its engine, peers and platform, and back to the engine first", func(w *world) {
+			node := w.owner("e1")
+			node.PlatformCut.Store(true)
+			node.PeersCut.Store(true)
+			node.EndpointsCut.Store(true)
+			time.Sleep(40 * time.Second)
+			node.EndpointsCut.Store(false)
+			time.Sleep(5 * time.Second)
+			node.PlatformCut.Store(false)
+			node.PeersCut.Store(false)
+		}},
+		{"the same, and the engine restarts before it is back", func(w *world) {
+			node := w.owner("e1")
+			node.PlatformCut.Store(true)
+			node.PeersCut.Store(true)
+			node.EndpointsCut.Store(true)
+			time.Sleep(40 * time.Second)
+			w.StandIn.Engines["e1"].Crash("", "")
+			node.EndpointsCut.Store(false)
+			time.Sleep(5 * time.Second)
+			node.PlatformCut.Store(false)
+			node.PeersCut.Store(false)
+		}},
+		{"owner dies while the table is down", func(w *world) {
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultTableDown})
+			time.Sleep(time.Second)
+			node := w.owner("e1")
+			node.Kill()
+			w.remove(node)
+			time.Sleep(20 * time.Second)
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultTableDown, Clear: true})
+		}},
+		{"answers to orders lost", func(w *world) {
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultLostOrder})
+			time.Sleep(20 * time.Second)
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultLostOrder, Clear: true})
+		}},
+		{"engine stopped for a while", func(w *world) {
+			w.StandIn.Engines["e1"].Stop()
+			time.Sleep(20 * time.Second)
+			w.StandIn.Engines["e1"].Start()
+		}},
+	}
+	for _, step := range []time.Duration{200, 700, 1200, 5500, 7000, 15500, 20500, 21500} {
+		cases = append(cases, struct {
+			name  string
+			fault func(w *world)
+		}{fmt.Sprintf("engine restarts %d ms into a takeover", step), func(w *world) {
+			node := w.owner("e1")
+			node.Kill()
+			w.remove(node)
+			time.Sleep(step * time.Millisecond)
+			w.StandIn.Engines["e1"].Crash("", "")
+		}}, struct {
+			name  string
+			fault func(w *world)
+		}{fmt.Sprintf("table down %d ms into a takeover", step), func(w *world) {
+			node := w.owner("e1")
+			node.Kill()
+			w.remove(node)
+			time.Sleep(step * time.Millisecond)
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultTableDown})
+			time.Sleep(5 * time.Second)
+			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultTableDown, Clear: true})
+		}})
+	}
+	for _, tc := range cases {
+		for _, fenced := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/fenced=%t", tc.name, fenced), func(t *testing.T) {
+				runWorld(t, fenced, func(w *world) {
+					w.traffic()
+					time.Sleep(5 * time.Second)
+					tc.fault(w)
+					time.Sleep(30 * time.Second)
+					w.quiet()
+					w.served(recovery)
+					require.Len(t, w.owners("e1"), 1)
+					require.Len(t, w.owners("e2"), 1)
+				})
+			})
+		}
+	}
+}
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -20,8 +20,10 @@
 	if !ok {
 		return 0
 	}
-	o.passes.Lock()
-	defer o.passes.Unlock()
+	if o.passes.Acquire(ctx, 1) != nil {
+		return 0
+	}
+	defer o.passes.Release(1)
 	if o.replaced() {
 		c.drop(o, events.EndpointLost)
 		return 0
--- /dev/null
+++ b/internal/controller/world_test.go
@@ -0,0 +1,177 @@
+package controller_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/controller"
+	"chestnutgauge/internal/platform"
+	"chestnutgauge/internal/standin"
+	"chestnutgauge/internal/testsystem"
+)
+
+const gigabyte = 1_000_000_000
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// world is a system of three VMs and two engines in one data centre, with
+// callers that ask for six models, each with one replica, of which an engine
+// holds two at a time.
+type world struct {
+	*testsystem.System
+	t      *testing.T
+	fenced bool
+	random *rand.Rand
+	calls  sync.WaitGroup
+	stop   chan struct{}
+}
+
+const (
+	worldEngines = 2
+	worldModels  = 6
+)
+
+func runWorld(t *testing.T, fenced bool, test func(w *world)) {
+	runWorldWith(t, fenced, nil, test)
+}
+
+func runWorldWith(t *testing.T, fenced bool, settings *controller.Settings, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		outside := standin.Defaults()
+		outside.Weights.BytesPerSecond = 4 * gigabyte
+		for i := range worldEngines {
+			name := fmt.Sprintf("e%d", i+1)
+			outside.Engines = append(outside.Engines, testsystem.EngineEntry(name, 10*gigabyte, fenced))
+			outside.Membership.VMs = append(outside.Membership.VMs, standin.VMEntry{
+				ID: "host-" + name, Kind: platform.EndpointVM, Region: "region", DataCentre: "a",
+				Processes: map[string]string{name: name + ":1"},
+			})
+		}
+		w := &world{t: t, fenced: fenced, random: rand.New(rand.NewPCG(1, 2)), stop: make(chan struct{})}
+		w.System = testsystem.NewWith(t, outside, settings, map[string]string{"v1": "a", "v2": "a", "v3": "a"})
+		slices.SortFunc(w.Controllers, func(a, b *testsystem.ControllerNode) int {
+			return int(a.VM[1]) - int(b.VM[1])
+		})
+		w.Apply(w.deployment(1))
+		time.Sleep(5 * time.Second)
+		test(w)
+		w.calls.Wait()
+		w.check()
+	})
+}
+
+func (w *world) deployment(limit int32) *pb.Deployment {
+	d := &pb.Deployment{
+		Name:     "showroom",
+		Services: []*pb.Service{{Name: "assistants", Kind: pb.ServiceKind_SERVICE_KIND_ENGINES}},
+	}
+	for i := range worldEngines {
+		name := fmt.Sprintf("e%d", i+1)
+		d.Endpoints = append(d.Endpoints, &pb.Endpoint{
+			Name: name, Service: "assistants", Address: name + ":1", DataCentre: "a", ChecksFences: w.fenced,
+		})
+	}
+	for i := range worldModels {
+		d.Models = append(d.Models, &pb.Model{
+			Name: modelName(i), Version: "1", Services: []string{"assistants"},
+			CheckpointBytes: gigabyte, MemoryBytes: 4 * gigabyte, MaxReplicas: limit,
+		})
+	}
+	return d
+}
+
+func modelName(i int) string {
+	return fmt.Sprintf("m%d", i+1)
+}
+
+// chat sends one request to a router and returns the status code.
+func (w *world) chat(router int, model string, limit time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":8}`, model)
+	return w.Routers[router].Chat(ctx, body, nil).Code
+}
+
+// traffic sends a request every 150 ms to any model through any router, until
+// quiet is called.
+func (w *world) traffic() {
+	w.calls.Go(func() {
+		for {
+			select {
+			case <-w.stop:
+				return
+			case <-time.After(150 * time.Millisecond):
+			}
+			router, model := w.random.IntN(len(w.Routers)), modelName(w.random.IntN(worldModels))
+			w.calls.Go(func() { w.chat(router, model, 3*time.Second) })
+		}
+	})
+}
+
+func (w *world) quiet() {
+	close(w.stop)
+	w.calls.Wait()
+}
+
+// owner returns the controllers that believe they own an engine.
+func (w *world) owners(engine string) []*testsystem.ControllerNode {
+	var out []*testsystem.ControllerNode
+	for _, c := range w.Controllers {
+		for _, endpoint := range c.Controller.Status().GetEndpoints() {
+			if endpoint.GetName() == engine {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) owner(engine string) *testsystem.ControllerNode {
+	owners := w.owners(engine)
+	require.Len(w.t, owners, 1, "owners of %s", engine)
+	return owners[0]
+}
+
+// check holds the journal of the stand-in against the two promises.
+func (w *world) check() {
+	peaks := standin.Measure(w.StandIn.Journal.Entries())
+	for model, replicas := range peaks.Replicas {
+		require.LessOrEqual(w.t, replicas, 1, "replicas of %s", model)
+	}
+	require.Empty(w.t, peaks.Overcommitted)
+}
+
+// served waits until every model is answered, and so every engine has an owner
+// that can order it.
+func (w *world) served(limit time.Duration) {
+	begin := time.Now()
+	for i := range worldModels {
+		for w.chat(0, modelName(i), 10*time.Second) != http.StatusOK {
+			require.Less(w.t, time.Since(begin), limit, "%s is not served", modelName(i))
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// remove forgets a killed controller.
+func (w *world) remove(node *testsystem.ControllerNode) {
+	w.Controllers = slices.DeleteFunc(w.Controllers, func(c *testsystem.ControllerNode) bool { return c == node })
+}
--- a/internal/testsystem/cut.go
+++ b/internal/testsystem/cut.go
@@ -18,7 +18,7 @@
 
 // Write implements net.Conn.
 func (c *cutConn) Write(data []byte) (int, error) {
-	if c.node.PeersCut.Load() {
+	if c.node.PeersCut.Load() || c.node.frozen() {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
@@ -48,7 +48,7 @@
 
 // Get implements platform.Table.
 func (c cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return platform.Row{}, platform.ErrUnavailable
 	}
 	return c.table.Get(ctx, key)
@@ -56,7 +56,7 @@
 
 // Scan implements platform.Table.
 func (c cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return nil, platform.ErrUnavailable
 	}
 	return c.table.Scan(ctx, prefix, after, limit)
@@ -64,7 +64,7 @@
 
 // Commit implements platform.Table.
 func (c cutTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return 0, platform.ErrUnavailable
 	}
 	return c.table.Commit(ctx, txn)
@@ -78,7 +78,7 @@
 
 // List implements platform.Membership.
 func (c cutMembership) List(ctx context.Context) ([]platform.VM, error) {
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return nil, platform.ErrUnavailable
 	}
 	return c.list.List(ctx)
@@ -92,7 +92,7 @@
 
 // State implements engine.Engine.
 func (c cutEngine) State(ctx context.Context) (engine.State, error) {
-	if c.node.EndpointsCut.Load() {
+	if !c.node.pass(ctx) || c.node.EndpointsCut.Load() {
 		return engine.State{}, engine.ErrNotSent
 	}
 	return c.Engine.State(ctx)
@@ -100,7 +100,7 @@
 
 // Watch implements engine.Engine.
 func (c cutEngine) Watch(ctx context.Context, after int64) (engine.State, error) {
-	if c.node.EndpointsCut.Load() {
+	if !c.node.pass(ctx) || c.node.EndpointsCut.Load() {
 		return engine.State{}, engine.ErrNotSent
 	}
 	return c.Engine.Watch(ctx, after)
@@ -108,6 +108,9 @@
 
 // Order implements engine.Engine.
 func (c cutEngine) Order(ctx context.Context, order engine.Order) error {
+	if !c.node.pass(ctx) && !c.node.HalfSent.Load() {
+		return engine.ErrUnknown
+	}
 	if c.node.EndpointsCut.Load() {
 		return engine.ErrNotSent
 	}
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -55,6 +55,9 @@
 	Store       *config.Store
 	Routers     []*RouterNode
 	Controllers []*ControllerNode
+	// ControllerSettings are those of controllers started from now on, nil for
+	// the defaults.
+	ControllerSettings *controller.Settings
 
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
@@ -71,7 +74,11 @@
 	PlatformCut  atomic.Bool
 	PeersCut     atomic.Bool
 	EndpointsCut atomic.Bool
+	// HalfSent makes an order that a frozen node was about to send arrive after
+	// Thaw although its deadline has passed.
+	HalfSent atomic.Bool
 
+	gate    gate
 	system  *System
 	role    membership.Role
 	members *membership.Tracker
@@ -116,6 +123,11 @@
 // New starts a system with one router and one controller on a VM of each name
 // in vms, which maps VMs to data centres. It ends with the test.
 func New(t testing.TB, settings standin.Settings, vms map[string]string) *System {
+	return NewWith(t, settings, nil, vms)
+}
+
+// NewWith is New with settings of the controllers.
+func NewWith(t testing.TB, settings standin.Settings, controllers *controller.Settings, vms map[string]string) *System {
 	for vm, dataCentre := range vms {
 		settings.Membership.VMs = append(settings.Membership.VMs, standin.VMEntry{
 			ID: vm, Kind: platform.EntryVM, Region: "region", DataCentre: dataCentre,
@@ -127,6 +139,8 @@
 		StandIn:   standin.New(settings),
 		listeners: map[string]*bufconn.Listener{},
 		engines:   map[string]*standin.Engine{},
+
+		ControllerSettings: controllers,
 	}
 	s.Store = config.NewStore(s.StandIn.Table)
 	for _, entry := range settings.Engines {
@@ -174,7 +188,7 @@
 	s.mu.Lock()
 	listener := s.listeners[address]
 	s.mu.Unlock()
-	if listener == nil || from.PeersCut.Load() {
+	if listener == nil || from.PeersCut.Load() || from.frozen() {
 		return nil, errCut
 	}
 	conn, err := listener.DialContext(ctx)
@@ -206,6 +220,7 @@
 
 // Kill ends the node at once.
 func (n *Node) Kill() {
+	n.Thaw()
 	n.cancel()
 	n.server.Stop()
 	n.peers.Close()
@@ -233,6 +248,7 @@
 		Connect:    n.connect,
 		Events:     n.Events,
 		Log:        n.log,
+		Settings:   s.ControllerSettings,
 	})
 	peerpb.RegisterControllerServer(n.server, c)
 	n.start(watcher.Run, c.RunOwnership)
