Test each guard of ownership by itself

Cause: under traffic alone the fault cases pass although a guard is missing.

The stand-in gains an order that is carried out late, its answer lost.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -266,6 +266,14 @@
 
 // Order implements engine.Engine.
 func (e *Engine) Order(_ context.Context, order engine.Order) error {
+	if late := e.faults.delay(FaultLateOrder, e.settings.Name); late > 0 {
+		time.AfterFunc(late, func() { _ = e.obey(order) })
+		return engine.ErrUnknown
+	}
+	return e.obey(order)
+}
+
+func (e *Engine) obey(order engine.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.stopped {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -30,6 +30,9 @@
 	FaultDoubled FaultKind = "doubled"
 	// FaultLostOrder loses the answer to an order that was carried out.
 	FaultLostOrder FaultKind = "lost_order"
+	// FaultLateOrder loses the answer to an order, which is carried out
+	// Milliseconds later.
+	FaultLateOrder FaultKind = "late_order"
 	// FaultTableLost loses the answer to a commit that took effect.
 	FaultTableLost FaultKind = "table_lost_answer"
 	// FaultTableDown makes the table, the objects and the membership list
@@ -55,7 +58,7 @@
 
 var faultKinds = []FaultKind{
 	FaultCrashOnLoad, FaultCrashOnRequest, FaultSilence, FaultLate, FaultCrossed, FaultCut,
-	FaultDoubled, FaultLostOrder, FaultTableLost, FaultTableDown, FaultTableSlow, FaultTableStale,
+	FaultDoubled, FaultLostOrder, FaultLateOrder, FaultTableLost, FaultTableDown, FaultTableSlow, FaultTableStale,
 	FaultWeightsSlow, FaultLeaving, FaultStop, FaultRestart, FaultVMGone, FaultVMLeaving,
 }
 
