--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 bench:
 	@bash scripts/bench.sh
 
+# soak takes SEED and DURATION.
+SEED ?= 1
+DURATION ?= 60s
+soak: build
+	$(BIN)/chestnut-bench soak --seed $(SEED) --duration $(DURATION)
+
 demo: build
 	@bash scripts/demo.sh
 
--- a/internal/bench/path/path.go
+++ b/internal/bench/path/path.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"chestnutgauge/internal/bench/report"
+	"chestnutgauge/internal/bench/traffic"
 	"chestnutgauge/internal/standin"
 )
 
@@ -58,7 +59,7 @@
 			warm = append(warm, one)
 		}
 	}
-	entries, err := journal(ctx, s.Platform)
+	entries, err := traffic.Journal(ctx, s.Platform)
 	if err != nil {
 		return table, err
 	}
@@ -135,25 +136,3 @@
 	}
 	return one, scanner.Err()
 }
-
-func journal(ctx context.Context, address string) ([]standin.Entry, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/journal", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	var entries []standin.Entry
-	decoder := json.NewDecoder(resp.Body)
-	for decoder.More() {
-		var entry standin.Entry
-		if err := decoder.Decode(&entry); err != nil {
-			return nil, err
-		}
-		entries = append(entries, entry)
-	}
-	return entries, nil
-}
--- /dev/null
+++ b/internal/bench/soak/soak.go
@@ -0,0 +1,218 @@
+// Package soak runs the processes of an example under mixed requests while
+// faults strike in an order drawn from a seed, and checks every promise that
+// the callers' records and the journal can show.
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"chestnutgauge/internal/bench/fleet"
+	"chestnutgauge/internal/bench/traffic"
+	"chestnutgauge/internal/standin"
+)
+
+// Settings of a run.
+type Settings struct {
+	Binaries, Example, Directory string
+	// Duration is how long faults strike.
+	Duration time.Duration
+	Seed     uint64
+	Traffic  traffic.Settings
+	Limits   traffic.Limits
+	// Log gets a line for each fault.
+	Log io.Writer
+}
+
+// Times of the faults.
+const (
+	warmUp    = 4 * time.Second
+	shortest  = 500 * time.Millisecond
+	longest   = 4 * time.Second
+	settle    = 8 * time.Second
+	drainTime = 40 * time.Second
+)
+
+// run is one run in progress.
+type run struct {
+	Settings
+	fleet *fleet.Fleet
+	rng   *rand.Rand
+	start time.Time
+	// struck is the process that a fault holds now.
+	struck string
+}
+
+// Run runs the soak and returns the summary of its check.
+func Run(ctx context.Context, s Settings) (traffic.Summary, error) {
+	f, err := fleet.New(s.Binaries, s.Example, s.Directory)
+	if err != nil {
+		return traffic.Summary{}, err
+	}
+	defer f.Stop()
+	if err := f.StartAll(ctx); err != nil {
+		return traffic.Summary{}, err
+	}
+	r := &run{Settings: s, fleet: f, rng: rand.New(rand.NewPCG(s.Seed, 0)), start: time.Now()}
+	s.Traffic.Routers = []string{f.Address("127.0.0.1:8080"), f.Address("127.0.0.1:8081")}
+	s.Traffic.Seed = s.Seed
+	for _, router := range s.Traffic.Routers {
+		if err := f.Await(ctx, router, "/readyz"); err != nil {
+			return traffic.Summary{}, err
+		}
+	}
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan []traffic.Record, 1)
+	go func() { done <- traffic.Run(sending, s.Traffic) }()
+	time.Sleep(warmUp)
+	err = r.strike(ctx)
+	time.Sleep(settle)
+	stop()
+	records := <-done
+	if err != nil {
+		return traffic.Summary{}, err
+	}
+	entries, err := traffic.Journal(ctx, f.Address("127.0.0.1:8070"))
+	if err != nil {
+		return traffic.Summary{}, err
+	}
+	return traffic.Check(records, entries, s.Limits, s.Traffic.Tokens), nil
+}
+
+// strike does faults, one after another and now and then two together, until
+// the duration has passed.
+func (r *run) strike(ctx context.Context) error {
+	for time.Since(r.start) < warmUp+r.Duration {
+		r.struck = ""
+		undo, err := r.one(ctx)
+		if err != nil {
+			return err
+		}
+		if r.rng.IntN(3) == 0 {
+			second, err := r.one(ctx)
+			if err != nil {
+				return err
+			}
+			undo = append(undo, second...)
+		}
+		time.Sleep(r.span())
+		for _, f := range undo {
+			if err := f(); err != nil {
+				return err
+			}
+		}
+		time.Sleep(r.span())
+	}
+	return nil
+}
+
+func (r *run) span() time.Duration {
+	return shortest + time.Duration(r.rng.Int64N(int64(longest-shortest)))
+}
+
+// one draws a fault, does it, and returns what ends it.
+func (r *run) one(ctx context.Context) ([]func() error, error) {
+	processes := append(r.fleet.Names("router-"), append(r.fleet.Names("controller-"), r.fleet.Names("admin-")...)...)
+	process := processes[r.rng.IntN(len(processes))]
+	kind := r.rng.IntN(5)
+	if process == r.struck || kind > 2 {
+		return r.outside(ctx)
+	}
+	r.struck = process
+	switch kind {
+	case 0:
+		r.say("kill %s", process)
+		if err := r.fleet.Kill(process); err != nil {
+			return nil, err
+		}
+		return []func() error{func() error { return r.fleet.Start(process) }}, nil
+	case 1:
+		r.say("freeze %s", process)
+		if err := r.fleet.Signal(process, syscall.SIGSTOP); err != nil {
+			return nil, err
+		}
+		return []func() error{func() error { return r.fleet.Signal(process, syscall.SIGCONT) }}, nil
+	}
+	r.say("shut down %s", process)
+	if err := r.fleet.Signal(process, syscall.SIGTERM); err != nil {
+		return nil, err
+	}
+	return []func() error{func() error { return r.replace(ctx, process) }}, nil
+}
+
+// replace starts a process anew once its shutdown has ended.
+func (r *run) replace(ctx context.Context, process string) error {
+	limit, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	if err := r.fleet.Wait(limit, process); err != nil {
+		return err
+	}
+	return r.fleet.Start(process)
+}
+
+// outside draws a fault of the stand-in.
+func (r *run) outside(ctx context.Context) ([]func() error, error) {
+	engines := []string{"cph-e1", "ros-e1"}
+	engine := engines[r.rng.IntN(len(engines))]
+	faults := []standin.Fault{
+		{Kind: standin.FaultTableDown},
+		{Kind: standin.FaultTableSlow, Milliseconds: 300},
+		{Kind: standin.FaultTableLost, Count: 3},
+		{Kind: standin.FaultWeightsSlow, Factor: 4},
+		{Kind: standin.FaultSilence, Endpoint: engine},
+		{Kind: standin.FaultCut, Endpoint: engine, Count: 3},
+		{Kind: standin.FaultCrossed, Endpoint: engine, Count: 3},
+		{Kind: standin.FaultDoubled, Endpoint: engine, Count: 3},
+		{Kind: standin.FaultLate, Endpoint: engine, Milliseconds: 500, Count: 3},
+		{Kind: standin.FaultLostOrder, Endpoint: engine, Count: 1},
+		{Kind: standin.FaultCrashOnLoad, Endpoint: engine, Count: 1},
+		{Kind: standin.FaultLeaving, Endpoint: engine},
+		{Kind: standin.FaultRestart, Endpoint: engine},
+	}
+	fault := faults[r.rng.IntN(len(faults))]
+	r.say("%s %s", fault.Kind, fault.Endpoint)
+	if err := r.post(ctx, fault); err != nil {
+		return nil, err
+	}
+	lasting := fault.Count == 0 && fault.Kind != standin.FaultRestart && fault.Kind != standin.FaultSilence
+	if !lasting {
+		return nil, nil
+	}
+	return []func() error{func() error {
+		fault.Clear = true
+		return r.post(ctx, fault)
+	}}, nil
+}
+
+func (r *run) post(ctx context.Context, fault standin.Fault) error {
+	body, err := json.Marshal(fault)
+	if err != nil {
+		return err
+	}
+	address := r.fleet.Address("127.0.0.1:8070")
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/faults", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("soak: fault %s: status %d", fault.Kind, resp.StatusCode)
+	}
+	return nil
+}
+
+func (r *run) say(format string, args ...any) {
+	fmt.Fprintf(r.Log, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/test/processes/processes_test.go
@@ -0,0 +1,130 @@
+// Package processes runs the built programs as processes under real signals.
+// Every verdict rests on counts from the callers' records and the stand-in's
+// journal, never on times.
+package processes
+
+import (
+	"context"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/bench/fleet"
+	"chestnutgauge/internal/bench/traffic"
+)
+
+// Where the programs and the example are.
+const (
+	binaries = "../../bin"
+	example  = "../../examples/demo"
+)
+
+// tokens is the length of each answer.
+const tokens = 20
+
+// step is one thing done to the processes while requests run.
+type step struct {
+	process string
+	signal  syscall.Signal
+	// wait is the time before the next step.
+	wait time.Duration
+	// restart starts the process anew after the signal has ended it.
+	restart bool
+}
+
+func (s step) do(t *testing.T, f *fleet.Fleet) {
+	require.NoError(t, f.Signal(s.process, s.signal))
+	if s.restart {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		require.NoError(t, f.Wait(ctx, s.process))
+		require.NoError(t, f.Start(s.process))
+	}
+	time.Sleep(s.wait)
+}
+
+// TestSignals sends a steady stream of mixed requests while processes are
+// killed, frozen and shut down.
+func TestSignals(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"no fault", []step{{"router-1", syscall.SIGCONT, 3 * time.Second, false}}},
+		{"router killed", []step{{"router-1", syscall.SIGKILL, 3 * time.Second, true}}},
+		{"router shut down", []step{{"router-1", syscall.SIGTERM, 3 * time.Second, true}}},
+		{"router frozen", []step{
+			{"router-1", syscall.SIGSTOP, 2 * time.Second, false},
+			{"router-1", syscall.SIGCONT, 2 * time.Second, false},
+		}},
+		{"controller killed", []step{{"controller-1", syscall.SIGKILL, 4 * time.Second, true}}},
+		{"controller shut down", []step{{"controller-1", syscall.SIGTERM, 4 * time.Second, true}}},
+		{"controller frozen", []step{
+			{"controller-1", syscall.SIGSTOP, 3 * time.Second, false},
+			{"controller-1", syscall.SIGCONT, 3 * time.Second, false},
+		}},
+		{"admin killed", []step{{"admin-1", syscall.SIGKILL, 2 * time.Second, true}}},
+		{"controller and router killed together", []step{
+			{"controller-2", syscall.SIGKILL, 0, true},
+			{"router-2", syscall.SIGKILL, 4 * time.Second, true},
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f, err := fleet.New(binaries, example, t.TempDir())
+			require.NoError(t, err)
+			t.Cleanup(f.Stop)
+			require.NoError(t, f.StartAll(t.Context()))
+			summary := drive(t, f, test.steps)
+			t.Logf("%+v", summary.Codes)
+			require.Empty(t, summary.Violations)
+			require.Positive(t, summary.Whole)
+		})
+	}
+}
+
+// drive sends requests while the steps are done, and checks how they ended.
+func drive(t *testing.T, f *fleet.Fleet, steps []step) traffic.Summary {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	settings := traffic.Settings{
+		Routers:  []string{f.Address("127.0.0.1:8080"), f.Address("127.0.0.1:8081")},
+		Mixes:    traffic.DemoMixes(),
+		Callers:  12,
+		Pause:    100 * time.Millisecond,
+		Deadline: 30 * time.Second,
+		Tokens:   tokens,
+		Seed:     1,
+	}
+	for _, router := range settings.Routers {
+		require.NoError(t, f.Await(ctx, router, "/readyz"))
+	}
+	done := make(chan []traffic.Record, 1)
+	go func() { done <- traffic.Run(ctx, settings) }()
+	time.Sleep(3 * time.Second)
+	for _, s := range steps {
+		s.do(t, f)
+	}
+	cancel()
+	records := <-done
+	entries, err := traffic.Journal(t.Context(), f.Address("127.0.0.1:8070"))
+	require.NoError(t, err)
+	summary := traffic.Check(records, entries, traffic.DemoLimits(), tokens)
+	t.Logf("%d requests: %d whole, %d refused, %d failed, %d sent again", summary.Requests, summary.Whole, summary.Refused, summary.Failed, summary.Resent)
+	return summary
+}
+
+// TestProgramsCheckTheirSettings runs each daemon with --check on every
+// example.
+func TestProgramsCheckTheirSettings(t *testing.T) {
+	examples, err := filepath.Glob("../../examples/*/router-1.toml")
+	require.NoError(t, err)
+	require.NotEmpty(t, examples)
+	for _, file := range examples {
+		require.NoError(t, fleet.CheckSettings(t.Context(), binaries, filepath.Dir(file)))
+	}
+}
