--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -167,6 +167,11 @@
 	return nil
 }
 
+// PID returns the id of a process.
+func (f *Fleet) PID(name string) int {
+	return f.processes[name].command.Process.Pid
+}
+
 // Wait waits until a process has ended.
 func (f *Fleet) Wait(ctx context.Context, name string) error {
 	select {
@@ -196,7 +201,12 @@
 	if err := f.Await(ctx, f.Address("127.0.0.1:8160"), "/readyz"); err != nil {
 		return err
 	}
-	return f.Control(ctx, "apply", filepath.Join(f.directory, "deployment.toml"))
+	for _, name := range f.Names("deployment") {
+		if err := f.Control(ctx, "apply", filepath.Join(f.directory, name+".toml")); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Control runs the operators' command line.
@@ -250,7 +260,7 @@
 	}
 	for _, file := range files {
 		name := strings.TrimSuffix(filepath.Base(file), ".toml")
-		if name == "deployment" {
+		if strings.HasPrefix(name, "deployment") {
 			continue
 		}
 		program := filepath.Join(bin, programOf(name))
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"chestnutgauge/internal/netcount"
 	"chestnutgauge/internal/platform"
 )
 
@@ -30,7 +31,7 @@
 // New returns a client of the platform at address, a host:port.
 func New(address string) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         netcount.Dial(&net.Dialer{Timeout: time.Second}, netcount.Platform),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,7 @@
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/membership"
+	"chestnutgauge/internal/netcount"
 	"chestnutgauge/internal/node"
 	"chestnutgauge/internal/opshttp"
 	"chestnutgauge/internal/peer"
@@ -119,7 +120,7 @@
 		Store:    store,
 		Config:   config.NewFollower(store, recorder, log),
 		Members:  membership.NewTracker(client, log),
-		Peers:    peer.NewPool(),
+		Peers:    peer.NewPool(grpc.WithContextDialer(dialPeer)),
 		Server:   peer.NewServer(),
 		Tree:     supervise.New(string(role), log),
 	}
@@ -128,6 +129,11 @@
 	return p
 }
 
+// dialPeer connects with another process and counts the bytes.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return netcount.Dial(&net.Dialer{}, netcount.Processes)(ctx, "tcp", address)
+}
+
 // Draining reports whether the process is shutting down.
 func (p *Parts) Draining() bool {
 	return p.draining.Load()
@@ -160,7 +166,7 @@
 		return fmt.Errorf("node.peer_listen: %w", err)
 	}
 	go func() {
-		if err := p.Server.Serve(listener); err != nil {
+		if err := p.Server.Serve(netcount.Listen(listener, netcount.Processes)); err != nil {
 			p.Log.Error("peer server ended", "error", err)
 		}
 	}()
