Give each fleet a block of ports of its own

Ruled out: ports from the kernel's own choice (outgoing connections take them between probe and start).

Change: a fleet holds the first port of a block while it lives and numbers its addresses within the block. The callers' records also count connections that broke, so that a shutdown under load must break none.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -37,6 +37,8 @@
 	directory string
 	addresses map[string]string
 	processes map[string]*Process
+	lock      net.Listener
+	nextPort  int
 }
 
 var loopback = regexp.MustCompile(`127\.0\.0\.1:\d+`)
@@ -45,6 +47,9 @@
 // free port. Programs are taken from bin.
 func New(bin, example, directory string) (*Fleet, error) {
 	f := &Fleet{bin: bin, directory: directory, addresses: map[string]string{}, processes: map[string]*Process{}}
+	if err := f.lockBlock(); err != nil {
+		return nil, err
+	}
 	files, err := filepath.Glob(filepath.Join(example, "*.toml"))
 	if err != nil || len(files) == 0 {
 		return nil, fmt.Errorf("fleet: no settings in %s: %w", example, err)
@@ -66,40 +71,43 @@
 	return f, nil
 }
 
-// reserve finds a free port for each address in a settings file.
-func (f *Fleet) reserve(text string) error {
-	for _, address := range loopback.FindAllString(text, -1) {
-		if _, known := f.addresses[address]; known {
-			continue
-		}
-		free, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		f.addresses[address] = free
-	}
-	return nil
-}
-
 // Ports are taken below the range that the kernel gives to outgoing
-// connections, so that none takes one between the probe and the start.
+// connections, so that none takes one before the start. They come in blocks; a
+// fleet holds the first port of its block while it lives, so that no other
+// fleet takes the block, in this process or another.
 const (
 	lowestPort = 10000
-	ports      = 20000
-	portTries  = 1000
+	blockPorts = 200
+	blocks     = 100
+	blockTries = 1000
 )
 
-// freeAddress returns a loopback address that nobody listens at.
-func freeAddress() (string, error) {
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
+// lockBlock takes a block of ports.
+func (f *Fleet) lockBlock() error {
+	for range blockTries {
+		first := lowestPort + blockPorts*rand.IntN(blocks)
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			f.lock, f.nextPort = lock, first+1
+			return nil
+		}
+	}
+	return errors.New("fleet: no free block of ports")
+}
+
+// reserve gives each address in a settings file a port of the block.
+func (f *Fleet) reserve(text string) error {
+	for _, address := range loopback.FindAllString(text, -1) {
+		if _, known := f.addresses[address]; known {
 			continue
 		}
-		return address, listener.Close()
+		if len(f.addresses) == blockPorts-1 {
+			return errors.New("fleet: the example has more addresses than a block has ports")
+		}
+		f.addresses[address] = fmt.Sprintf("127.0.0.1:%d", f.nextPort)
+		f.nextPort++
 	}
-	return "", errors.New("fleet: no free port")
+	return nil
 }
 
 func (f *Fleet) move(file string) error {
@@ -243,8 +251,9 @@
 	}
 }
 
-// Stop ends all processes.
+// Stop ends all processes and frees the ports.
 func (f *Fleet) Stop() {
+	defer f.lock.Close()
 	for _, process := range f.processes {
 		_ = process.command.Process.Signal(syscall.SIGCONT)
 		_ = process.command.Process.Kill()
--- a/internal/bench/traffic/traffic.go
+++ b/internal/bench/traffic/traffic.go
@@ -6,9 +6,11 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,6 +72,8 @@
 	// that may be repeated is sent under a key of its own each time, so that
 	// what a refusal says speaks of one sending.
 	Sends int
+	// Broken is the number of sendings that broke after a connection was made.
+	Broken int
 	// Silent means that no router gave an end within the deadline and the
 	// allowance.
 	Silent bool
@@ -191,9 +195,28 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
+		record.noteBreak(err)
 		return false
 	}
 	defer resp.Body.Close()
+	ended := readAnswer(resp, record, lastEvent)
+	if !ended {
+		record.Broken++
+	}
+	return ended
+}
+
+// noteBreak counts a call that failed after its connection was made.
+func (r *Record) noteBreak(err error) {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return
+	}
+	r.Broken++
+}
+
+// readAnswer reads an answer and reports whether the request has an end.
+func readAnswer(resp *http.Response, record *Record, lastEvent *string) bool {
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return readStream(resp.Body, record, lastEvent)
 	}
--- a/test/processes/processes_test.go
+++ b/test/processes/processes_test.go
@@ -52,25 +52,27 @@
 	tests := []struct {
 		name  string
 		steps []step
+		// breaks says that connections of callers may break.
+		breaks bool
 	}{
-		{"no fault", []step{{"router-1", syscall.SIGCONT, 3 * time.Second, false}}},
-		{"router killed", []step{{"router-1", syscall.SIGKILL, 3 * time.Second, true}}},
-		{"router shut down", []step{{"router-1", syscall.SIGTERM, 3 * time.Second, true}}},
+		{"no fault", []step{{"router-1", syscall.SIGCONT, 3 * time.Second, false}}, false},
+		{"router killed", []step{{"router-1", syscall.SIGKILL, 3 * time.Second, true}}, true},
+		{"router shut down", []step{{"router-1", syscall.SIGTERM, 3 * time.Second, true}}, false},
 		{"router frozen", []step{
 			{"router-1", syscall.SIGSTOP, 2 * time.Second, false},
 			{"router-1", syscall.SIGCONT, 2 * time.Second, false},
-		}},
-		{"controller killed", []step{{"controller-1", syscall.SIGKILL, 4 * time.Second, true}}},
-		{"controller shut down", []step{{"controller-1", syscall.SIGTERM, 4 * time.Second, true}}},
+		}, false},
+		{"controller killed", []step{{"controller-1", syscall.SIGKILL, 4 * time.Second, true}}, false},
+		{"controller shut down", []step{{"controller-1", syscall.SIGTERM, 4 * time.Second, true}}, false},
 		{"controller frozen", []step{
 			{"controller-1", syscall.SIGSTOP, 3 * time.Second, false},
 			{"controller-1", syscall.SIGCONT, 3 * time.Second, false},
-		}},
-		{"admin killed", []step{{"admin-1", syscall.SIGKILL, 2 * time.Second, true}}},
+		}, false},
+		{"admin killed", []step{{"admin-1", syscall.SIGKILL, 2 * time.Second, true}}, false},
 		{"controller and router killed together", []step{
 			{"controller-2", syscall.SIGKILL, 0, true},
 			{"router-2", syscall.SIGKILL, 4 * time.Second, true},
-		}},
+		}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -82,6 +84,9 @@
 			summary := drive(t, f, test.steps)
 			t.Logf("%+v", summary.Codes)
 			require.Empty(t, summary.Violations)
+			if !test.breaks {
+				require.Zero(t, summary.Broken, "a connection broke although nothing was killed")
+			}
 			require.Positive(t, summary.Whole)
 		})
 	}
