Choose endpoints by expected time to first token

Cause: the choice compared (load + 1) / speed, with the load taken as the larger of the own count and a late report, and always drew two candidates evenly.

Change: load is the own count plus the expected requests of other routers. A report decays to its mean over the time that a request takes. The number drawn falls from all to two as the number of routers grows, each drawn by speed.

--- /dev/null
+++ b/internal/choose/choose_test.go
@@ -0,0 +1,80 @@
+package choose
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var now = time.Unix(1000, 0)
+
+func idle(name string) Candidate {
+	return Candidate{Name: name, DataCentre: "own", Limit: 4, TokensPerSecond: 100, FirstToken: 50 * time.Millisecond}
+}
+
+func with(c Candidate, change func(*Candidate)) Candidate {
+	change(&c)
+	return c
+}
+
+// TestChoose has one row for each reason to take or leave an endpoint. The
+// wanted endpoint must be chosen on every draw.
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name       string
+		request    Request
+		candidates []Candidate
+		want       string
+		verdict    Verdict
+	}{
+		{name: "none", verdict: Absent},
+		{name: "unreachable", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Unreachable = true }), idle("b")}, want: "b"},
+		{name: "leaving", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Leaving = true }), idle("b")}, want: "b"},
+		{name: "drained", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Drained = true })}, verdict: Absent},
+		{name: "held", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.HeldUntil = now.Add(time.Second) }), idle("b")}, want: "b"},
+		{name: "all held", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.HeldUntil = now.Add(time.Second) })}, verdict: Held},
+		{name: "hold ended", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.HeldUntil = now })}, want: "a"},
+		{name: "full by own", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.InFlight = 4 })}, verdict: Full},
+		{name: "full by others", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Others = 4 })}, verdict: Full},
+		{name: "own share of a full one", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Others, c.Share = 4, 1 })}, want: "a"},
+		{name: "batch leaves room", request: Request{Batch: true}, candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.InFlight = 3 })}, verdict: Full},
+		{name: "batch takes no share of a full one", request: Request{Batch: true}, candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Others, c.Share = 4, 1 })}, verdict: Full},
+		{name: "batch alone", request: Request{Batch: true}, candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Limit = 1 })}, want: "a"},
+		{name: "own data centre first", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.DataCentre = "other" }), with(idle("b"), func(c *Candidate) { c.InFlight = 3 })}, want: "b"},
+		{name: "other data centre when own is full", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.DataCentre = "other" }), with(idle("b"), func(c *Candidate) { c.InFlight = 4 })}, want: "a"},
+		{name: "other data centre when own has none", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.DataCentre = "other" })}, want: "a"},
+		{name: "not the one tried", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Tried = true }), with(idle("b"), func(c *Candidate) { c.InFlight = 3 })}, want: "b"},
+		{name: "the one tried if no other", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Tried = true })}, want: "a"},
+		{name: "faster", candidates: []Candidate{idle("a"), with(idle("b"), func(c *Candidate) { c.TokensPerSecond, c.FirstToken = 400, 12*time.Millisecond })}, want: "b"},
+		{name: "less loaded by others", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Others = 2.5 }), idle("b")}, want: "b"},
+		{name: "cached", request: Request{PrefixSaving: 500 * time.Millisecond}, candidates: []Candidate{idle("a"), with(idle("b"), func(c *Candidate) { c.Cached, c.InFlight = true, 1 })}, want: "b"},
+		{name: "cached but too loaded", request: Request{PrefixSaving: 10 * time.Millisecond, Tokens: 100}, candidates: []Candidate{idle("a"), with(idle("b"), func(c *Candidate) { c.Cached, c.InFlight = true, 3 })}, want: "a"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.request.Now, tc.request.DataCentre = now, "own"
+			for seed := range uint64(50) {
+				got, verdict := Default().Choose(tc.request, tc.candidates, rand.New(rand.NewPCG(seed, 0)))
+				require.Equal(t, tc.verdict, verdict)
+				require.Equal(t, tc.want, got.Name)
+			}
+		})
+	}
+}
+
+// TestPowerOfTwoSpreads checks that many choosers with the same view do not
+// all choose the cheapest endpoint.
+func TestPowerOfTwoSpreads(t *testing.T) {
+	candidates := []Candidate{idle("a"), idle("b"), idle("c"), idle("d")}
+	candidates[0].FirstToken = 40 * time.Millisecond
+	counts := map[string]int{}
+	for seed := range uint64(1000) {
+		req := Request{Now: now, DataCentre: "own", Choosers: 40}
+		got, _ := Default().Choose(req, candidates, rand.New(rand.NewPCG(seed, 0)))
+		counts[got.Name]++
+	}
+	// Of two draws out of four, half hold a given endpoint.
+	require.InDelta(t, 500, counts["a"], 60)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,84 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time {
+	return start.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// TestOthers corrects late reports for the router's own requests.
+func TestOthers(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(*Tracker)
+		want float64
+	}{
+		{"own are not others", func(t *Tracker) { t.Begin("e", at(0)); t.Report("e", 1, 0, at(10)) }, 0},
+		{"begun after the report", func(t *Tracker) { t.Report("e", 2, 0, at(10)); t.Begin("e", at(20)) }, 2},
+		{"ended after the report", func(t *Tracker) { t.Begin("e", at(0)); t.End("e", at(50)); t.Report("e", 3, 0, at(10)) }, 2},
+		{"begun before a report that came late", func(t *Tracker) {
+			t.Begin("e", at(0))
+			t.Begin("e", at(20))
+			t.Report("e", 1, 0, at(10))
+		}, 0},
+		{"queued count", func(t *Tracker) { t.Report("e", 2, 3, at(10)) }, 5},
+		{"older report after a newer", func(t *Tracker) { t.Report("e", 2, 0, at(10)); t.Report("e", 9, 0, at(5)) }, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tracker := NewTracker(DefaultSettings())
+			tc.do(tracker)
+			require.InDelta(t, tc.want, tracker.View("e", at(100)).Others, 0.01)
+		})
+	}
+}
+
+// TestLimit learns how many requests an endpoint runs at once.
+func TestLimit(t *testing.T) {
+	tracker := NewTracker(DefaultSettings())
+	tracker.Report("e", 7, 0, at(0))
+	require.Zero(t, tracker.View("e", at(1)).Limit, "no queue: not at its limit")
+	tracker.Report("e", 4, 2, at(10))
+	require.Equal(t, 4, tracker.View("e", at(11)).Limit)
+	tracker.Report("e", 6, 0, at(20))
+	require.Equal(t, 6, tracker.View("e", at(21)).Limit, "it runs more than was thought")
+}
+
+// TestHolds spares failing endpoints for a doubling, bounded time.
+func TestHolds(t *testing.T) {
+	s := DefaultSettings()
+	tracker := NewTracker(s)
+	hold := func() time.Duration { return tracker.View("e", start).HeldUntil.Sub(start) }
+	for _, want := range []time.Duration{s.HoldMin, 2 * s.HoldMin, 4 * s.HoldMin} {
+		tracker.Failed("e", start, 1)
+		require.Equal(t, want, hold())
+	}
+	for range 100 {
+		tracker.Failed("e", start, 1)
+	}
+	require.Equal(t, s.HoldMax, hold())
+	tracker.Answered("e", time.Millisecond, 1, 0)
+	require.True(t, tracker.View("e", start).HeldUntil.IsZero())
+	tracker.Busy("e", start)
+	require.Equal(t, s.HoldBusy, hold())
+}
+
+// TestBound forgets endpoints that are no longer configured.
+func TestBound(t *testing.T) {
+	tracker := NewTracker(DefaultSettings())
+	for i := range 1000 {
+		tracker.Report(fmt.Sprint("old", i), 1, 0, start)
+	}
+	tracker.Begin("busy", start)
+	tracker.Report("new", 1, 0, start)
+	tracker.Prune(func(name string) bool { return name == "new" })
+	require.Equal(t, 2, tracker.Len())
+}
--- a/internal/router/locate.go
+++ b/internal/router/locate.go
@@ -46,7 +46,7 @@
 		out = append(out, choose.Candidate{
 			Name:            state.GetName(),
 			InFlight:        r.inFlightAt(state.GetName()),
-			Reported:        int(state.GetRunning() + state.GetQueued()),
+			Others:          float64(max(0, int(state.GetRunning()+state.GetQueued())-r.inFlightAt(state.GetName()))),
 			TokensPerSecond: state.GetTokensPerSecond(),
 		})
 	}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,6 +3,7 @@
 source "$(dirname "$0")/lib.sh"
 cd "$ROOT"
 make --no-print-directory build
+"$BIN/chestnut-bench" routing
 EXAMPLE=agency bash scripts/up.sh
 trap 'bash "$ROOT/scripts/down.sh"' EXIT
 "$BIN/chestnut-bench" path --callers "127.0.0.1:$((8080 + OFFSET))" --platform "127.0.0.1:$((8070 + OFFSET))"
