Read back a commit without believing a stale read

Cause: CommitResolved took a read from before the commit as proof that an earlier sending had no effect, so a claim that was made could be reported as a conflict. Ruled out: sending under a new operation id (it would lose the recognition of the own write).

Change: readBack reads a row whose guard failed, and reads again while the row still has the version that the guard wanted. The object store gains Delete, for answers that expire.

Conclusion: a write whose answer was lost is recognised under stale reads too.

--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -98,7 +98,16 @@
 
 // Put implements platform.Objects.
 func (c *Client) Put(ctx context.Context, key string, data []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+"/objects?key="+url.QueryEscape(key), bytes.NewReader(data))
+	return c.writeObject(ctx, http.MethodPut, key, data)
+}
+
+// Delete implements platform.Objects.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	return c.writeObject(ctx, http.MethodDelete, key, nil)
+}
+
+func (c *Client) writeObject(ctx context.Context, method, key string, data []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+"/objects?key="+url.QueryEscape(key), bytes.NewReader(data))
 	if err != nil {
 		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -95,6 +96,9 @@
 	Put(ctx context.Context, key string, data []byte) error
 	// Get reads an object. It returns ErrNotFound or ErrUnavailable.
 	Get(ctx context.Context, key string) ([]byte, error)
+	// Delete removes an object; one that does not exist is no error. It
+	// returns ErrUnavailable or ErrUnknown.
+	Delete(ctx context.Context, key string) error
 }
 
 // WeightLimits are the limits of the weight store.
@@ -155,23 +159,31 @@
 // CommitResolved commits a transaction and resolves an unknown outcome by
 // sending the same transaction again until the table answers or ctx ends. The
 // guards make that safe: at most one of the sendings takes effect. After a
-// conflict it reads back the first row written to see whether an earlier
-// sending was the one that took effect. Each transaction must guard every row
-// that it writes. It returns a ConflictError, ErrUnavailable (nothing took
-// effect), or ErrUnknown (ctx ended while the outcome was open).
+// conflict it reads back a row that the transaction writes, to see whether an
+// earlier sending was the one that took effect. Each transaction must guard
+// every row that it writes. It returns a ConflictError, ErrUnavailable
+// (nothing took effect), or ErrUnknown (ctx ended while the outcome was open;
+// a sending may still take effect later).
+//
+// A row that was overwritten since the transaction took effect reads back as a
+// conflict. A writer whose rows others may overwrite must recognise its own
+// write by the value.
 func CommitResolved(ctx context.Context, table Table, txn Txn) (int64, error) {
 	unknown := false
 	for {
 		version, err := table.Commit(ctx, txn)
+		var conflict *ConflictError
 		switch {
 		case err == nil:
 			return version, nil
-		case IsConflict(err) && unknown:
-			return readBack(ctx, table, txn, err)
+		case errors.As(err, &conflict) && unknown:
+			return readBack(ctx, table, txn, conflict)
 		case errors.Is(err, ErrUnavailable) && unknown:
 			// An earlier sending may still take effect.
 		case errors.Is(err, ErrUnknown):
 			unknown = true
+		case err == ctx.Err() && unknown:
+			return 0, ErrUnknown
 		default:
 			return 0, err
 		}
@@ -182,14 +194,20 @@
 }
 
 // readBack tells whether the transaction took effect although its last
-// sending met a conflict.
-func readBack(ctx context.Context, table Table, txn Txn, conflict error) (int64, error) {
+// sending met a conflict. A row that reads as the guard wanted it, although
+// the guard failed, was read stale and is read again.
+func readBack(ctx context.Context, table Table, txn Txn, conflict *ConflictError) (int64, error) {
+	key, guard, failed := readBackRow(txn, conflict)
 	for {
-		row, err := table.Get(ctx, txn.Writes[0].Key)
+		row, err := table.Get(ctx, key)
+		if errors.Is(err, ErrNotFound) {
+			row, err = Row{}, nil
+		}
+		stale := failed && row.Version == guard
 		switch {
 		case err == nil && row.OperationID == txn.OperationID:
 			return row.Version, nil
-		case err == nil || errors.Is(err, ErrNotFound):
+		case err == nil && !stale:
 			return 0, conflict
 		}
 		if !pause(ctx, resolvePause) {
@@ -198,6 +216,25 @@
 	}
 }
 
+// readBackRow picks the row to read back: one whose guard failed, if the
+// transaction writes it, else the first. It returns the version that the guard
+// wanted, and whether that guard failed.
+func readBackRow(txn Txn, conflict *ConflictError) (key string, guard int64, failed bool) {
+	key = txn.Writes[0].Key
+	for _, write := range txn.Writes {
+		if slices.Contains(conflict.Keys, write.Key) {
+			key, failed = write.Key, true
+			break
+		}
+	}
+	for _, g := range txn.Guards {
+		if g.Key == key {
+			return key, g.Version, failed
+		}
+	}
+	return key, 0, false
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -203,6 +203,24 @@
 	return slices.Clone(data), nil
 }
 
+// Delete implements platform.Objects.
+func (o *Objects) Delete(_ context.Context, key string) error {
+	if o.faults.down() {
+		return platform.ErrUnavailable
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.data, key)
+	return nil
+}
+
+// Count returns the number of objects.
+func (o *Objects) Count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.data)
+}
+
 // Weights is the weight store: it says how long a load takes.
 type Weights struct {
 	limits platform.WeightLimits
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -121,6 +121,7 @@
 	mux.HandleFunc("POST /table/commit", s.serveCommit)
 	mux.HandleFunc("PUT /objects", s.servePut)
 	mux.HandleFunc("GET /objects", s.serveObject)
+	mux.HandleFunc("DELETE /objects", s.serveDelete)
 	mux.HandleFunc("GET /weights", s.serveWeights)
 	mux.HandleFunc("GET /membership", s.serveMembership)
 	mux.HandleFunc("GET /journal", s.serveJournal)
@@ -173,6 +174,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (s *StandIn) serveDelete(w http.ResponseWriter, r *http.Request) {
+	if err := s.Objects.Delete(r.Context(), r.URL.Query().Get("key")); err != nil {
+		platformReply(w, nil, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *StandIn) serveObject(w http.ResponseWriter, r *http.Request) {
 	data, err := s.Objects.Get(r.Context(), r.URL.Query().Get("key"))
 	if err != nil {
