--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -17,6 +17,7 @@
 		pathCommand(),
 		soakCommand(),
 		capacityCommand(),
+		routingCommand(),
 	}
 }
 
