--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,6 +15,8 @@
 func Commands() []*cobra.Command {
 	return []*cobra.Command{
 		pathCommand(),
+		soakCommand(),
+		capacityCommand(),
 		routingCommand(),
 	}
 }
