Queue requests in the router, within deadlines and fair shares

Cause: requests went straight to an engine's queue. A full engine's refusal went to the caller, deadlines and priorities held nowhere, one organisation could fill the engine, and a failed request tried three endpoints without bound.

Ruled out: taking max_running from the operators' configuration alone. Models share engines, so the router learns an engine's limit from reports that show a queue. Plain deadline order over organisations lets a flood with early deadlines go first for good.

Change: internal/admit holds a bounded queue for each model: batch after interactive, earliest deadline first among the organisations not ahead of their fair share, refusal at once when the expected end passes the deadline. The scheduler in internal/router gives places at endpoints; several routers split an engine's limit so that none holds it for good. A busy engine's refusal goes back to the queue. Retries follow internal/retry. A refusal after a try that may have run no longer says not_run.

--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,12 +24,14 @@
 type Directory struct {
 	mu      sync.Mutex
 	entries map[string]Entry
+	// holders maps a model to the endpoints that have it loaded.
+	holders map[string]map[string]bool
 	changed chan struct{}
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[string]Entry{}, changed: make(chan struct{})}
+	return &Directory{entries: map[string]Entry{}, holders: map[string]map[string]bool{}, changed: make(chan struct{})}
 }
 
 // Apply takes over a delta from a controller. A state with a lower fence than
@@ -37,7 +40,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if delta.GetSnapshot() {
-		maps.DeleteFunc(d.entries, func(_ string, e Entry) bool { return e.Source == source })
+		d.dropSource(source)
 	}
 	now := time.Now()
 	for _, state := range delta.GetChanged() {
@@ -45,7 +48,7 @@
 	}
 	for _, name := range delta.GetRemoved() {
 		if d.entries[name].Source == source {
-			delete(d.entries, name)
+			d.drop(name)
 		}
 	}
 	d.wake()
@@ -71,17 +74,57 @@
 	if sameOwner && known.State.GetRevision() > entry.State.GetRevision() {
 		return
 	}
+	d.drop(entry.State.GetName())
 	d.entries[entry.State.GetName()] = entry
+	for _, replica := range entry.State.GetLoaded() {
+		of := d.holders[replica.GetModel()]
+		if of == nil {
+			of = map[string]bool{}
+			d.holders[replica.GetModel()] = of
+		}
+		of[entry.State.GetName()] = true
+	}
+}
+
+// drop removes an entry and its part of the index. The caller holds mu.
+func (d *Directory) drop(name string) {
+	for _, replica := range d.entries[name].State.GetLoaded() {
+		of := d.holders[replica.GetModel()]
+		delete(of, name)
+		if len(of) == 0 {
+			delete(d.holders, replica.GetModel())
+		}
+	}
+	delete(d.entries, name)
+}
+
+// dropSource removes what a controller sent. The caller holds mu.
+func (d *Directory) dropSource(source string) {
+	for name, entry := range d.entries {
+		if entry.Source == source {
+			d.drop(name)
+		}
+	}
 }
 
 // Forget drops the endpoints of a controller that is gone.
 func (d *Directory) Forget(source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	maps.DeleteFunc(d.entries, func(_ string, e Entry) bool { return e.Source == source })
+	d.dropSource(source)
 	d.wake()
 }
 
+// Drop removes an endpoint if its state came from source.
+func (d *Directory) Drop(source, name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if entry, ok := d.entries[name]; ok && entry.Source == source {
+		d.drop(name)
+		d.wake()
+	}
+}
+
 func (d *Directory) wake() {
 	close(d.changed)
 	d.changed = make(chan struct{})
@@ -113,6 +156,20 @@
 	return out
 }
 
+// Holders returns the endpoints that have a model loaded, in the order of their
+// names.
+func (d *Directory) Holders(model string) []Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	of := d.holders[model]
+	out := make([]Entry, 0, len(of))
+	for name := range of {
+		out = append(out, d.entries[name])
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.State.GetName(), b.State.GetName()) })
+	return out
+}
+
 // Holds reports whether an endpoint has a model, and the adapter if one is
 // named, loaded.
 func Holds(state *peerpb.EndpointState, model, adapter string) bool {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -30,11 +30,14 @@
 		Weight:   0.1,
 		MeanTime: 10 * time.Second,
 		HoldMin:  100 * time.Millisecond,
-		HoldMax:  5 * time.Second,
+		HoldMax:  2 * time.Second,
 		HoldBusy: 50 * time.Millisecond,
 	}
 }
 
+// maxDoublings bounds the doublings of a hold, so that it does not overflow.
+const maxDoublings = 16
+
 // historySize bounds the changes of the own count that are kept for each
 // endpoint. A report older than the oldest is taken as of the oldest.
 const historySize = 64
@@ -185,7 +188,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.get(name)
-	hold := t.settings.HoldMin << min(e.failures, 16)
+	hold := t.settings.HoldMin << min(e.failures, maxDoublings)
 	hold = min(hold, t.settings.HoldMax)
 	e.failures++
 	e.heldUntil = now.Add(hold/2 + time.Duration(jitter*float64(hold/2)))
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -76,6 +76,13 @@
 	// RetryAfter tells the caller when a repeat may succeed. 0 means that it
 	// is not worth it, or not known.
 	RetryAfter time.Duration
+	// Cause is the error of the layer below, if there is one.
+	Cause error
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
 }
 
 // Error implements error.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -77,6 +77,9 @@
 	Run outcome.Run
 	// Idempotent tells that the request may run more than once.
 	Idempotent bool
+	// Refused tells that the endpoint said that it would not run the request.
+	// Such a try cost next to nothing and does not count against the budget.
+	Refused bool
 	// Begun tells that the caller was sent a part of the answer.
 	Begun bool
 	// Jitter is drawn evenly from 0 to 1.
@@ -100,7 +103,10 @@
 		return Decision{}
 	}
 	pause := b.pause(f)
-	if !f.Now.Add(pause).Before(f.Deadline) || !b.spend() {
+	if !f.Now.Add(pause).Before(f.Deadline) {
+		return Decision{}
+	}
+	if !f.Refused && !b.spend() {
 		return Decision{}
 	}
 	return Decision{Retry: true, Pause: pause}
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/outcome"
 )
 
-// maxTries bounds the endpoints that one request is sent to.
-const maxTries = 3
-
 // Priorities at the engines.
 const (
 	priorityBatch       = 0
@@ -47,6 +47,7 @@
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
 	defer cancel()
+	defer r.leave(&c.call)
 	r.record(events.RequestReceived, c, "", nil)
 	var out sink = &wholeSink{w: w, call: c}
 	if c.stream {
@@ -77,27 +78,45 @@
 }
 
 // answerIdempotent tries endpoints until one answers. Once the caller has been
-// sent a part, the answer is not begun anew.
+// sent a part, the answer is not begun anew. A request that an engine has no
+// room for goes back to the queue.
 func (r *Router) answerIdempotent(ctx context.Context, c *chatCall, out sink) error {
-	var avoid []string
-	var last error
-	for range maxTries {
-		endpoint, err := r.locate(ctx, c, avoid)
+	r.retries.request()
+	var tried []string
+	run := outcome.NotRun
+	for tries := 1; ; {
+		endpoint, err := r.locate(ctx, c, tried)
 		if err != nil {
-			return err
+			return afterTries(err, run)
 		}
 		err = r.dispatch(ctx, c, endpoint, newRequestID(), out)
 		if err == nil {
 			return nil
 		}
-		last = err
-		if out.started() || ctx.Err() != nil {
-			return last
+		run = worse(run, asOutcome(err).Run)
+		if ctx.Err() != nil {
+			return afterTries(lateError(ctx, err), run)
+		}
+		if errors.Is(err, engine.ErrBusy) {
+			continue
+		}
+		r.leave(&c.call)
+		r.distrust(endpoint, err)
+		if !r.again(ctx, &c.call, tries, err, out.started(), true) {
+			return afterTries(err, run)
 		}
-		avoid = append(avoid, endpoint)
+		tries++
+		tried = append(tried, endpoint)
 		r.record(events.RequestRetried, c, endpoint, map[string]string{"error": err.Error()})
 	}
-	return last
+}
+
+// lateError names the deadline as the reason when it ended a try.
+func lateError(ctx context.Context, err error) error {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return err
+	}
+	return &outcome.Error{Reason: outcome.ReasonDeadline, Run: asOutcome(err).Run, Message: "the deadline passed while the request ran", Cause: err}
 }
 
 func priority(model *pb.Model) int {
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -86,8 +86,8 @@
 	notRun := []error{engine.ErrNotSent, engine.ErrNotLoaded, engine.ErrBusy, engine.ErrLeaving, engine.ErrBadRequest}
 	for _, known := range notRun {
 		if errors.Is(err, known) {
-			return &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second}
+			return &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second, Cause: err}
 		}
 	}
-	return &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error()}
+	return &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error(), Cause: err}
 }
--- a/internal/router/locate.go
+++ b/internal/router/locate.go
@@ -2,55 +2,215 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/admit"
 	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/endpoints"
 	"chestnutgauge/internal/membership"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/peer/peerpb"
 	"chestnutgauge/internal/rendezvous"
+	"chestnutgauge/internal/session"
 )
 
-// locate returns an endpoint that has the model loaded, asking the model's
-// home controller when the router knows of none.
+// defaultConcurrency is the number of requests in flight at one replica when
+// the model sets none.
+const defaultConcurrency = 16
+
+// answerSource is the source of states that came with a controller's answer.
+const answerSource = "answer"
+
+// prefixSavingPerToken is the time that a cached prompt token saves.
+const prefixSavingPerToken = 200 * time.Microsecond
+
+// bytesPerToken is the mean length of a token in a prompt.
+const bytesPerToken = 4
+
+// locate returns an endpoint that has the model loaded, with a place for the
+// call there, which the call gives back with r.leave. It waits in the model's
+// queue if there is no room, and has the model loaded if no endpoint has it.
+// The endpoints in avoid are left out. Its errors say that the call did not
+// run.
 func (r *Router) locate(ctx context.Context, c *chatCall, avoid []string) (string, error) {
-	if picked, ok := choose.Pick(r.candidates(c, avoid), rand.New(rand.NewPCG(rand.Uint64(), 0))); ok {
-		return picked.Name, nil
+	r.leave(&c.call)
+	cached, _ := r.sessions.Get(c.sessionKey())
+	n := &need{
+		queue:     c.name,
+		call:      &c.call,
+		class:     classOf(c.model.Spec),
+		bytes:     len(c.prompt),
+		maxTokens: c.maxTokens,
+		tried:     append([]string(nil), avoid...),
+		request: choose.Request{
+			DataCentre:   r.DataCentre,
+			Choosers:     r.choosers(),
+			PrefixSaving: time.Duration(cached.Tokens) * prefixSavingPerToken,
+		},
+	}
+	n.candidates = func(now time.Time, tried []string) []place {
+		return r.candidates(c, now, tried, cached.Endpoint, n.request.Choosers)
+	}
+	n.bringUp = func(ctx context.Context, tried []string) (string, error) {
+		resp, err := r.ensureLoaded(ctx, c, tried)
+		if err != nil {
+			return "", err
+		}
+		r.Directory.Put(answerSource, resp.GetState())
+		return resp.GetEndpoint(), nil
 	}
-	resp, err := r.ensureLoaded(ctx, c, avoid)
+	held, err := r.scheduler.acquire(ctx, n)
 	if err != nil {
 		return "", err
 	}
-	r.Directory.Put("answer", resp.GetState())
-	return resp.GetEndpoint(), nil
+	c.slot = held
+	r.sessions.Put(c.sessionKey(), session.Place{Endpoint: held.endpoint, Tokens: len(c.prompt) / bytesPerToken})
+	return held.endpoint, nil
+}
+
+// leave gives back the place that a call holds, if it holds one.
+func (r *Router) leave(c *call) {
+	held := c.slot
+	c.slot = slot{}
+	if held.endpoint == "" {
+		return
+	}
+	r.endCall(held, time.Now())
+	r.scheduler.free(held)
 }
 
-func (r *Router) candidates(c *chatCall, avoid []string) []choose.Candidate {
-	var out []choose.Candidate
+func (c *chatCall) sessionKey() session.Key {
+	return session.Key{Organisation: c.organisation, Model: c.name, Session: c.session}
+}
+
+func classOf(model *pb.Model) admit.Class {
+	if model.GetPriority() == pb.PriorityClass_PRIORITY_CLASS_BATCH {
+		return admit.Batch
+	}
+	return admit.Interactive
+}
+
+// choosers returns the number of routers that share the data centre's
+// endpoints.
+func (r *Router) choosers() int {
+	return max(1, len(r.Members.Members(membership.RoleRouter, r.DataCentre)))
+}
+
+// candidates returns the endpoints that hold the model, those in tried left
+// out.
+func (r *Router) candidates(c *chatCall, now time.Time, tried []string, cachedAt string, choosers int) []place {
+	var out []place
 	current := r.Config.Current()
-	for _, entry := range r.Directory.All() {
-		state := entry.State
-		endpoint, ok := current.Endpoint(state.GetName())
-		if !ok || endpoint.Spec.GetDrained() || slices.Contains(avoid, state.GetName()) || !endpoints.Usable(state) {
+	model := c.model.Spec.GetName()
+	for _, entry := range r.Directory.Holders(model) {
+		name := entry.State.GetName()
+		endpoint, ok := current.Endpoint(name)
+		if !ok || contains(tried, name) || !endpoints.Holds(entry.State, model, c.model.Adapter.GetName()) {
 			continue
 		}
-		if !endpoints.Holds(state, c.model.Spec.GetName(), c.model.Adapter.GetName()) {
-			continue
+		out = append(out, r.candidate(c, entry, endpoint, now, choosers))
+		out[len(out)-1].Cached = name == cachedAt
+	}
+	return out
+}
+
+func contains(names []string, name string) bool {
+	for _, have := range names {
+		if have == name {
+			return true
 		}
-		out = append(out, choose.Candidate{
+	}
+	return false
+}
+
+// candidate puts together what is known of an endpoint. The limit is that of
+// the engine or that of the replica, whichever leaves less room.
+func (r *Router) candidate(c *chatCall, entry endpoints.Entry, endpoint config.Endpoint, now time.Time, choosers int) place {
+	state := entry.State
+	address := endpoint.Spec.GetAddress()
+	replicaKey := replicaKey(address, c.model.Spec.GetName())
+	r.loads.Report(address, int(state.GetRunning()), int(state.GetQueued()), entry.Received.Add(-time.Duration(state.GetReportAgeMs())*time.Millisecond))
+	r.loads.Report(replicaKey, replicaRunning(state, c.model.Spec.GetName()), 0, entry.Received)
+	engine := r.loads.View(address, now)
+	replica := r.loads.View(replicaKey, now)
+	limit := int(c.model.Spec.GetMaxConcurrency())
+	if limit == 0 {
+		limit = defaultConcurrency
+	}
+	p := place{
+		keys: []string{address, replicaKey},
+		Candidate: choose.Candidate{
 			Name:            state.GetName(),
-			InFlight:        r.inFlightAt(state.GetName()),
-			Others:          float64(max(0, int(state.GetRunning()+state.GetQueued())-r.inFlightAt(state.GetName()))),
-			TokensPerSecond: state.GetTokensPerSecond(),
-		})
+			DataCentre:      endpoint.Spec.GetDataCentre(),
+			Unreachable:     !state.GetReachable(),
+			Leaving:         state.GetLeaving(),
+			Drained:         endpoint.Spec.GetDrained(),
+			HeldUntil:       engine.HeldUntil,
+			InFlight:        replica.InFlight,
+			Others:          replica.Others,
+			Limit:           limit,
+			FirstToken:      engine.FirstToken,
+			TokensPerSecond: engine.TokensPerSecond,
+		},
 	}
-	return out
+	if room := float64(limit-replica.InFlight) - replica.Others; engine.Limit > 0 && float64(engine.Limit-engine.InFlight)-engine.Others < room {
+		p.InFlight, p.Others, p.Limit = engine.InFlight, engine.Others, engine.Limit
+	}
+	if p.TokensPerSecond == 0 {
+		p.TokensPerSecond = state.GetTokensPerSecond()
+	}
+	p.Share = max(1, p.Limit/choosers)
+	return p
+}
+
+// replicaKey is the key under which the load of a replica is counted.
+func replicaKey(address, model string) string {
+	return address + " " + model
+}
+
+func replicaRunning(state *peerpb.EndpointState, model string) int {
+	for _, replica := range state.GetLoaded() {
+		if replica.GetModel() == model {
+			return int(replica.GetRunning())
+		}
+	}
+	return 0
+}
+
+// configured reports whether a queue's name is in the configuration.
+func configured(current *config.Snapshot, queue string) bool {
+	if service, isService := strings.CutPrefix(queue, serviceQueue); isService {
+		_, ok := current.Service(service)
+		return ok
+	}
+	_, ok := current.Model(queue)
+	return ok
+}
+
+// loadKeys returns a test for the keys of what is configured.
+func loadKeys(current *config.Snapshot) func(string) bool {
+	addresses := map[string]bool{}
+	for _, endpoint := range current.Endpoints() {
+		addresses[endpoint.Spec.GetAddress()] = true
+	}
+	return func(key string) bool {
+		address, model, replica := strings.Cut(key, " ")
+		if !replica {
+			return addresses[address]
+		}
+		_, ok := current.Model(model)
+		return ok && addresses[address]
+	}
+}
+
+func noEndpoint() error {
+	return &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: "no endpoint can take the call", RetryAfter: time.Second}
 }
 
 // ensureLoaded asks the home controllers of the model, the first ranked one
--- /dev/null
+++ b/internal/router/locateservice.go
@@ -0,0 +1,92 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"chestnutgauge/internal/admit"
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/config"
+)
+
+// defaultServiceConcurrency is the number of calls in flight at one endpoint of
+// a plain service that sets none.
+const defaultServiceConcurrency = 64
+
+// locateService returns an endpoint of a plain service, with a place for the
+// call there, which the call gives back with r.leave. It waits in the service's
+// queue if there is no room. The endpoints in avoid are left out. Its errors
+// say that the call did not run.
+func (r *Router) locateService(ctx context.Context, c *call, service string, avoid []string) (string, error) {
+	r.leave(c)
+	choosers := r.choosers()
+	held, err := r.scheduler.acquire(ctx, &need{
+		queue:   serviceQueue + service,
+		call:    c,
+		class:   admit.Interactive,
+		tried:   avoid,
+		request: choose.Request{DataCentre: r.DataCentre, Choosers: choosers},
+		candidates: func(now time.Time, tried []string) []place {
+			return r.serviceCandidates(service, now, tried, choosers)
+		},
+	})
+	if err != nil {
+		return "", err
+	}
+	held.service = service
+	held.begun = time.Now()
+	c.slot = held
+	return held.endpoint, nil
+}
+
+// serviceQueue begins the names of queues of services. No model's name holds a
+// slash.
+const serviceQueue = "service/"
+
+func (r *Router) serviceCandidates(service string, now time.Time, tried []string, choosers int) []place {
+	current := r.Config.Current()
+	spec, ok := current.Service(service)
+	if !ok {
+		return nil
+	}
+	var out []place
+	for _, endpoint := range current.ServiceEndpoints(service) {
+		if !contains(tried, endpoint.Spec.GetName()) {
+			out = append(out, r.serviceCandidate(spec, endpoint, now, choosers))
+		}
+	}
+	return out
+}
+
+func (r *Router) serviceCandidate(service config.Service, endpoint config.Endpoint, now time.Time, choosers int) place {
+	address := endpoint.Spec.GetAddress()
+	view := r.loads.View(address, now)
+	limit := int(service.Spec.GetMaxConcurrency())
+	if limit == 0 {
+		limit = defaultServiceConcurrency
+	}
+	// Plain services report no load: each router takes its part of the limit.
+	limit = max(1, limit/choosers)
+	return place{
+		keys: []string{address},
+		Candidate: choose.Candidate{
+			Name:       endpoint.Spec.GetName(),
+			DataCentre: endpoint.Spec.GetDataCentre(),
+			Drained:    endpoint.Spec.GetDrained(),
+			HeldUntil:  view.HeldUntil,
+			InFlight:   view.InFlight,
+			Limit:      limit,
+			FirstToken: view.FirstToken,
+		},
+	}
+}
+
+// endCall takes over how long a call to a plain service ran.
+func (r *Router) endCall(held slot, now time.Time) {
+	if held.service == "" {
+		return
+	}
+	took := now.Sub(held.begun)
+	r.loads.Answered(held.keys[0], took, 1, 0)
+	r.scheduler.answered(serviceQueue+held.service, took, 1, 0)
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -59,6 +59,8 @@
 	digest       uint64
 	received     time.Time
 	deadline     time.Time
+	// slot is the place at an endpoint that the call holds.
+	slot slot
 }
 
 // chatCall is a call to a model.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,10 +16,13 @@
 	"chestnutgauge/internal/endpoints"
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/load"
 	"chestnutgauge/internal/membership"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/peer"
 	"chestnutgauge/internal/plain"
+	"chestnutgauge/internal/retry"
+	"chestnutgauge/internal/session"
 )
 
 // Defaults for what neither the caller nor the configuration sets.
@@ -56,15 +59,25 @@
 	mu       sync.Mutex
 	inFlight map[string]int
 	clients  map[string]engine.Engine
+
+	scheduler *scheduler
+	loads     *load.Tracker
+	sessions  *session.Table
+	retries   *retryBudget
 }
 
 // New returns a router.
 func New(parts Parts) *Router {
-	return &Router{
+	r := &Router{
 		Parts:    parts,
 		inFlight: map[string]int{},
 		clients:  map[string]engine.Engine{},
+		loads:    load.NewTracker(load.DefaultSettings()),
+		sessions: session.NewTable(session.DefaultSize),
+		retries:  newRetryBudget(retry.DefaultSettings()),
 	}
+	r.scheduler = newScheduler(r)
+	return r
 }
 
 // Handler serves the callers' interface.
@@ -137,7 +150,7 @@
 	defer r.mu.Unlock()
 	client, ok := r.clients[address]
 	if !ok {
-		client = r.Connect(address)
+		client = &measuredEngine{Engine: r.Connect(address), address: address, router: r}
 		r.clients[address] = client
 	}
 	return client
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -70,6 +70,9 @@
 	return r.tryService(ctx, c, service, req)
 }
 
+// maxTries bounds the endpoints that one call is sent to.
+const maxTries = 3
+
 // tryService sends the call to endpoints until one accepts it.
 func (r *Router) tryService(ctx context.Context, c *call, service config.Service, req plain.Request) (keptAnswer, error) {
 	var avoid []string
