--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -26,12 +26,19 @@
 	entries map[string]Entry
 	// holders maps a model to the endpoints that have it loaded.
 	holders map[string]map[string]bool
+	// live holds the controllers whose streams are up.
+	live    map[string]bool
 	changed chan struct{}
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: map[string]Entry{}, holders: map[string]map[string]bool{}, changed: make(chan struct{})}
+	return &Directory{
+		entries: map[string]Entry{},
+		holders: map[string]map[string]bool{},
+		live:    map[string]bool{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Apply takes over a delta from a controller. A state with a lower fence than
@@ -112,6 +119,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.dropSource(source)
+	delete(d.live, source)
 	d.wake()
 }
 
