Join the callers of a cold model over data centres, and place by expected cost

Cause: a wake looked only at its own data centre and needed the table for any other one. Two data centres' homes placed a model twice, a parked model of another data centre could not wake while the platform was down, a load that died midway ended in a refusal, and a full or leaving data centre used no other one's engines.

Ruled out: a stream of summaries per model between data centres.

Change: a home controller uses its own data centre's replica or bound slot. For anything else one controller, first by rendezvous over all data centres, asks each data centre for its offer (loaded, bound, or the cheapest engine by checkpoint tier, speed, memory after evicting what is idle, load, spread) and binds. If that controller can't be reached the home does it; the guarded binding keeps the limit. A failed load is tried anew at another slot if one is free, else at the same one, until the callers' deadline. Owners tell controllers which checkpoints an engine caches.

Cases that passed before too: a burst at all routers, two adapters of one cold model, an adapter of a loaded model.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sync/singleflight"
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/endpoints"
@@ -50,8 +49,9 @@
 
 	peerpb.UnimplementedControllerServer
 
-	settings Settings
-	flights  singleflight.Group
+	settings   Settings
+	flights    flights
+	placements placements
 	// engineQueue holds the owned engines to look at, tableQueue the engines
 	// for which the table may have to be asked. A pass of the first kind never
 	// waits for the table.
--- a/internal/controller/home.go
+++ b/internal/controller/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -11,18 +12,30 @@
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/endpoints"
-	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/membership"
 	"chestnutgauge/internal/peer/peerpb"
-	"chestnutgauge/internal/rendezvous"
 	"chestnutgauge/internal/slots"
 )
 
-// flightLimit bounds one load that callers wait for together.
-const flightLimit = 5 * time.Minute
+// Bounds of a wake.
+const (
+	// flightLimit bounds one load that callers wait for together.
+	flightLimit = 5 * time.Minute
+	// wakePause is the time before a wake that failed is tried anew.
+	wakePause = 200 * time.Millisecond
+	// returnLimit is how long a wake waits for the engines of its slots to
+	// come back when no other slot is free.
+	returnLimit = 5 * time.Second
+)
 
-// settleLimit bounds the wait for engines that nobody owns yet.
-const settleLimit = 5 * time.Second
+// wake is what one flight brings up.
+type wake struct {
+	model  config.Model
+	req    *peerpb.EnsureLoadedRequest
+	flight *flight
+	// failed names the engines at which the wake has failed.
+	failed []string
+}
 
 // EnsureLoaded implements peerpb.ControllerServer. Calls for one model share
 // one flight.
@@ -37,20 +50,29 @@
 	if found := c.findLoaded(model, req.GetAvoid()); found != nil {
 		return found, nil
 	}
-	result := c.flights.DoChan(req.GetModel(), func() (any, error) {
-		flight, cancel := context.WithTimeout(c.life, flightLimit)
+	resp, err := c.flights.do(ctx, flightKey(req), flightDeadline(req), func(f *flight) (*peerpb.EnsureLoadedResponse, error) {
+		flightCtx, cancel := context.WithTimeout(c.life, flightLimit)
 		defer cancel()
-		return c.bringUp(flight, model, req)
+		return c.bringUp(flightCtx, &wake{model: model, req: req, flight: f})
 	})
-	select {
-	case done := <-result:
-		if done.Err != nil {
-			return nil, flightError(done.Err)
-		}
-		return done.Val.(*peerpb.EnsureLoadedResponse), nil
-	case <-ctx.Done():
-		return nil, status.FromContextError(ctx.Err()).Err()
+	if err != nil {
+		return nil, flightError(err)
 	}
+	return resp, nil
+}
+
+// flightKey tells apart calls that can't share a flight: those that can't use
+// the same replicas.
+func flightKey(req *peerpb.EnsureLoadedRequest) string {
+	avoid := slices.Sorted(slices.Values(req.GetAvoid()))
+	return strings.Join(append([]string{req.GetModel()}, avoid...), "\x00")
+}
+
+func flightDeadline(req *peerpb.EnsureLoadedRequest) time.Time {
+	if req.GetDeadlineMs() <= 0 {
+		return time.Now().Add(flightLimit)
+	}
+	return time.Now().Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond)
 }
 
 // findLoaded returns a usable replica that the data centre has.
@@ -67,103 +89,79 @@
 	return nil
 }
 
-// bringUp loads a replica: on an engine that a slot is bound to if there is
-// one, else on one that a free slot can be bound to.
-func (c *Controller) bringUp(ctx context.Context, model config.Model, req *peerpb.EnsureLoadedRequest) (*peerpb.EnsureLoadedResponse, error) {
-	for _, entry := range c.Directory.All() {
-		if endpoints.Usable(entry.State) && slices.Contains(entry.State.GetBound(), model.Spec.GetName()) {
-			return c.loadAt(ctx, entry.State, req, false)
+// bringUp loads a replica, and starts anew while that can help and a caller
+// waits.
+func (c *Controller) bringUp(ctx context.Context, w *wake) (*peerpb.EnsureLoadedResponse, error) {
+	var firstFailure time.Time
+	for {
+		resp, err := c.attempt(ctx, w)
+		if err == nil || !mayPass(err) {
+			return resp, err
 		}
-	}
-	bindings, err := c.Slots.Read(ctx, model.Spec.GetName())
-	if err != nil {
-		return nil, err
-	}
-	for _, binding := range bindings {
-		endpoint, ok := c.Config.Current().Endpoint(binding.Engine)
-		if ok && endpoint.Spec.GetDataCentre() != c.DataCentre && !req.GetForwarded() {
-			return c.forward(ctx, endpoint.Spec.GetDataCentre(), req)
+		now := time.Now()
+		if firstFailure.IsZero() {
+			firstFailure = now
 		}
-	}
-	return c.place(ctx, model, req)
-}
-
-// place binds a free slot to the engine with the most free memory and loads
-// the model there.
-func (c *Controller) place(ctx context.Context, model config.Model, req *peerpb.EnsureLoadedRequest) (*peerpb.EnsureLoadedResponse, error) {
-	best := c.awaitEngine(ctx, model, req.GetAvoid())
-	if best == nil {
-		return nil, errNoMemory
-	}
-	if err := c.Slots.Bind(ctx, newOperationID(), model.Deployment, model.Spec.GetName(), best.GetName()); err != nil {
-		return nil, err
-	}
-	c.Events.Record(events.Event{Kind: events.SlotBound, RequestID: req.GetRequestId(), Model: model.Spec.GetName(), Endpoint: best.GetName()})
-	return c.loadAt(ctx, best, req, true)
-}
-
-// awaitEngine returns the engine to place a model on. Engines that nobody owns
-// yet, as after a start, are waited for.
-func (c *Controller) awaitEngine(ctx context.Context, model config.Model, avoid []string) *peerpb.EndpointState {
-	limit := time.NewTimer(settleLimit)
-	defer limit.Stop()
-	for {
-		changed := c.Directory.Changed()
-		best, unowned := c.bestEngine(model, avoid)
-		if best != nil || !unowned {
-			return best
+		if isNoRoom(err) && now.Sub(firstFailure) > returnLimit {
+			return nil, err
+		}
+		if now.Add(wakePause).After(w.flight.last()) {
+			return nil, err
 		}
 		select {
-		case <-changed:
-		case <-limit.C:
-			return nil
+		case <-time.After(wakePause):
 		case <-ctx.Done():
-			return nil
+			return nil, err
 		}
 	}
 }
 
-// bestEngine returns the engine with the most free memory, and whether one
-// that could hold the model has no known owner.
-func (c *Controller) bestEngine(model config.Model, avoid []string) (best *peerpb.EndpointState, unowned bool) {
-	for _, endpoint := range c.Config.Current().Endpoints() {
-		name := endpoint.Spec.GetName()
-		suits := endpoint.Spec.GetDataCentre() == c.DataCentre && !endpoint.Spec.GetDrained() &&
-			slices.Contains(model.Spec.GetServices(), endpoint.Service.GetName()) && !slices.Contains(avoid, name)
-		if !suits {
-			continue
-		}
-		entry, owned := c.Directory.Get(name)
-		if !owned {
-			unowned = true
-			continue
-		}
-		if !endpoints.Usable(entry.State) || entry.State.GetMemoryTotal() < model.Spec.GetMemoryBytes() {
-			continue
-		}
-		if best == nil || free(entry.State) > free(best) {
-			best = entry.State
-		}
+// attempt loads a replica once: on an engine of this data centre that has the
+// model or a slot of it, else where the placement says.
+func (c *Controller) attempt(ctx context.Context, w *wake) (*peerpb.EnsureLoadedResponse, error) {
+	resp, err := c.attemptAvoiding(ctx, w, slices.Concat(w.req.GetAvoid(), w.failed))
+	if len(w.failed) > 0 && isNoRoom(err) {
+		// No other slot is free: the engine that failed may be back.
+		w.failed = nil
+		return c.attemptAvoiding(ctx, w, w.req.GetAvoid())
 	}
-	return best, unowned
+	return resp, err
 }
 
-func free(state *peerpb.EndpointState) int64 {
-	return state.GetMemoryTotal() - state.GetMemoryUsed()
+func (c *Controller) attemptAvoiding(ctx context.Context, w *wake, avoid []string) (*peerpb.EnsureLoadedResponse, error) {
+	local := c.offer(w.model, avoid)
+	if local.GetLoaded() != nil {
+		return c.loadAt(ctx, w, local.GetLoaded(), false)
+	}
+	if local.GetBound() != nil {
+		return c.loadAt(ctx, w, local.GetBound(), false)
+	}
+	placed, err := c.placeAt(ctx, w.model, &peerpb.PlaceRequest{
+		Model:         w.req.GetModel(),
+		Avoid:         avoid,
+		DataCentre:    c.DataCentre,
+		RequestId:     w.req.GetRequestId(),
+		ConfigVersion: c.Config.Current().Version,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return c.loadAt(ctx, w, placed.GetTarget(), placed.GetNewlyBound())
 }
 
 // loadAt asks the owner of an engine for the load.
-func (c *Controller) loadAt(ctx context.Context, state *peerpb.EndpointState, req *peerpb.EnsureLoadedRequest, newlyBound bool) (*peerpb.EnsureLoadedResponse, error) {
+func (c *Controller) loadAt(ctx context.Context, w *wake, state *peerpb.EndpointState, newlyBound bool) (*peerpb.EnsureLoadedResponse, error) {
 	load := &peerpb.LoadRequest{
 		Endpoint:      state.GetName(),
-		Model:         req.GetModel(),
-		RequestId:     req.GetRequestId(),
-		DeadlineMs:    req.GetDeadlineMs(),
+		Model:         w.req.GetModel(),
+		RequestId:     w.req.GetRequestId(),
+		DeadlineMs:    w.flight.urgency(time.Now()).Milliseconds(),
 		NewlyBound:    newlyBound,
 		ConfigVersion: c.Config.Current().Version,
 	}
 	resp, err := c.callOwner(ctx, state.GetOwner(), load)
 	if err != nil {
+		w.failed = append(w.failed, state.GetName())
 		return nil, err
 	}
 	return &peerpb.EnsureLoadedResponse{Endpoint: state.GetName(), State: resp.GetState()}, nil
@@ -173,7 +171,7 @@
 	if vm == c.VM {
 		return c.Load(ctx, load)
 	}
-	for _, member := range c.Members.Members(membership.RoleController, c.DataCentre) {
+	for _, member := range c.Members.Members(membership.RoleController, "") {
 		if member.VM != vm {
 			continue
 		}
@@ -186,29 +184,6 @@
 	return nil, errAway
 }
 
-// forward sends a call to the home controller in another data centre.
-func (c *Controller) forward(ctx context.Context, dataCentre string, req *peerpb.EnsureLoadedRequest) (*peerpb.EnsureLoadedResponse, error) {
-	addresses := map[string]string{}
-	var vms []string
-	for _, member := range c.Members.Members(membership.RoleController, dataCentre) {
-		addresses[member.VM] = member.Address
-		vms = append(vms, member.VM)
-	}
-	home := rendezvous.First(req.GetModel(), vms)
-	client, err := c.Peers.Controller(addresses[home])
-	if err != nil || home == "" {
-		return nil, errAway
-	}
-	return client.EnsureLoaded(ctx, &peerpb.EnsureLoadedRequest{
-		Model:         req.GetModel(),
-		RequestId:     req.GetRequestId(),
-		DeadlineMs:    req.GetDeadlineMs(),
-		Avoid:         req.GetAvoid(),
-		Forwarded:     true,
-		ConfigVersion: c.Config.Current().Version,
-	})
-}
-
 // Load implements peerpb.ControllerServer.
 func (c *Controller) Load(ctx context.Context, req *peerpb.LoadRequest) (*peerpb.LoadResponse, error) {
 	owned, ok := c.owner(req.GetEndpoint())
@@ -233,6 +208,21 @@
 	return &peerpb.LoadResponse{State: owned.published()}, nil
 }
 
+// mayPass reports whether a wake that failed with err may succeed when it is
+// tried anew.
+func mayPass(err error) bool {
+	switch status.Code(flightError(err)) {
+	case codes.Unavailable, codes.FailedPrecondition, codes.ResourceExhausted:
+		return true
+	}
+	return false
+}
+
+// isNoRoom reports whether err says that no slot or no memory was left.
+func isNoRoom(err error) bool {
+	return err != nil && status.Code(flightError(err)) == codes.ResourceExhausted
+}
+
 // flightError turns an error into a gRPC status.
 func flightError(err error) error {
 	if _, ok := status.FromError(err); ok {
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -11,6 +11,9 @@
 	"chestnutgauge/internal/plan"
 )
 
+// awayLimit is how long a load waits for an engine that can't be reached.
+const awayLimit = time.Second
+
 // want is a load that a caller waits for. The passes of the engine act on it.
 type want struct {
 	id        int64
@@ -39,11 +42,15 @@
 		if done {
 			o.lastUsed[w.model] = time.Now()
 		}
-		reachable := o.reachable
+		reachable, away := o.reachable, time.Since(o.lostAt)
 		o.mu.Unlock()
 		if done || err != nil {
 			return err
 		}
+		// Each failed reading of the engine is a change.
+		if !reachable && away > awayLimit {
+			return errAway
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -203,6 +203,7 @@
 	for _, loading := range o.state.Loading {
 		out.Loading = append(out.Loading, loading.Model)
 	}
+	o.addCached(out)
 	return out
 }
 
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/grpc"
 
+	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/peer/peerpb"
 )
 
@@ -57,3 +58,21 @@
 	}
 	return delta
 }
+
+// addCached adds the checkpoints of configured versions that the engine holds.
+// The caller holds mu.
+func (o *ownedEngine) addCached(out *peerpb.EndpointState) {
+	current := o.controller.Config.Current()
+	for _, cached := range o.state.Cached {
+		model, ok := current.Model(cached.Model)
+		if !ok || model.Spec.GetVersion() != cached.Version {
+			continue
+		}
+		switch cached.Tier {
+		case engine.TierMemory:
+			out.CachedMemory = append(out.CachedMemory, cached.Model)
+		case engine.TierDisk:
+			out.CachedDisk = append(out.CachedDisk, cached.Model)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/wake_test.go
@@ -0,0 +1,196 @@
+package controller_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/standin"
+	"chestnutgauge/internal/testsystem"
+)
+
+const gigabyte = 1_000_000_000
+
+// wakeSystem is a system of two data centres with two engines each and one
+// model.
+type wakeSystem struct {
+	*testsystem.System
+}
+
+func newWakeSystem(t *testing.T, replicas int32, vmsPerDataCentre int, more ...*pb.Model) wakeSystem {
+	settings := standin.Defaults()
+	deployment := &pb.Deployment{
+		Name:     "showroom",
+		Services: []*pb.Service{{Name: "assistants", Kind: pb.ServiceKind_SERVICE_KIND_ENGINES}},
+		Models:   append([]*pb.Model{modelSpec("assistant", 10, replicas)}, more...),
+	}
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		settings.Engines = append(settings.Engines, testsystem.EngineEntry(name, 24*gigabyte, true))
+		deployment.Endpoints = append(deployment.Endpoints, &pb.Endpoint{
+			Name: name, Service: "assistants", Address: name + ":1", DataCentre: name[:1], ChecksFences: true,
+		})
+	}
+	vms := map[string]string{}
+	for i := range vmsPerDataCentre {
+		vms[fmt.Sprintf("vm-a%d", i)] = "a"
+		vms[fmt.Sprintf("vm-b%d", i)] = "b"
+	}
+	system := testsystem.New(t, settings, vms)
+	system.Apply(deployment)
+	time.Sleep(5 * time.Second)
+	return wakeSystem{system}
+}
+
+func modelSpec(name string, gigabytes int64, replicas int32) *pb.Model {
+	return &pb.Model{
+		Name: name, Version: "1", Services: []string{"assistants"},
+		CheckpointBytes: 2 * gigabyte, MemoryBytes: gigabytes * gigabyte, MaxReplicas: replicas,
+		Adapters: []*pb.Adapter{
+			{Name: name + "-x", Version: "1", MemoryBytes: gigabyte / 10},
+			{Name: name + "-y", Version: "1", MemoryBytes: gigabyte / 10},
+		},
+	}
+}
+
+// ask sends one request for model to each of callers at every router of the
+// data centre, or of all if it is empty, and returns how many were answered.
+func (s wakeSystem) ask(t *testing.T, dataCentre string, callers int, models ...string) int {
+	var answered atomic.Int32
+	var group sync.WaitGroup
+	for _, router := range s.Routers {
+		if dataCentre != "" && router.DataCentre != dataCentre {
+			continue
+		}
+		for i := range callers {
+			body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":4}`, models[i%len(models)])
+			group.Go(func() {
+				answer := router.Chat(t.Context(), body, nil)
+				if answer.Code == http.StatusOK {
+					answered.Add(1)
+					return
+				}
+				t.Logf("%s: %d %s", router.VM, answer.Code, answer.Body.String())
+			})
+		}
+	}
+	group.Wait()
+	return int(answered.Load())
+}
+
+// park loads a model and makes its engine start anew, so that the slot stays
+// bound, the checkpoint is on the engine's disk and nothing is loaded.
+func (s wakeSystem) park(t *testing.T, model string) string {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":4}`, model)
+	require.Equal(t, http.StatusOK, s.Routers[0].Chat(t.Context(), body, nil).Code)
+	loads := s.loads(model)
+	require.Len(t, loads, 1)
+	s.set(t, standin.Fault{Kind: standin.FaultRestart, Endpoint: loads[0].Endpoint})
+	time.Sleep(5 * time.Second)
+	return loads[0].Endpoint
+}
+
+func (s wakeSystem) set(t *testing.T, fault standin.Fault) {
+	require.NoError(t, s.StandIn.SetFault(fault))
+}
+
+// loads returns the starts of loads of a model in the journal.
+func (s wakeSystem) loads(model string) []standin.Entry {
+	var out []standin.Entry
+	for _, entry := range s.StandIn.Journal.Entries() {
+		if entry.Kind == standin.EntryLoadStart && entry.Model == model {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
+
+func (s wakeSystem) tableRequests() int64 {
+	reads, commits := s.StandIn.Table.Requests()
+	return reads + commits
+}
+
+func TestWake(t *testing.T) {
+	const callers = 8
+	cases := []struct {
+		name     string
+		replicas int32
+		vms      int
+		more     []*pb.Model
+		run      func(*testing.T, wakeSystem) (answered, want int)
+		// loads is the number of loads of the model that the journal shows.
+		loads int
+	}{
+		{"a burst at all routers is one load", 1, 4, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			return s.ask(t, "", callers, "assistant"), 8 * callers
+		}, 1},
+		{"a burst in two data centres with slots to spare", 4, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			return s.ask(t, "", callers, "assistant"), 4 * callers
+		}, 1},
+		{"two adapters of one cold model", 4, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			return s.ask(t, "", callers, "assistant-x", "assistant-y", "assistant"), 4 * callers
+		}, 1},
+		{"an adapter of a loaded model is loaded there", 4, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			first := s.ask(t, "a", callers, "assistant")
+			time.Sleep(time.Minute / 4)
+			return first + s.ask(t, "b", callers, "assistant-x"), 4 * callers
+		}, 1},
+		{"a parked model while the platform is down", 1, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			s.park(t, "assistant")
+			s.set(t, standin.Fault{Kind: standin.FaultTableDown})
+			return s.ask(t, "", callers, "assistant"), 4 * callers
+		}, 2},
+		{"an engine that crashes midway, with no other slot", 1, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			s.set(t, standin.Fault{Kind: standin.FaultCrashOnLoad, Milliseconds: 500, Count: 1})
+			return s.ask(t, "", callers, "assistant"), 4 * callers
+		}, 2},
+		{"an engine that stops midway, with another slot", 2, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
+			time.AfterFunc(time.Second, func() {
+				s.set(t, standin.Fault{Kind: standin.FaultStop, Endpoint: s.loads("assistant")[0].Endpoint})
+			})
+			return s.ask(t, "", callers, "assistant"), 4 * callers
+		}, 2},
+		{"a full data centre uses another one's engines", 1, 2, []*pb.Model{modelSpec("wide", 24, 2), modelSpec("narrow", 24, 2)}, func(t *testing.T, s wakeSystem) (int, int) {
+			s.set(t, standin.Fault{Kind: standin.FaultLeaving, Endpoint: "a1"})
+			s.set(t, standin.Fault{Kind: standin.FaultLeaving, Endpoint: "a2"})
+			time.Sleep(3 * time.Second)
+			return s.ask(t, "a", callers, "assistant"), 2 * callers
+		}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newWakeSystem(t, tc.replicas, tc.vms, tc.more...)
+				answered, want := tc.run(t, system)
+				require.Equal(t, want, answered)
+				require.Len(t, system.loads("assistant"), tc.loads)
+				peaks := standin.Measure(system.StandIn.Journal.Entries())
+				require.LessOrEqual(t, peaks.Replicas["assistant"], int(tc.replicas))
+				require.Empty(t, peaks.Overcommitted)
+			})
+		})
+	}
+}
+
+// TestWakeWithoutTable counts the table's requests around the wake of a parked
+// model.
+func TestWakeWithoutTable(t *testing.T) {
+	for _, dataCentre := range []string{"a", "b"} {
+		t.Run("callers in "+dataCentre, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newWakeSystem(t, 1, 2)
+				system.park(t, "assistant")
+				system.set(t, standin.Fault{Kind: standin.FaultTableDown})
+				before := system.tableRequests()
+				require.Equal(t, 2, system.ask(t, dataCentre, 1, "assistant"))
+				require.Equal(t, before, system.tableRequests())
+			})
+		})
+	}
+}
