Keep the configuration in force through faults

Cause: each process read only the table. A process cut off from the platform kept an old configuration although its neighbours had the newest, one that started there had none, old log and operation rows were never deleted, and a repeat under one operation id with other content got the first result.

Ruled out: a read of the head by every process (350 nodes with three processes at 2 reads/s are 2,100 reads/s, more than the table takes); a full mesh of heartbeats (131 peers at 44 VMs a data centre).

Change: head row with a digest over all deployments; log and operation rows trimmed in the transaction of a change (the row that falls out, no scan);

by guards, since a read may be old; heartbeats to three neighbours and a source that carry the version and since when it is known to be the newest, so that a process reads the table only if nobody confirms its version; changes fetched from the peer that has them. A breaking change of the schema fails the tests.

--- a/Makefile
+++ b/Makefile
@@ -42,12 +42,15 @@
 	@bash scripts/down.sh
 
 # generate needs protoc (package protobuf-compiler); the results are committed.
+# The published descriptor set is replaced only by a compatible schema.
 generate:
 	@mkdir -p $(BIN)/plugins
 	$(GO) build -o $(BIN)/plugins/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH="$(CURDIR)/$(BIN)/plugins:$$PATH" protoc -I . --go_out=. --go_opt=module=chestnutgauge \
 		--go-grpc_out=. --go-grpc_opt=module=chestnutgauge \
 		api/chestnutgauge/v1/chestnutgauge.proto internal/peer/peerpb/peer.proto
+	$(GO) test ./api/...
+	protoc -I . --descriptor_set_out=api/chestnutgauge/v1/chestnutgauge.binpb api/chestnutgauge/v1/chestnutgauge.proto
 
 clean:
 	rm -rf $(BIN) .run
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,12 +7,13 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/protoadapt"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
 	"chestnutgauge/internal/config"
@@ -77,56 +78,50 @@
 
 // DrainEndpoint implements the operators' interface.
 func (s *Service) DrainEndpoint(ctx context.Context, req *pb.DrainEndpointRequest) (*pb.ChangeResponse, error) {
-	deployment, err := s.deploymentOf(ctx, req.GetEndpoint())
-	if err != nil {
+	if err := checkOperationID(req.GetOperationId()); err != nil {
 		return nil, err
 	}
-	base := deployment.GetVersion()
-	edited := proto.Clone(deployment).(*pb.Deployment)
-	for _, endpoint := range edited.GetEndpoints() {
-		if endpoint.GetName() == req.GetEndpoint() {
-			endpoint.Drained = req.GetDrained()
-		}
-	}
-	return s.change(ctx, config.Edit{OperationID: req.GetOperationId(), Name: edited.GetName(), Deployment: edited, Base: base})
+	change, err := s.store.Drain(ctx, req.GetOperationId(), config.Drain{Endpoint: req.GetEndpoint(), Drained: req.GetDrained()})
+	return s.changed(change, err)
 }
 
-// deploymentOf finds the deployment that an endpoint belongs to.
-func (s *Service) deploymentOf(ctx context.Context, endpoint string) (*pb.Deployment, error) {
-	after := ""
-	for {
-		page, err := s.store.List(ctx, after, maxPage)
+func (s *Service) change(ctx context.Context, edit config.Edit) (*pb.ChangeResponse, error) {
+	if edit.DryRun {
+		change, err := s.store.Change(ctx, edit)
 		if err != nil {
 			return nil, changeError(err)
 		}
-		for _, deployment := range page {
-			after = deployment.GetName()
-			for _, candidate := range deployment.GetEndpoints() {
-				if candidate.GetName() == endpoint {
-					return deployment, nil
-				}
-			}
-		}
-		if len(page) < maxPage {
-			return nil, status.Errorf(codes.NotFound, "endpoint %s does not exist", endpoint)
-		}
+		return &pb.ChangeResponse{Version: change.GetVersion(), Deployment: change.GetDeployment()}, nil
 	}
+	if err := checkOperationID(edit.OperationID); err != nil {
+		return nil, err
+	}
+	return s.changed(s.store.Change(ctx, edit))
 }
 
-func (s *Service) change(ctx context.Context, edit config.Edit) (*pb.ChangeResponse, error) {
-	if edit.OperationID == "" || len(edit.OperationID) > 64 {
-		return nil, invalid([]config.Violation{{Field: "operation_id", Reason: "must be set, at most 64 characters"}})
-	}
-	change, err := s.store.Change(ctx, edit)
+// changed turns the result of a change into an answer.
+func (s *Service) changed(change *pb.DeploymentChange, err error) (*pb.ChangeResponse, error) {
 	if err != nil {
 		return nil, changeError(err)
 	}
-	if !edit.DryRun {
-		s.events.Record(events.Event{Kind: events.ConfigChanged, ConfigVersion: change.GetVersion(), Attributes: map[string]string{"deployment": edit.Name}})
-	}
+	s.events.Record(events.Event{
+		Kind:          events.ConfigChanged,
+		ConfigVersion: change.GetVersion(),
+		Attributes:    map[string]string{"deployment": change.GetName(), "operation_id": change.GetOperationId()},
+	})
 	return &pb.ChangeResponse{Version: change.GetVersion(), Deployment: change.GetDeployment()}, nil
 }
 
+// maxOperationID bounds an operation id, in bytes.
+const maxOperationID = 64
+
+func checkOperationID(id string) error {
+	if id == "" || len(id) > maxOperationID {
+		return invalid([]config.Violation{{Field: "operation_id", Reason: "must be set, at most 64 characters"}})
+	}
+	return nil
+}
+
 // GetDeployment implements the operators' interface.
 func (s *Service) GetDeployment(ctx context.Context, req *pb.GetDeploymentRequest) (*pb.Deployment, error) {
 	deployment, err := s.store.Get(ctx, req.GetName())
@@ -162,6 +157,8 @@
 		return raced(race)
 	case errors.As(err, &wrong):
 		return invalid(wrong.Violations)
+	case errors.Is(err, config.ErrOperationReused):
+		return invalid([]config.Violation{{Field: "operation_id", Reason: "was used for another change"}})
 	case errors.Is(err, config.ErrNotFound):
 		return status.Error(codes.NotFound, err.Error())
 	case errors.Is(err, config.ErrExists):
@@ -172,10 +169,26 @@
 	return status.Error(codes.Internal, err.Error())
 }
 
+// Details of ABORTED, as the schema names them.
+const (
+	errorDomain     = "chestnutgauge"
+	reasonConflict  = "VERSION_CONFLICT"
+	metadataVersion = "current_version"
+)
+
 func raced(race *config.RaceError) error {
-	st := status.New(codes.Aborted, race.Error())
-	with, err := st.WithDetails(&pb.ChangeResponse{Version: race.Current})
-	if err != nil {
+	return withDetail(codes.Aborted, race, &errdetails.ErrorInfo{
+		Reason:   reasonConflict,
+		Domain:   errorDomain,
+		Metadata: map[string]string{metadataVersion: strconv.FormatInt(race.Current, 10)},
+	})
+}
+
+// withDetail returns a status of an error with a detail.
+func withDetail(code codes.Code, err error, detail protoadapt.MessageV1) error {
+	st := status.New(code, err.Error())
+	with, detailErr := st.WithDetails(detail)
+	if detailErr != nil {
 		return st.Err()
 	}
 	return with.Err()
@@ -186,12 +199,7 @@
 	for _, v := range violations {
 		detail.FieldViolations = append(detail.FieldViolations, &errdetails.BadRequest_FieldViolation{Field: v.Field, Description: v.Reason})
 	}
-	st := status.New(codes.InvalidArgument, (&config.InvalidError{Violations: violations}).Error())
-	with, err := st.WithDetails(detail)
-	if err != nil {
-		return st.Err()
-	}
-	return with.Err()
+	return withDetail(codes.InvalidArgument, &config.InvalidError{Violations: violations}, detail)
 }
 
 // Times of the waiting for a version.
--- a/internal/admin/gather.go
+++ b/internal/admin/gather.go
@@ -84,7 +84,7 @@
 func (s *Service) GetStatus(ctx context.Context, _ *pb.GetStatusRequest) (*pb.Status, error) {
 	out := &pb.Status{}
 	if head, err := s.store.Head(ctx); err == nil {
-		out.HeadVersion = head
+		out.HeadVersion = head.Version
 	}
 	for _, report := range s.gather(ctx) {
 		out.Nodes = append(out.Nodes, report.node)
--- /dev/null
+++ b/internal/config/change.go
@@ -0,0 +1,336 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/platform"
+)
+
+// retryPause bounds the random wait before an edit that met another change is
+// tried again.
+const retryPause = 20 * time.Millisecond
+
+// Edit is a wanted change of one deployment.
+type Edit struct {
+	OperationID string
+	Name        string
+	// Deployment is the new content, nil to delete it.
+	Deployment *pb.Deployment
+	// Base is the version that the change was made from. 0 creates the
+	// deployment.
+	Base int64
+	// DryRun only checks.
+	DryRun bool
+	// drain is set if the edit was made by Drain.
+	drain *Drain
+}
+
+// Drain is a wanted change of one endpoint.
+type Drain struct {
+	Endpoint string `json:"endpoint"`
+	Drained  bool   `json:"drained"`
+}
+
+// operationRow is the value of an operation's row: what was asked for, and the
+// version that it led to. The content is in the log.
+type operationRow struct {
+	Version int64  `json:"version"`
+	Base    int64  `json:"base"`
+	Drain   *Drain `json:"drain,omitempty"`
+}
+
+// Change makes an edit and returns the change. A repeat of an operation
+// returns the change that the first one made. It returns ErrNotFound,
+// ErrExists, ErrOperationReused, a RaceError, an InvalidError or
+// ErrUnavailable.
+func (s *Store) Change(ctx context.Context, edit Edit) (*pb.DeploymentChange, error) {
+	if edit.Deployment != nil {
+		if found := Validate(edit.Deployment); len(found) > 0 {
+			return nil, &InvalidError{found}
+		}
+	}
+	return s.retry(ctx, func() (*pb.DeploymentChange, error) { return s.try(ctx, edit) })
+}
+
+// Drain takes an endpoint out of use or puts it back. It returns ErrNotFound,
+// ErrOperationReused or ErrUnavailable.
+func (s *Store) Drain(ctx context.Context, operationID string, drain Drain) (*pb.DeploymentChange, error) {
+	return s.retry(ctx, func() (*pb.DeploymentChange, error) {
+		first, err := s.firstResult(ctx, Edit{OperationID: operationID, drain: &drain})
+		if first != nil || err != nil {
+			return first, err
+		}
+		edit, err := s.drainEdit(ctx, drain)
+		if err != nil {
+			return nil, err
+		}
+		edit.OperationID = operationID
+		return s.try(ctx, edit)
+	})
+}
+
+// drainEdit returns the edit that a drain asks for now.
+func (s *Store) drainEdit(ctx context.Context, drain Drain) (Edit, error) {
+	row, err := s.table.Get(ctx, namePrefix+"endpoint/"+drain.Endpoint)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Edit{}, ErrNotFound
+	}
+	if err != nil {
+		return Edit{}, err
+	}
+	deployment, _, err := s.deployment(ctx, string(row.Value))
+	if err != nil {
+		return Edit{}, err
+	}
+	for _, endpoint := range deployment.GetEndpoints() {
+		if endpoint.GetName() == drain.Endpoint {
+			endpoint.Drained = drain.Drained
+			return Edit{Name: deployment.GetName(), Deployment: deployment, Base: deployment.GetVersion(), drain: &drain}, nil
+		}
+	}
+	return Edit{}, ErrNotFound
+}
+
+// retry repeats an attempt that another change came ahead of, until ctx ends.
+func (s *Store) retry(ctx context.Context, attempt func() (*pb.DeploymentChange, error)) (*pb.DeploymentChange, error) {
+	for {
+		change, err := attempt()
+		if !platform.IsConflict(err) {
+			return change, storeError(err)
+		}
+		select {
+		case <-time.After(rand.N(retryPause)):
+		case <-ctx.Done():
+			return nil, ErrUnavailable
+		}
+	}
+}
+
+// try makes one attempt at an edit. A ConflictError means that another change
+// came first, or that the table served an old read.
+func (s *Store) try(ctx context.Context, edit Edit) (*pb.DeploymentChange, error) {
+	if !edit.DryRun {
+		first, err := s.firstResult(ctx, edit)
+		if first != nil || err != nil {
+			return first, err
+		}
+	}
+	head, headVersion, err := s.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	current, rowVersion, err := s.deployment(ctx, edit.Name)
+	if err != nil {
+		return nil, err
+	}
+	guard := platform.Guard{Key: DeploymentKey(edit.Name), Version: rowVersion}
+	if err := checkBase(edit, current); err != nil {
+		return nil, s.confirm(ctx, err, edit, guard)
+	}
+	change := &pb.DeploymentChange{Version: head.Version + 1, Name: edit.Name, OperationId: edit.OperationID}
+	if edit.Deployment != nil {
+		change.Deployment = proto.Clone(edit.Deployment).(*pb.Deployment)
+		change.Deployment.Version = change.Version
+	}
+	txn := platform.Txn{
+		OperationID: edit.OperationID,
+		Guards: []platform.Guard{
+			{Key: headKey, Version: headVersion},
+			guard,
+			{Key: operationPrefix + edit.OperationID},
+			{Key: logKey(change.Version)},
+		},
+	}
+	if err := s.fill(ctx, &txn, edit, change, current, head); err != nil {
+		return nil, err
+	}
+	if edit.DryRun {
+		change.Version = head.Version
+		return change, nil
+	}
+	if _, err := platform.CommitResolved(ctx, s.table, txn); err != nil {
+		return nil, err
+	}
+	return change, nil
+}
+
+// firstResult returns the change that an operation made, or nil if it made
+// none.
+func (s *Store) firstResult(ctx context.Context, edit Edit) (*pb.DeploymentChange, error) {
+	row, err := s.table.Get(ctx, operationPrefix+edit.OperationID)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var operation operationRow
+	if err := json.Unmarshal(row.Value, &operation); err != nil {
+		return nil, fmt.Errorf("config: operation %s: %w", edit.OperationID, err)
+	}
+	change, err := s.logged(ctx, operation.Version)
+	if err != nil || change == nil {
+		return nil, err
+	}
+	if !sameEdit(edit, operation, change) {
+		return nil, ErrOperationReused
+	}
+	return change, nil
+}
+
+// sameEdit reports whether an edit asks for what an operation did.
+func sameEdit(edit Edit, operation operationRow, change *pb.DeploymentChange) bool {
+	if edit.drain != nil || operation.Drain != nil {
+		return edit.drain != nil && operation.Drain != nil && *edit.drain == *operation.Drain
+	}
+	if edit.Base != operation.Base || edit.Name != change.GetName() {
+		return false
+	}
+	return proto.Equal(withoutVersion(edit.Deployment), withoutVersion(change.GetDeployment()))
+}
+
+func withoutVersion(deployment *pb.Deployment) *pb.Deployment {
+	if deployment == nil {
+		return nil
+	}
+	out := proto.Clone(deployment).(*pb.Deployment)
+	out.Version = 0
+	return out
+}
+
+// confirm returns err if the rows that it was concluded from are the newest,
+// and otherwise a ConflictError. An ordinary read may be old.
+func (s *Store) confirm(ctx context.Context, err error, edit Edit, guards ...platform.Guard) error {
+	if !edit.DryRun {
+		guards = append(guards, platform.Guard{Key: operationPrefix + edit.OperationID})
+	}
+	if _, failed := s.table.Commit(ctx, platform.Txn{Guards: guards}); failed != nil {
+		return failed
+	}
+	return err
+}
+
+func checkBase(edit Edit, current *pb.Deployment) error {
+	switch {
+	case edit.Base == 0 && edit.Deployment != nil && current != nil:
+		return ErrExists
+	case edit.Base == 0 && edit.Deployment != nil:
+		return nil
+	case current == nil:
+		return ErrNotFound
+	case current.GetVersion() != edit.Base:
+		return &RaceError{Current: current.GetVersion()}
+	}
+	return nil
+}
+
+// fill adds the writes of a change to a transaction.
+func (s *Store) fill(ctx context.Context, txn *platform.Txn, edit Edit, change *pb.DeploymentChange, current *pb.Deployment, head Head) error {
+	next := Head{Version: change.Version, Digest: head.Digest ^ digestOf(current) ^ digestOf(change.GetDeployment())}
+	headValue, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	operation, err := json.Marshal(operationRow{Version: change.Version, Base: edit.Base, Drain: edit.drain})
+	if err != nil {
+		return err
+	}
+	logValue, err := proto.Marshal(change)
+	if err != nil {
+		return err
+	}
+	txn.Writes = []platform.Write{
+		{Key: headKey, Value: headValue},
+		{Key: logKey(change.Version), Value: logValue},
+		{Key: operationPrefix + txn.OperationID, Value: operation},
+	}
+	write := platform.Write{Key: DeploymentKey(change.Name), Delete: change.Deployment == nil}
+	if change.Deployment != nil {
+		if write.Value, err = proto.Marshal(change.Deployment); err != nil {
+			return err
+		}
+	}
+	txn.Writes = append(txn.Writes, write)
+	if err := s.trim(ctx, txn, change.Version); err != nil {
+		return err
+	}
+	return s.names(ctx, txn, edit, change, current)
+}
+
+// trim deletes the rows of the change that leaves the kept part of the log. The
+// guard on the head keeps a late repeat of the transaction from doing harm.
+func (s *Store) trim(ctx context.Context, txn *platform.Txn, version int64) error {
+	old, err := s.logged(ctx, version-s.kept)
+	if err != nil || old == nil {
+		return err
+	}
+	txn.Writes = append(txn.Writes,
+		platform.Write{Key: logKey(old.GetVersion()), Delete: true},
+		platform.Write{Key: operationPrefix + old.GetOperationId(), Delete: true},
+	)
+	return nil
+}
+
+// names reserves the names that a change adds and frees those that it
+// removes, so that names are unique over all deployments.
+func (s *Store) names(ctx context.Context, txn *platform.Txn, edit Edit, change *pb.DeploymentChange, current *pb.Deployment) error {
+	before := nameFields(current)
+	after := nameFields(change.Deployment)
+	invalid := &InvalidError{}
+	var taken []platform.Guard
+	for _, key := range slices.Sorted(maps.Keys(after)) {
+		if _, kept := before[key]; kept {
+			continue
+		}
+		row, err := s.table.Get(ctx, namePrefix+key)
+		switch {
+		case err == nil:
+			reason := fmt.Sprintf("is used by deployment %s", row.Value)
+			invalid.Violations = append(invalid.Violations, Violation{after[key], reason})
+			taken = append(taken, platform.Guard{Key: row.Key, Version: row.Version})
+		case !errors.Is(err, platform.ErrNotFound):
+			return err
+		}
+		txn.Guards = append(txn.Guards, platform.Guard{Key: namePrefix + key})
+		txn.Writes = append(txn.Writes, platform.Write{Key: namePrefix + key, Value: []byte(change.Name)})
+	}
+	for _, key := range slices.Sorted(maps.Keys(before)) {
+		if _, kept := after[key]; kept {
+			continue
+		}
+		// The guard on the deployment's row protects the names it holds.
+		txn.Writes = append(txn.Writes, platform.Write{Key: namePrefix + key, Delete: true})
+	}
+	if len(invalid.Violations) > 0 {
+		return s.confirm(ctx, invalid, edit, taken...)
+	}
+	return nil
+}
+
+// nameFields maps each name in a deployment, with its kind, to its field.
+func nameFields(deployment *pb.Deployment) map[string]string {
+	out := map[string]string{}
+	for i, service := range deployment.GetServices() {
+		out["service/"+service.GetName()] = fmt.Sprintf("services[%d].name", i)
+	}
+	for i, endpoint := range deployment.GetEndpoints() {
+		out["endpoint/"+endpoint.GetName()] = fmt.Sprintf("endpoints[%d].name", i)
+	}
+	for i, model := range deployment.GetModels() {
+		out["model/"+model.GetName()] = fmt.Sprintf("models[%d].name", i)
+		for j, adapter := range model.GetAdapters() {
+			out["model/"+adapter.GetName()] = fmt.Sprintf("models[%d].adapters[%d].name", i, j)
+		}
+	}
+	return out
+}
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -2,20 +2,31 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	pb "chestnutgauge/api/chestnutgauge/v1"
 	"chestnutgauge/internal/events"
 )
 
-// pollInterval is the mean time between two reads of the head row.
-const pollInterval = 500 * time.Millisecond
+var (
+	headReads     = metrics.NewCounter("chestnut_config_head_reads_total")
+	oldReads      = metrics.NewCounter("chestnut_config_old_reads_total")
+	snapshotLoads = metrics.NewCounter("chestnut_config_snapshot_loads_total")
+	peerChanges   = metrics.NewCounter("chestnut_config_peer_changes_total")
+)
 
-// keptChanges bounds the changes that a follower can pass on to peers.
-const keptChanges = 1024
+// Peers fetches changes from other processes of the data centre.
+type Peers interface {
+	// Fetch returns the newest of what peers have after a version: changes
+	// without gaps, or a whole snapshot. Both are nil if no peer has more.
+	Fetch(ctx context.Context, version int64) ([]*pb.DeploymentChange, *Snapshot, error)
+}
 
 // Follower keeps the newest configuration that the process has seen. Its
 // version never goes back.
@@ -25,22 +36,41 @@
 	log    *slog.Logger
 
 	mu      sync.Mutex
+	peers   Peers
+	source  func() bool
 	current *Snapshot
-	recent  []*pb.DeploymentChange
+	recent  window
 	changed chan struct{}
+	// confirmed is the last time at which the table is known to have held
+	// nothing newer than current.
+	confirmed time.Time
+	// failure is that of the newest poll, nil if it succeeded.
+	failure error
 }
 
-// NewFollower returns a follower with an empty configuration.
+// NewFollower returns a follower with an empty configuration, that reads the
+// table itself.
 func NewFollower(store *Store, recorder *events.Recorder, log *slog.Logger) *Follower {
 	return &Follower{
 		store:   store,
 		events:  recorder,
 		log:     log,
+		source:  func() bool { return true },
 		current: Empty(),
 		changed: make(chan struct{}),
 	}
 }
 
+// Join lets the follower take changes from peers, and rely on them as long as
+// they confirm its version. source tells whether this process is one of those
+// that read the table for the data centre.
+func (f *Follower) Join(peers Peers, source func() bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers = peers
+	f.source = source
+}
+
 // Current returns the configuration in force.
 func (f *Follower) Current() *Snapshot {
 	f.mu.Lock()
@@ -83,14 +113,31 @@
 			continue
 		}
 		f.current = f.current.Apply(change)
-		f.recent = append(f.recent, change)
+		f.recent.add(change)
 	}
-	if extra := len(f.recent) - keptChanges; extra > 0 {
-		f.recent = append([]*pb.DeploymentChange(nil), f.recent[extra:]...)
+	if f.current.Version != before {
+		f.announce()
 	}
-	if f.current.Version == before {
-		return
+}
+
+// Replace puts a whole configuration in force if it is newer than the current
+// one.
+func (f *Follower) Replace(next *Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next.Version > f.current.Version {
+		f.replace(next)
 	}
+}
+
+func (f *Follower) replace(next *Snapshot) {
+	f.current = next
+	f.recent.clear()
+	f.announce()
+}
+
+// announce wakes those who wait for a change.
+func (f *Follower) announce() {
 	close(f.changed)
 	f.changed = make(chan struct{})
 	f.events.Record(events.Event{Kind: events.ConfigApplied, ConfigVersion: f.current.Version})
@@ -104,45 +151,190 @@
 	if version >= f.current.Version {
 		return nil, true
 	}
-	for i, change := range f.recent {
-		if change.GetVersion() == version+1 {
-			return append(changes, f.recent[i:]...), true
-		}
+	return f.recent.after(version)
+}
+
+// Confirm notes that version was the newest in the table at a time.
+func (f *Follower) Confirm(version int64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version <= f.current.Version && at.After(f.confirmed) {
+		f.confirmed = at
 	}
-	return nil, false
 }
 
-// Run follows the table until ctx ends.
+// Confirmed returns the last time at which the table is known to have held
+// nothing newer than the current version, the zero time if there is none.
+func (f *Follower) Confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// Ready tells whether a configuration is in force, and if not, why.
+func (f *Follower) Ready() (bool, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.current.Version > 0:
+		return true, ""
+	case !f.confirmed.IsZero():
+		return false, "no configuration: no deployment has been created"
+	case f.failure != nil:
+		return false, "no configuration: no peer has one and the table can't be read: " + f.failure.Error()
+	}
+	return false, "no configuration yet"
+}
+
+// Run follows the table and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	failures := 0
 	for {
 		if err := f.poll(ctx); err != nil {
 			f.log.Debug("configuration poll failed", "error", err)
+			failures++
+		} else {
+			failures = 0
+		}
+		if !f.sleepUntilDue(ctx, time.Now(), failures, rand.Float64()) {
+			return ctx.Err()
+		}
+	}
+}
+
+// sleepUntilDue waits until the next read of the head is due. Confirmations by
+// peers put it off.
+func (f *Follower) sleepUntilDue(ctx context.Context, last time.Time, failures int, jitter float64) bool {
+	for {
+		f.mu.Lock()
+		plan := pollPlan{last: last, confirmed: f.confirmed, source: f.source(), failures: failures, jitter: jitter}
+		f.mu.Unlock()
+		wait := time.Until(plan.due())
+		if wait <= 0 {
+			return true
 		}
-		wait := pollInterval/2 + rand.N(pollInterval)
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		}
 	}
 }
 
 // poll reads the head and applies what is new.
 func (f *Follower) poll(ctx context.Context) error {
-	version, err := f.store.Head(ctx)
+	err := f.readTable(ctx)
 	if err != nil {
+		f.fetch(ctx)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failure = err
+	return err
+}
+
+func (f *Follower) readTable(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	at := time.Now()
+	headReads.Inc()
+	head, err := f.store.Head(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Version < f.Current().Version {
+		oldReads.Inc()
+		return nil
+	}
+	if err := f.catchUp(ctx, head); err != nil {
 		return err
 	}
-	for f.Current().Version < version {
+	f.Confirm(head.Version, at)
+	return f.verify(ctx, head)
+}
+
+// catchUp brings the follower to the head's version.
+func (f *Follower) catchUp(ctx context.Context, head Head) error {
+	if head.Version-f.Current().Version > snapshotGap {
+		f.fetch(ctx)
+	}
+	for {
 		before := f.Current().Version
+		if before >= head.Version {
+			return nil
+		}
+		if head.Version-before > snapshotGap {
+			return f.load(ctx)
+		}
 		changes, err := f.store.ChangesAfter(ctx, before)
+		if errors.Is(err, ErrTrimmed) {
+			return f.load(ctx)
+		}
 		if err != nil {
 			return err
 		}
 		f.Apply(changes)
 		if f.Current().Version == before {
-			return nil
+			return errInconsistent
 		}
 	}
+}
+
+// verify loads the configuration anew if the one in force is not that of the
+// table at the same version.
+func (f *Follower) verify(ctx context.Context, head Head) error {
+	current := f.Current()
+	if current.Version != head.Version || current.Digest == head.Digest {
+		return nil
+	}
+	f.log.Error("configuration differs from the table", "config_version", head.Version)
+	next, err := f.store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next.Version >= f.current.Version {
+		f.replace(next)
+	}
 	return nil
 }
+
+// load reads the whole configuration from the table.
+func (f *Follower) load(ctx context.Context) error {
+	snapshotLoads.Inc()
+	next, err := f.store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	f.Replace(next)
+	return nil
+}
+
+// fetch takes what peers have.
+func (f *Follower) fetch(ctx context.Context) {
+	f.mu.Lock()
+	peers, version := f.peers, f.current.Version
+	f.mu.Unlock()
+	if peers == nil {
+		return
+	}
+	changes, snapshot, err := peers.Fetch(ctx, version)
+	if err != nil {
+		f.log.Debug("no configuration from peers", "error", err)
+		return
+	}
+	f.Take(changes, snapshot)
+}
+
+// Take puts in force what a peer sent: changes, or a whole snapshot.
+func (f *Follower) Take(changes []*pb.DeploymentChange, snapshot *Snapshot) {
+	before := f.Current().Version
+	f.Apply(changes)
+	if snapshot != nil {
+		f.Replace(snapshot)
+	}
+	if f.Current().Version > before {
+		peerChanges.Inc()
+	}
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -4,9 +4,12 @@
 package config
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	pb "chestnutgauge/api/chestnutgauge/v1"
 )
 
@@ -32,7 +35,9 @@
 
 // Snapshot is the whole configuration at one version. It never changes.
 type Snapshot struct {
-	Version     int64
+	Version int64
+	// Digest is the exclusive or of the deployments' digests.
+	Digest      uint64
 	deployments map[string]*pb.Deployment
 	models      map[string]Model
 	services    map[string]Service
@@ -67,6 +72,7 @@
 	}
 	next := &Snapshot{
 		Version:     change.GetVersion(),
+		Digest:      s.Digest,
 		deployments: maps.Clone(s.deployments),
 		models:      maps.Clone(s.models),
 		services:    maps.Clone(s.services),
@@ -79,7 +85,17 @@
 	return next
 }
 
+// digestOf returns the digest of a deployment's name and version. Each version
+// of a deployment has one content. It is 0 for nil.
+func digestOf(deployment *pb.Deployment) uint64 {
+	if deployment == nil {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprintf("%s@%d", deployment.GetName(), deployment.GetVersion()))
+}
+
 func (s *Snapshot) add(deployment *pb.Deployment) {
+	s.Digest ^= digestOf(deployment)
 	s.deployments[deployment.GetName()] = deployment
 	for _, service := range deployment.GetServices() {
 		s.services[service.GetName()] = Service{deployment.GetName(), service}
@@ -97,6 +113,7 @@
 
 func (s *Snapshot) remove(name string) {
 	deployment := s.deployments[name]
+	s.Digest ^= digestOf(deployment)
 	delete(s.deployments, name)
 	for _, service := range deployment.GetServices() {
 		delete(s.services, service.GetName())
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -65,6 +65,7 @@
 	mu       sync.Mutex
 	ring     []*pb.Event
 	sequence int64
+	refusals map[string]int64
 }
 
 // NewRecorder returns a recorder for the process, named role@vm, that keeps
@@ -75,6 +76,7 @@
 		incarnation: uuid.NewString(),
 		log:         log,
 		ring:        make([]*pb.Event, size),
+		refusals:    map[string]int64{},
 	}
 }
 
@@ -106,10 +108,20 @@
 		Attributes:    event.Attributes,
 	}
 	r.ring[r.sequence%int64(len(r.ring))] = recorded
+	if event.Kind == RequestRefused {
+		r.refusals[event.Attributes["reason"]]++
+	}
 	r.mu.Unlock()
 	r.log.Info(string(event.Kind), attrs(event)...)
 }
 
+// Refusals returns the number of refused requests since start, by reason.
+func (r *Recorder) Refusals() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.refusals)
+}
+
 func attrs(event Event) []any {
 	var out []any
 	add := func(key string, value any, set bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,10 +4,14 @@
 
 import (
 	"context"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/heartbeat"
 	"chestnutgauge/internal/peer/peerpb"
 )
 
@@ -23,6 +27,7 @@
 	DataCentre string
 	Config     *config.Follower
 	Events     *events.Recorder
+	Exchange   *heartbeat.Exchange
 	// Status adds to the node's status. It may be nil.
 	Status Status
 	// Draining tells whether the process is shutting down.
@@ -30,21 +35,17 @@
 }
 
 // Heartbeat implements peerpb.NodeServer.
-func (s *Service) Heartbeat(context.Context, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
-	return &peerpb.HeartbeatResponse{
-		ConfigVersion: s.Config.Current().Version,
-		Draining:      s.Draining(),
-		Incarnation:   s.Events.Incarnation(),
-	}, nil
+func (s *Service) Heartbeat(_ context.Context, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	return s.Exchange.Answer(req), nil
 }
 
 // GetChanges implements peerpb.NodeServer.
 func (s *Service) GetChanges(_ context.Context, req *peerpb.GetChangesRequest) (*peerpb.GetChangesResponse, error) {
 	changes, ok := s.Config.After(req.GetAfterVersion())
-	current := s.Config.Current()
 	if ok {
-		return &peerpb.GetChangesResponse{Version: current.Version, Changes: changes}, nil
+		return &peerpb.GetChangesResponse{Version: req.GetAfterVersion() + int64(len(changes)), Changes: changes}, nil
 	}
+	current := s.Config.Current()
 	resp := &peerpb.GetChangesResponse{Snapshot: true, Version: current.Version}
 	for _, deployment := range current.Deployments() {
 		resp.Changes = append(resp.Changes, &pb.DeploymentChange{
@@ -82,5 +83,10 @@
 	resp.Node.VersionInForce = s.Config.Current().Version
 	resp.Node.Reachable = true
 	resp.Node.Draining = s.Draining()
+	resp.Node.Incarnation = s.Events.Incarnation()
+	resp.Node.Refusals = s.Events.Refusals()
+	if at := s.Config.Confirmed(); !at.IsZero() {
+		resp.Node.ConfigAge = durationpb.New(time.Since(at))
+	}
 	return resp, nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -22,14 +23,21 @@
 	maxBackoff       = time.Second
 )
 
+// maxMessageBytes bounds one message. A whole configuration is the largest.
+const maxMessageBytes = 32 << 20
+
 // Pool shares one connection per address.
 type Pool struct {
 	options []grpc.DialOption
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu     sync.Mutex
+	closed bool
+	conns  map[string]*grpc.ClientConn
 }
 
+// errClosed means that the pool was closed.
+var errClosed = errors.New("peer: pool closed")
+
 // NewPool returns an empty pool. The options are added to those of every
 // connection.
 func NewPool(options ...grpc.DialOption) *Pool {
@@ -40,11 +48,15 @@
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errClosed
+	}
 	if conn, ok := p.conns[address]; ok {
 		return conn, nil
 	}
 	options := append([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
@@ -77,10 +89,11 @@
 	return peerpb.NewNodeClient(conn), nil
 }
 
-// Close closes all connections.
+// Close closes all connections. No new one is made.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, conn := range p.conns {
 		_ = conn.Close()
 	}
@@ -89,6 +102,7 @@
 // NewServer returns a gRPC server for peers.
 func NewServer() *grpc.Server {
 	return grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.WaitForHandlers(true),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}),
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -21,6 +21,7 @@
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/heartbeat"
 	"chestnutgauge/internal/membership"
 	"chestnutgauge/internal/node"
 	"chestnutgauge/internal/opshttp"
@@ -97,6 +98,7 @@
 	Config   *config.Follower
 	Members  *membership.Tracker
 	Peers    *peer.Pool
+	Exchange *heartbeat.Exchange
 	// Server is the gRPC server for peers.
 	Server *grpc.Server
 	Tree   *supervise.Tree
@@ -123,6 +125,25 @@
 		Server:   peer.NewServer(),
 		Tree:     supervise.New(string(role), log),
 	}
+	p.Exchange = &heartbeat.Exchange{
+		Self: membership.Member{
+			VM:         nodeSettings.VM,
+			Role:       role,
+			Region:     nodeSettings.Region,
+			DataCentre: nodeSettings.DataCentre,
+			Address:    nodeSettings.PeerListen,
+		},
+		Incarnation: recorder.Incarnation(),
+		Members:     p.Members,
+		Config:      p.Config,
+		Peers:       p.Peers,
+		Seeds:       nodeSettings.Seeds,
+		Draining:    p.Draining,
+		Log:         log,
+	}
+	p.Members.Identify(p.Exchange.Self)
+	p.Config.Join(p.Exchange, p.Exchange.Source)
+	supervise.Add(p.Tree, "heartbeat", p.Exchange.Run)
 	supervise.Add(p.Tree, "config", p.Config.Run)
 	supervise.Add(p.Tree, "membership", p.Members.Run)
 	return p
@@ -152,6 +173,7 @@
 		DataCentre: p.Node.DataCentre,
 		Config:     p.Config,
 		Events:     p.Events,
+		Exchange:   p.Exchange,
 		Status:     hooks.Status,
 		Draining:   p.Draining,
 	})
@@ -168,6 +190,9 @@
 		if p.Draining() {
 			return false, "draining"
 		}
+		if ok, reason := p.Config.Ready(); !ok && p.Role != membership.RoleAdmin {
+			return false, reason
+		}
 		return hooks.Ready()
 	}
 	supervise.Add(p.Tree, "ops", func(ctx context.Context) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,9 @@
 	Region     string `toml:"region"`
 	// PeerListen is the host:port for the system's own processes.
 	PeerListen string `toml:"peer_listen"`
+	// Seeds are addresses of processes of the data centre, for a start while
+	// the membership list is away.
+	Seeds []string `toml:"seeds"`
 	// OpsListen is the host:port for metrics and health.
 	OpsListen string `toml:"ops_listen"`
 	// LogLevel is debug, info, warn or error.
@@ -95,7 +98,7 @@
 // Checks returns the conditions on the settings of a node, under the key
 // "node".
 func (n Node) Checks() []Check {
-	return []Check{
+	checks := []Check{
 		{"node.vm", n.VM != "", "must be set"},
 		{"node.data_centre", n.DataCentre != "", "must be set"},
 		{"node.region", n.Region != "", "must be set"},
@@ -105,6 +108,10 @@
 		Positive("node.shutdown_limit", n.ShutdownLimit),
 		{"node.event_ring", n.EventRing > 0, "must be above 0"},
 	}
+	for i, seed := range n.Seeds {
+		checks = append(checks, Address(fmt.Sprintf("node.seeds[%d]", i), seed))
+	}
+	return checks
 }
 
 var levels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -30,6 +30,7 @@
 	"chestnutgauge/internal/endpoints"
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/heartbeat"
 	"chestnutgauge/internal/membership"
 	"chestnutgauge/internal/node"
 	"chestnutgauge/internal/peer"
@@ -55,6 +56,8 @@
 	Store       *config.Store
 	Routers     []*RouterNode
 	Controllers []*ControllerNode
+	// Prepare is called for each node before it starts. It may be nil.
+	Prepare func(*Node)
 
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
@@ -67,20 +70,21 @@
 	DataCentre string
 	Config     *config.Follower
 	Events     *events.Recorder
+	Members    *membership.Tracker
+	Exchange   *heartbeat.Exchange
 	// PlatformCut, PeersCut and EndpointsCut cut the node off while true.
 	PlatformCut  atomic.Bool
 	PeersCut     atomic.Bool
 	EndpointsCut atomic.Bool
 
-	system  *System
-	role    membership.Role
-	members *membership.Tracker
-	peers   *peer.Pool
-	server  *grpc.Server
-	table   platform.Table
-	log     *slog.Logger
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	system *System
+	role   membership.Role
+	peers  *peer.Pool
+	server *grpc.Server
+	table  platform.Table
+	log    *slog.Logger
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 }
 
 // RouterNode is a router of the system.
@@ -161,11 +165,25 @@
 	n.table = cutTable{n, s.StandIn.Table}
 	n.Events = events.NewRecorder(name, 1024, log)
 	n.Config = config.NewFollower(config.NewStore(n.table), n.Events, log)
-	n.members = membership.NewTracker(cutMembership{n, s.StandIn.Membership}, log)
+	n.Members = membership.NewTracker(cutMembership{n, s.StandIn.Membership}, log)
 	n.peers = peer.NewPool(grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		return s.dial(ctx, n, address)
 	}))
 	n.server = peer.NewServer()
+	n.Exchange = &heartbeat.Exchange{
+		Self:        membership.Member{VM: vm, Role: role, Region: "region", DataCentre: dataCentre, Address: name},
+		Incarnation: n.Events.Incarnation(),
+		Members:     n.Members,
+		Config:      n.Config,
+		Peers:       n.peers,
+		Draining:    func() bool { return false },
+		Log:         log,
+	}
+	n.Members.Identify(n.Exchange.Self)
+	n.Config.Join(n.Exchange, n.Exchange.Source)
+	if s.Prepare != nil {
+		s.Prepare(n)
+	}
 	return n
 }
 
@@ -190,14 +208,14 @@
 	n.cancel = cancel
 	peerpb.RegisterNodeServer(n.server, &node.Service{
 		VM: n.VM, Role: string(n.role), DataCentre: n.DataCentre,
-		Config: n.Config, Events: n.Events, Draining: func() bool { return false },
+		Config: n.Config, Events: n.Events, Exchange: n.Exchange, Draining: func() bool { return false },
 	})
 	listener := bufconn.Listen(bufferBytes)
 	n.system.mu.Lock()
 	n.system.listeners[n.Events.Process()] = listener
 	n.system.mu.Unlock()
 	n.done.Go(func() { _ = n.server.Serve(&cutListener{listener, n}) })
-	workers = append(workers, n.Config.Run, n.members.Run)
+	workers = append(workers, n.Config.Run, n.Members.Run, n.Exchange.Run)
 	for _, worker := range workers {
 		n.done.Go(func() { _ = worker(ctx) })
 	}
@@ -220,14 +238,14 @@
 func (s *System) StartController(vm, dataCentre string) *ControllerNode {
 	n := s.newNode(membership.RoleController, vm, dataCentre)
 	directory := endpoints.NewDirectory()
-	watcher := endpoints.NewWatcher(directory, n.members, n.peers, dataCentre, n.Events.Process(), n.log)
+	watcher := endpoints.NewWatcher(directory, n.Members, n.peers, dataCentre, n.Events.Process(), n.log)
 	c := controller.New(controller.Parts{
 		VM:         vm,
 		DataCentre: dataCentre,
 		Table:      n.table,
 		Config:     n.Config,
 		Slots:      slots.NewStore(n.table, config.NewStore(n.table)),
-		Members:    n.members,
+		Members:    n.Members,
 		Directory:  directory,
 		Peers:      n.peers,
 		Connect:    n.connect,
@@ -243,12 +261,12 @@
 func (s *System) StartRouter(vm, dataCentre string) *RouterNode {
 	n := s.newNode(membership.RoleRouter, vm, dataCentre)
 	directory := endpoints.NewDirectory()
-	watcher := endpoints.NewWatcher(directory, n.members, n.peers, dataCentre, n.Events.Process(), n.log)
+	watcher := endpoints.NewWatcher(directory, n.Members, n.peers, dataCentre, n.Events.Process(), n.log)
 	r := router.New(router.Parts{
 		VM:         vm,
 		DataCentre: dataCentre,
 		Config:     n.Config,
-		Members:    n.members,
+		Members:    n.Members,
 		Directory:  directory,
 		Peers:      n.peers,
 		Connect:    n.connect,
