--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -22,8 +22,6 @@
 	"chestnutgauge/internal/testsystem"
 )
 
-const gigabyte = 1_000_000_000
-
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
 	flag.Parse()
