Fall back to an engine that a caller would rather avoid

Cause: a router that retries names the engine it failed at; the wake then found no room elsewhere and failed for 5 s, although the engine was back and had the model loaded 1.6 s after its crash. Seen in TestOneCrash once the router's retries and the placement met: 503 no_replica for requests sent 6 s after the crash.

Ruled out: shorter waits (the engine is back, waiting does not help).

Change: an avoided engine is a last choice, not a forbidden one.

Before: TestOneCrash failed in 3 of 3 runs. After: passes, -count=3.

--- a/internal/controller/home.go
+++ b/internal/controller/home.go
@@ -119,11 +119,12 @@
 // attempt loads a replica once: on an engine of this data centre that has the
 // model or a slot of it, else where the placement says.
 func (c *Controller) attempt(ctx context.Context, w *wake) (*peerpb.EnsureLoadedResponse, error) {
-	resp, err := c.attemptAvoiding(ctx, w, slices.Concat(w.req.GetAvoid(), w.failed))
-	if len(w.failed) > 0 && isNoRoom(err) {
-		// No other slot is free: the engine that failed may be back.
+	avoid := slices.Concat(w.req.GetAvoid(), w.failed)
+	resp, err := c.attemptAvoiding(ctx, w, avoid)
+	if len(avoid) > 0 && isNoRoom(err) {
+		// There is no other engine: one that failed may be back.
 		w.failed = nil
-		return c.attemptAvoiding(ctx, w, w.req.GetAvoid())
+		return c.attemptAvoiding(ctx, w, nil)
 	}
 	return resp, err
 }
