Confirm the incarnation of an engine that was read

Cause: confirm() noted the incarnation of the newest reading, not of the one made after the fence was raised: an engine that restarts between the two would be ordered without a fence.

Change: the reading that confirm() made decides. Readings agree by content, not by the order of a list. The case of an owner that keeps its lease now lets its VM leave the membership list: with streams alone its silence is noticed after the lease, and the wait would not be tested.

--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"chestnutgauge/internal/engine"
@@ -36,11 +37,12 @@
 	case confirmed == state.Incarnation:
 		return 0, true
 	}
-	if err := o.reconfirm(ctx); err != nil {
+	reading, err := o.reconfirm(ctx)
+	if err != nil {
 		o.controller.Log.Debug("engine not confirmed", "endpoint", o.name, "error", err)
 		return jitter(o.controller.settings.Retry), false
 	}
-	return o.release()
+	return o.release(reading)
 }
 
 // leased reports whether the engine may be ordered as far as the lease goes.
@@ -53,11 +55,11 @@
 }
 
 // reconfirm raises the fence at the engine, and then reads what it holds.
-func (o *ownedEngine) reconfirm(ctx context.Context) error {
+func (o *ownedEngine) reconfirm(ctx context.Context) (engine.State, error) {
 	if o.fenced {
 		order := engine.Order{ID: newOperationID(), Kind: engine.OrderRaiseFence, Fence: o.fence}
 		if err := o.send(ctx, order); err != nil && !errors.Is(err, engine.ErrOldFence) {
-			return err
+			return engine.State{}, err
 		}
 	}
 	started := time.Now()
@@ -65,43 +67,49 @@
 	defer cancel()
 	state, err := o.client.State(readCtx)
 	if err != nil {
-		return err
+		return state, err
 	}
 	o.observe(state, started, nil)
 	if o.fenced && state.Fence != o.fence {
-		return engine.ErrOldFence
+		return state, engine.ErrOldFence
 	}
-	return nil
+	return state, nil
 }
 
 // release ends the quarantine once two readings agree, and confirms the
-// engine.
-func (o *ownedEngine) release() (time.Duration, bool) {
+// incarnation that was read.
+func (o *ownedEngine) release(reading engine.State) (time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.quarantine {
-		if o.suspect == nil || !agree(*o.suspect, o.state) {
-			reading := o.state
+		if o.suspect == nil || !agree(*o.suspect, reading) {
 			o.suspect = &reading
 			return agreeInterval, false
 		}
 		o.quarantine = false
 		o.suspect = nil
 	}
-	o.confirmed = o.state.Incarnation
-	return 0, true
+	o.confirmed = reading.Incarnation
+	return 0, o.state.Incarnation == reading.Incarnation
 }
 
-// agree reports whether two readings show the same holdings.
+// agree reports whether two readings show the same holdings, and no load in
+// progress.
 func agree(a, b engine.State) bool {
-	if a.Incarnation != b.Incarnation || len(a.Loaded) != len(b.Loaded) || len(a.Loading)+len(b.Loading) > 0 {
+	if a.Incarnation != b.Incarnation || len(a.Loading)+len(b.Loading) > 0 {
 		return false
 	}
-	for i, loaded := range a.Loaded {
-		other := b.Loaded[i]
-		if loaded.Model != other.Model || loaded.Version != other.Version || len(loaded.Adapters) != len(other.Adapters) {
-			return false
+	return maps.Equal(holdings(a), holdings(b))
+}
+
+// holdings maps what is loaded to its version, adapters as model and adapter.
+func holdings(state engine.State) map[string]string {
+	out := map[string]string{}
+	for _, loaded := range state.Loaded {
+		out[loaded.Model] = loaded.Version
+		for _, adapter := range loaded.Adapters {
+			out[loaded.Model+"/"+adapter.Name] = adapter.Version
 		}
 	}
-	return true
+	return out
 }
--- a/internal/controller/guard_test.go
+++ b/internal/controller/guard_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chestnutgauge/internal/peer/peerpb"
+	"chestnutgauge/internal/platform"
 	"chestnutgauge/internal/slots"
 	"chestnutgauge/internal/standin"
 	"chestnutgauge/internal/testsystem"
@@ -91,9 +92,9 @@
 			old.Thaw()
 			time.Sleep(10 * time.Second)
 		}},
-		{"an owner that was cut off is left its lease", false, func(w *world, old *testsystem.ControllerNode) {
+		{"an owner that left the membership list is left its lease", false, func(w *world, old *testsystem.ControllerNode) {
 			old.PlatformCut.Store(true)
-			old.PeersCut.Store(true)
+			w.StandIn.Membership.Update(old.VM, func(*platform.VM) bool { return false })
 			w.calls.Go(func() {
 				time.Sleep(6 * time.Second)
 				_ = w.load(old, "m1", false, 2*time.Second)
