Keep a taken engine in quarantine for its whole interval

Cause: a reading wakes a pass, and the pass read the engine again at once, so two readings of the same moment ended the quarantine. With a timed end alone the passes read without a pause: the test hung.

Change: a try to confirm an engine sets the earliest time of the next one.

--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -9,7 +9,8 @@
 	"chestnutgauge/internal/engine"
 )
 
-// agreeInterval is the time between two readings of a quarantined engine.
+// agreeInterval is the shortest time over which the readings of a quarantined
+// engine have to agree.
 const agreeInterval = time.Second
 
 // confirm makes sure that the engine may be ordered: its row stands, the
@@ -19,7 +20,7 @@
 func (o *ownedEngine) confirm(ctx context.Context) (time.Duration, bool) {
 	o.mu.Lock()
 	state, reachable, confirmed := o.state, o.reachable, o.confirmed
-	synced := o.synced > 0
+	synced, confirmAt := o.synced > 0, o.confirmAt
 	if reachable && confirmed != "" && state.Incarnation != confirmed && o.fenced && state.Fence < o.fence {
 		// An engine that lost its fence would obey an owner that was replaced,
 		// perhaps this one: only the row can tell.
@@ -37,14 +38,26 @@
 	case confirmed == state.Incarnation:
 		return 0, true
 	}
+	// Each reading wakes a pass: the next one must not read at once.
+	if wait := time.Until(confirmAt); wait > 0 {
+		return wait, false
+	}
 	reading, err := o.reconfirm(ctx)
 	if err != nil {
 		o.controller.Log.Debug("engine not confirmed", "endpoint", o.name, "error", err)
-		return jitter(o.controller.settings.Retry), false
+		return o.confirmAfter(jitter(o.controller.settings.Retry)), false
 	}
 	return o.release(reading)
 }
 
+// confirmAfter puts the next try to confirm the engine off.
+func (o *ownedEngine) confirmAfter(wait time.Duration) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.confirmAt = time.Now().Add(wait)
+	return wait
+}
+
 // leased reports whether the engine may be ordered as far as the lease goes.
 func (o *ownedEngine) leased() bool {
 	if o.fenced {
@@ -84,6 +97,7 @@
 	if o.quarantine {
 		if o.suspect == nil || !agree(*o.suspect, reading) {
 			o.suspect = &reading
+			o.confirmAt = time.Now().Add(agreeInterval)
 			return agreeInterval, false
 		}
 		o.quarantine = false
--- a/internal/controller/guard_test.go
+++ b/internal/controller/guard_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/controller"
+	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/peer/peerpb"
-	"chestnutgauge/internal/platform"
 	"chestnutgauge/internal/slots"
 	"chestnutgauge/internal/standin"
 	"chestnutgauge/internal/testsystem"
@@ -41,6 +43,19 @@
 	return nil
 }
 
+// first returns the time of a controller's first event of a kind about e1.
+func (w *world) first(node *testsystem.ControllerNode, kind events.Kind) time.Time {
+	recorded, _ := node.Events.Select(&pb.GetTimelineRequest{Endpoint: "e1"})
+	for _, event := range recorded {
+		if event.GetKind() == string(kind) {
+			return event.GetTime().AsTime()
+		}
+	}
+	require.Fail(w.t, "no such event", "%s at %s", kind, node.VM)
+	return time.Time{}
+}
+
+// loads counts the loads that an endpoint has started since a time.
 func (w *world) loads(endpoint string, since time.Time) int {
 	count := 0
 	for _, entry := range w.StandIn.Journal.Entries() {
@@ -63,8 +78,8 @@
 		{"an order half sent before a freeze meets a higher fence", true, func(w *world, old *testsystem.ControllerNode) {
 			old.HalfSent.Store(true)
 			old.Freeze()
-			w.calls.Go(func() { _ = w.load(old, "m1", false, time.Minute) })
-			time.Sleep(40 * time.Second)
+			w.calls.Go(func() { _ = w.load(old, "m1", false, 2*time.Minute) })
+			time.Sleep(70 * time.Second)
 			next := w.successor(old)
 			require.NoError(w.t, w.load(next, "m2", true, 20*time.Second))
 			require.NoError(w.t, w.load(next, "m3", false, 20*time.Second))
@@ -73,7 +88,7 @@
 		}},
 		{"an owner thawed after its lease orders nothing", false, func(w *world, old *testsystem.ControllerNode) {
 			old.Freeze()
-			time.Sleep(40 * time.Second)
+			time.Sleep(70 * time.Second)
 			next := w.successor(old)
 			require.NoError(w.t, w.load(next, "m2", true, 20*time.Second))
 			require.NoError(w.t, w.load(next, "m3", false, 20*time.Second))
@@ -84,35 +99,36 @@
 		}},
 		{"an order half sent before a freeze does not outlive its deadline", false, func(w *world, old *testsystem.ControllerNode) {
 			old.Freeze()
-			w.calls.Go(func() { _ = w.load(old, "m1", false, time.Minute) })
-			time.Sleep(40 * time.Second)
+			w.calls.Go(func() { _ = w.load(old, "m1", false, 2*time.Minute) })
+			time.Sleep(70 * time.Second)
 			next := w.successor(old)
 			require.NoError(w.t, w.load(next, "m2", true, 20*time.Second))
 			require.NoError(w.t, w.load(next, "m3", false, 20*time.Second))
 			old.Thaw()
 			time.Sleep(10 * time.Second)
 		}},
-		{"an owner that left the membership list is left its lease", false, func(w *world, old *testsystem.ControllerNode) {
+		{"an owner that was cut off is left its lease", false, func(w *world, old *testsystem.ControllerNode) {
 			old.PlatformCut.Store(true)
-			w.StandIn.Membership.Update(old.VM, func(*platform.VM) bool { return false })
+			old.PeersCut.Store(true)
+			cut := time.Now()
 			w.calls.Go(func() {
-				time.Sleep(6 * time.Second)
+				time.Sleep(30 * time.Second)
 				_ = w.load(old, "m1", false, 2*time.Second)
 			})
-			w.calls.Go(func() {
-				for _, node := range w.Controllers {
-					if node != old {
-						w.calls.Go(func() {
-							for range 40 {
-								_ = w.load(node, "m2", true, time.Second)
-								_ = w.load(node, "m3", false, time.Second)
-								time.Sleep(500 * time.Millisecond)
-							}
-						})
-					}
+			for _, node := range w.Controllers {
+				if node == old {
+					continue
 				}
-			})
-			time.Sleep(40 * time.Second)
+				w.calls.Go(func() {
+					for time.Since(cut) < 70*time.Second {
+						_ = w.load(node, "m2", true, time.Second)
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(70 * time.Second)
+			taken, ordered := w.first(w.successor(old), events.EndpointTaken), w.first(w.successor(old), events.LoadOrdered)
+			require.GreaterOrEqual(w.t, ordered.Sub(taken), time.Second, "ordered while in quarantine")
 		}},
 		{"an order that may still arrive keeps its memory", true, func(w *world, old *testsystem.ControllerNode) {
 			w.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultLateOrder, Milliseconds: 3000, Count: 1})
@@ -124,7 +140,9 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			runWorld(t, tc.fenced, func(w *world) {
+			settings := controller.DefaultSettings()
+			settings.Ownership.Lease = 35 * time.Second
+			runWorldWith(t, tc.fenced, &settings, func(w *world) {
 				w.bind("m1", "m2", "m3")
 				old := w.owner("e1")
 				require.NoError(t, w.load(old, "m1", true, 10*time.Second))
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -56,6 +56,8 @@
 	// owner before, until two readings agree.
 	quarantine bool
 	suspect    *engine.State
+	// confirmAt is the earliest time of the next try to confirm the engine.
+	confirmAt time.Time
 	// row is the version of the owner row. rowStands is false if the row has
 	// to be read again before anything is ordered; generation is the chain of
 	// the lease in which it was read.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -148,13 +148,22 @@
 	return owners[0]
 }
 
-// check holds the journal of the stand-in against the two promises.
+// check holds the journal of the stand-in against the two promises, and that no
+// engine has carried out an order of one owner after one of its successor.
 func (w *world) check() {
 	peaks := standin.Measure(w.StandIn.Journal.Entries())
 	for model, replicas := range peaks.Replicas {
 		require.LessOrEqual(w.t, replicas, 1, "replicas of %s", model)
 	}
 	require.Empty(w.t, peaks.Overcommitted)
+	fences := map[string]int64{}
+	for _, entry := range w.StandIn.Journal.Entries() {
+		if entry.Kind != standin.EntryOrder || entry.Outcome != "ok" {
+			continue
+		}
+		require.GreaterOrEqual(w.t, entry.Fence, fences[entry.Endpoint], "%s obeys an owner that was replaced: %+v", entry.Endpoint, entry)
+		fences[entry.Endpoint] = entry.Fence
+	}
 }
 
 // served waits until every model is answered, and so every engine has an owner
