--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -151,6 +151,7 @@
 		return
 	}
 	o.reachable = err == nil
+	before := o.state
 	if err == nil {
 		o.state = state
 		o.startedAt = started
@@ -159,6 +160,9 @@
 	}
 	o.touch()
 	o.mu.Unlock()
+	if err == nil {
+		o.recordEnds(before, state)
+	}
 	o.controller.wake()
 	o.controller.event(o.name)
 }
