Run non-idempotent requests at most once, and give whole answers

Cause: a claim did not name the endpoint of its dispatch, so a repeat could never learn the end of a try whose router had died; a claim whose write was unknown stayed for ever; a refusal before the claim said not_run although an earlier try under the key could have run; answers of any size went into the row; the digest of a service call left out its path; streams were not resumed, and any organisation could read an answer with its event id.

Ruled out: a read in place of the guarded write (stale reads); releasing by anybody but the holder, or after a time limit (a frozen holder would dispatch afterwards); a shared secret for event ids (the engine knows the try only by the id that holds the digest, so none is needed).

Change: claim rows name try and endpoint, and are written in batches (group commit; two writes of a key are never in one transaction). A repeat waits, asks the endpoint by the try's id (engines and plain services), and keeps what it gets. Unknown claims are released by a second write under the same guard. not_run before a claim is confirmed by a guarded commit that writes nothing. Large answers go to the object store; rows and objects expire. Streams go through package follow; a caller that hangs up cancels the request at the engine, unless it may not be repeated.

go test ./internal/router, with one mechanism taken out at a time: - waiting for the earlier claim: FAIL TestAtMostOnce/*/table_slow, */stale_reads, */stale_reads_and_lost_answers: "2" is not <= "1" - asking the endpoint: FAIL */killed_while_the_endpoint_runs, */killed_before_the_answer_is_kept (502 in place of the answer) - abandoning unknown claims: FAIL */frozen_past_the_deadline_between_claim_and_dispatch - release only if not run: FAIL */engine_crashes (answered by a second run) - binding of event ids: FAIL TestResumeAtOtherRouter/other_organisation - resumption: FAIL TestWholeStreams/late, /cut With all: ok.

Conclusion: over the cases no key ran twice, and not_run was said of none that had run.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -102,3 +102,20 @@
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
 	return out
 }
+
+// LeavingEndpoints returns the names of the endpoints on VMs that are leaving.
+func (t *Tracker) LeavingEndpoints() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, vm := range t.vms {
+		if vm.Kind != platform.EndpointVM || vm.State != platform.VMLeaving {
+			continue
+		}
+		for name := range vm.Processes {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -10,10 +10,13 @@
 	"strings"
 	"time"
 
+	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/outcome"
 )
 
+const jsonType = "application/json"
+
 // errorBody is the body of an answer that is an error.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -45,7 +48,7 @@
 func writeError(w http.ResponseWriter, requestID string, err error) {
 	e := asOutcome(err)
 	header := w.Header()
-	header.Set("Content-Type", "application/json")
+	header.Set("Content-Type", jsonType)
 	header.Set(headerRun, string(e.Run))
 	if requestID != "" {
 		header.Set(headerRequestID, requestID)
@@ -163,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	writeKept(s.w, s.call.id, http.StatusOK, "application/json", body)
+	writeKept(s.w, s.call.id, claim.Answer{Status: http.StatusOK, ContentType: jsonType, Body: body})
 	return nil
 }
 
@@ -172,12 +175,12 @@
 }
 
 // writeKept writes a whole answer that ran.
-func writeKept(w http.ResponseWriter, requestID string, status int, contentType string, body []byte) {
-	w.Header().Set("Content-Type", contentType)
+func writeKept(w http.ResponseWriter, requestID string, answer claim.Answer) {
+	w.Header().Set("Content-Type", answer.ContentType)
 	w.Header().Set(headerRequestID, requestID)
 	w.Header().Set(headerRun, string(outcome.Ran))
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
 }
 
 // streamSink sends each chunk as a server-sent event.
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -37,12 +37,12 @@
 func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
 	body, err := readBody(w, req)
 	if err != nil {
-		writeError(w, "", err)
+		r.refuse(w, req, err)
 		return
 	}
 	c, err := parseChat(req, body, r.Config.Current())
 	if err != nil {
-		writeError(w, "", err)
+		r.refuse(w, req, err)
 		return
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.deadline)
--- a/internal/router/locate.go
+++ b/internal/router/locate.go
@@ -20,6 +20,7 @@
 // locate returns an endpoint that has the model loaded, asking the model's
 // home controller when the router knows of none.
 func (r *Router) locate(ctx context.Context, c *chatCall, avoid []string) (string, error) {
+	avoid = slices.Concat(avoid, r.leavingEndpoints())
 	if picked, ok := choose.Pick(r.candidates(c, avoid), rand.New(rand.NewPCG(rand.Uint64(), 0))); ok {
 		return picked.Name, nil
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,31 +71,6 @@
 	resumeFrom *eventID
 }
 
-// eventID names a place in an answer: it is enough for any router to go on
-// from there.
-type eventID struct {
-	requestID string
-	endpoint  string
-	offset    int
-}
-
-// String returns the form that callers send back in Last-Event-ID.
-func (e eventID) String() string {
-	return e.requestID + "/" + e.endpoint + "/" + strconv.Itoa(e.offset)
-}
-
-func parseEventID(text string) (eventID, error) {
-	parts := strings.Split(text, "/")
-	if len(parts) != 3 {
-		return eventID{}, errors.New("want request/endpoint/offset")
-	}
-	offset, err := strconv.Atoi(parts[2])
-	if err != nil || offset < 0 {
-		return eventID{}, errors.New("offset must be a number from 0")
-	}
-	return eventID{requestID: parts[0], endpoint: parts[1], offset: offset}, nil
-}
-
 // readBody reads a bounded body.
 func readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBodyBytes))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -52,16 +53,26 @@
 	Parts
 
 	draining atomic.Bool
+	// life ends with Close. Work that goes on without a caller runs under it.
+	life     context.Context
+	end      context.CancelFunc
+	work     sync.WaitGroup
+	lateRuns atomic.Int64
+	signs    leavingSigns
 
 	mu       sync.Mutex
+	closed   bool
 	inFlight map[string]int
 	clients  map[string]engine.Engine
 }
 
 // New returns a router.
 func New(parts Parts) *Router {
+	life, end := context.WithCancel(context.Background())
 	return &Router{
 		Parts:    parts,
+		life:     life,
+		end:      end,
 		inFlight: map[string]int{},
 		clients:  map[string]engine.Engine{},
 	}
@@ -100,6 +111,44 @@
 	return r.draining.Load()
 }
 
+// background runs work that outlives its request. It returns false once the
+// router is closed.
+func (r *Router) background(work func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.work.Go(work)
+	return true
+}
+
+// Finish waits until the requests that go on without their callers have ended
+// and what is to be kept of them is kept, or ctx ends.
+func (r *Router) Finish(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.work.Wait()
+		r.Claims.Flush(ctx)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Close ends the router's own work at once.
+func (r *Router) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.end()
+	r.work.Wait()
+	r.Claims.Close()
+	r.Plain.Close()
+}
+
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if ok, reason := r.Ready(); !ok {
 		http.Error(w, reason, http.StatusServiceUnavailable)
--- a/internal/router/routerd/routerd.go
+++ b/internal/router/routerd/routerd.go
@@ -71,8 +71,8 @@
 		Connect: func(address string) engine.Engine {
 			return httpengine.New(address, httpengine.DefaultSettings())
 		},
-		Plain:  plain.NewCaller(),
-		Claims: claim.NewStore(parts.Platform, s.Node.VM),
+		Plain:  plain.NewCaller(plain.DefaultSettings()),
+		Claims: claim.NewStore(parts.Platform, parts.Platform.Objects(), s.Node.VM, claim.DefaultSettings()),
 		Events: parts.Events,
 		Log:    parts.Log,
 	})
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +13,7 @@
 	"time"
 
 	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/outcome"
@@ -21,17 +24,17 @@
 	name := req.PathValue("service")
 	service, ok := r.Config.Current().Service(name)
 	if !ok {
-		writeError(w, "", &outcome.Error{Reason: outcome.ReasonUnknownService, Run: outcome.NotRun, Field: "path", Message: fmt.Sprintf("service %q is not offered", name)})
+		r.refuse(w, req, &outcome.Error{Reason: outcome.ReasonUnknownService, Run: outcome.NotRun, Field: "path", Message: fmt.Sprintf("service %q is not offered", name)})
 		return
 	}
 	body, err := readBody(w, req)
 	if err != nil {
-		writeError(w, "", err)
+		r.refuse(w, req, err)
 		return
 	}
 	c, err := newCall(req, body, service.Spec.GetDefaultDeadline())
 	if err != nil {
-		writeError(w, "", err)
+		r.refuse(w, req, err)
 		return
 	}
 	if service.Spec.GetNonIdempotent() && c.key == "" {
@@ -55,49 +58,117 @@
 		return
 	}
 	r.Events.Record(events.Event{Kind: events.RequestAnswered, RequestID: c.id, Attributes: map[string]string{"service": name}})
-	writeKept(w, c.id, answer.status, answer.contentType, answer.body)
+	writeKept(w, c.id, answer)
 }
 
-func (r *Router) callService(ctx context.Context, c *call, service config.Service, req plain.Request) (keptAnswer, error) {
+func (r *Router) callService(ctx context.Context, c *call, service config.Service, req plain.Request) (claim.Answer, error) {
+	job := serviceJob{router: r, call: c, service: service.Spec.GetName(), request: req}
 	if service.Spec.GetNonIdempotent() {
-		answer, _, err := r.once(ctx, c, func(ctx context.Context, tryID string) (keptAnswer, error) {
-			req.ID = tryID
-			return r.tryService(ctx, c, service, req)
-		})
-		return answer, err
-	}
-	req.ID = newRequestID()
-	return r.tryService(ctx, c, service, req)
+		answer, err := r.once(ctx, c, job)
+		return answer.Answer, err
+	}
+	return job.tryEndpoints(ctx)
+}
+
+// serviceJob is a call to a plain service.
+type serviceJob struct {
+	router  *Router
+	call    *call
+	service string
+	request plain.Request
+}
+
+var _ onceJob = serviceJob{}
+
+func (j serviceJob) digest() string {
+	digest := sha256.New()
+	for _, part := range []string{j.service, j.request.Method, j.request.Path, j.request.ContentType} {
+		fmt.Fprintf(digest, "%d %s", len(part), part)
+	}
+	digest.Write(j.request.Body)
+	return hex.EncodeToString(digest.Sum(nil)[:tryIDDigestBytes])
+}
+
+func (j serviceJob) newTryID() string {
+	return newRequestID()
+}
+
+func (j serviceJob) place(_ context.Context, avoid []string) (string, error) {
+	endpoint, ok := j.router.pickServiceEndpoint(j.service, avoid)
+	if !ok {
+		return "", &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: "the service has no endpoint", RetryAfter: time.Second}
+	}
+	return endpoint.Spec.GetName(), nil
 }
 
-// tryService sends the call to endpoints until one accepts it.
-func (r *Router) tryService(ctx context.Context, c *call, service config.Service, req plain.Request) (keptAnswer, error) {
+// tryEndpoints sends a call that may be repeated to endpoints until one
+// answers.
+func (j serviceJob) tryEndpoints(ctx context.Context) (claim.Answer, error) {
 	var avoid []string
-	var last error = &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: "the service has no endpoint", RetryAfter: time.Second}
+	var last error
 	for range maxTries {
-		endpoint, ok := r.pickServiceEndpoint(service.Spec.GetName(), avoid)
-		if !ok {
-			return keptAnswer{}, last
+		endpoint, err := j.place(ctx, avoid)
+		if err != nil && last != nil {
+			return claim.Answer{}, last
 		}
-		name := endpoint.Spec.GetName()
-		r.Events.Record(events.Event{Kind: events.RequestDispatched, RequestID: c.id, Endpoint: name, Attributes: map[string]string{"try": req.ID}})
-		end := r.begin(name)
-		resp, err := r.Plain.Call(ctx, endpoint.Spec.GetAddress(), req)
-		end()
-		if err == nil {
-			return keptAnswer{resp.Status, resp.ContentType, resp.Body}, nil
+		if err != nil {
+			return claim.Answer{}, err
 		}
-		if !errors.Is(err, plain.ErrNotSent) && !errors.Is(err, plain.ErrRefused) {
-			return keptAnswer{}, &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error()}
+		answer, err := j.run(ctx, endpoint, j.newTryID())
+		if err == nil || asOutcome(err).Run != outcome.NotRun {
+			return answer, err
 		}
-		last = &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second}
-		avoid = append(avoid, name)
+		last = err
+		avoid = append(avoid, endpoint)
+	}
+	return claim.Answer{}, last
+}
+
+func (j serviceJob) run(ctx context.Context, endpoint, tryID string) (claim.Answer, error) {
+	r := j.router
+	spec, ok := r.Config.Current().Endpoint(endpoint)
+	if !ok {
+		return claim.Answer{}, outcome.Refuse(outcome.ReasonNoEndpoint, "endpoint "+endpoint+" is not configured")
+	}
+	defer r.begin(endpoint)()
+	r.Events.Record(events.Event{Kind: events.RequestDispatched, RequestID: j.call.id, Endpoint: endpoint, Attributes: map[string]string{"try": tryID}})
+	req := j.request
+	req.ID = tryID
+	resp, err := r.Plain.Follow(ctx, spec.Spec.GetAddress(), req)
+	switch {
+	case err == nil:
+		return claim.Answer{Status: resp.Status, ContentType: resp.ContentType, Body: resp.Body}, nil
+	case errors.Is(err, plain.ErrNotSent) || errors.Is(err, plain.ErrRefused):
+		r.noteRefusal(endpoint, err)
+		return claim.Answer{}, &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second}
+	}
+	return claim.Answer{}, &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error()}
+}
+
+// ask reads the status of a call at its endpoint, and the answer if the
+// service keeps it.
+func (j serviceJob) ask(ctx context.Context, endpoint, tryID string) progress {
+	spec, ok := j.router.Config.Current().Endpoint(endpoint)
+	if !ok {
+		return progress{state: progressUnreachable}
+	}
+	status, err := j.router.Plain.RunStatus(ctx, spec.Spec.GetAddress(), tryID)
+	switch {
+	case errors.Is(err, plain.ErrNoRun):
+		return progress{state: progressMissing}
+	case err != nil:
+		return progress{state: progressUnreachable}
+	case status.Phase == plain.PhaseDone && status.Status == 0:
+		return progress{state: progressFailed}
+	case status.Phase == plain.PhaseDone:
+		return progress{state: progressAnswered, answer: claim.Answer{Status: status.Status, ContentType: status.ContentType, Body: status.Body}}
 	}
-	return keptAnswer{}, last
+	return progress{state: progressRunning}
 }
 
 // pickServiceEndpoint prefers endpoints of the router's own data centre.
 func (r *Router) pickServiceEndpoint(service string, avoid []string) (config.Endpoint, bool) {
+	avoid = slices.Concat(avoid, r.leavingEndpoints())
 	var own, other []choose.Candidate
 	byName := map[string]config.Endpoint{}
 	for _, endpoint := range r.Config.Current().ServiceEndpoints(service) {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"chestnutgauge/internal/plain"
 )
 
 // Service is a stand-in for one instance of a plain service. It answers with
@@ -19,7 +21,7 @@
 	mu      sync.Mutex
 	leaving bool
 	running int
-	runs    map[string]string
+	runs    map[string]plain.RunStatus
 }
 
 // Headers between the system and a plain service.
@@ -30,9 +32,11 @@
 
 // NewService returns a plain service whose calls take work.
 func NewService(name string, work time.Duration, faults *Faults, journal *Journal) *Service {
-	return &Service{name: name, work: work, faults: faults, journal: journal, runs: map[string]string{}}
+	return &Service{name: name, work: work, faults: faults, journal: journal, runs: map[string]plain.RunStatus{}}
 }
 
+const jsonType = "application/json"
+
 // ServiceReply is the answer of the stand-in service.
 type ServiceReply struct {
 	Service   string `json:"service"`
@@ -72,16 +76,17 @@
 	_ = json.NewEncoder(w).Encode(map[string]int{"running": s.running})
 }
 
-// status tells how far a call has come: running, done, or 404.
+// status tells how far a call has come, and its answer once it is done; 404
+// for a call that it has no record of.
 func (s *Service) status(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	phase, ok := s.runs[r.PathValue("id")]
+	status, ok := s.runs[r.PathValue("id")]
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(map[string]string{"phase": phase})
+	_ = json.NewEncoder(w).Encode(status)
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
@@ -96,7 +101,11 @@
 	}
 	s.journal.Add(Entry{Kind: EntryRunStart, Endpoint: s.name, RequestID: id, IdempotencyKey: key})
 	time.Sleep(s.work)
-	s.end(id)
+	answer, err := json.Marshal(ServiceReply{Service: s.name, RequestID: id, Path: r.URL.Path, Body: string(body)})
+	if err != nil {
+		return
+	}
+	s.end(id, answer)
 	s.journal.Add(Entry{Kind: EntryRunEnd, Endpoint: s.name, RequestID: id, IdempotencyKey: key, Outcome: outcomeOK})
 	if d := s.faults.delay(FaultLate, s.name); d > 0 {
 		time.Sleep(d)
@@ -108,9 +117,9 @@
 	if _, cut := s.faults.at(FaultCut, s.name); cut {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", jsonType)
 	w.Header().Set(HeaderRequestID, id)
-	_ = json.NewEncoder(w).Encode(ServiceReply{Service: s.name, RequestID: id, Path: r.URL.Path, Body: string(body)})
+	_, _ = w.Write(answer)
 }
 
 func (s *Service) start(id string) bool {
@@ -120,13 +129,13 @@
 		return false
 	}
 	s.running++
-	s.runs[id] = "running"
+	s.runs[id] = plain.RunStatus{Phase: plain.PhaseRunning}
 	return true
 }
 
-func (s *Service) end(id string) {
+func (s *Service) end(id string, answer []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	s.runs[id] = "done"
+	s.runs[id] = plain.RunStatus{Phase: plain.PhaseDone, Status: http.StatusOK, ContentType: jsonType, Body: answer}
 }
--- a/internal/testsystem/cut.go
+++ b/internal/testsystem/cut.go
@@ -10,6 +10,40 @@
 	"chestnutgauge/internal/platform"
 )
 
+// Step is a point in a node's use of the platform and of endpoints, at which a
+// test can freeze or kill the node.
+type Step string
+
+// Steps.
+const (
+	StepGet         Step = "get"
+	StepCommit      Step = "commit"
+	StepCommitted   Step = "committed"
+	StepRun         Step = "run"
+	StepRunAccepted Step = "run accepted"
+)
+
+// step calls the test's hook. key is that of the row or of the request.
+func (n *Node) step(step Step, key string) {
+	if hook := n.OnStep.Load(); hook != nil {
+		(*hook)(step, key)
+	}
+}
+
+// Freeze cuts the node off from everything for good, as a kill does.
+func (n *Node) Freeze() {
+	n.PlatformCut.Store(true)
+	n.PeersCut.Store(true)
+	n.EndpointsCut.Store(true)
+}
+
+func writtenKey(txn platform.Txn) string {
+	if len(txn.Writes) == 0 {
+		return ""
+	}
+	return txn.Writes[0].Key
+}
+
 // cutConn is a connection whose data is lost while the node is cut off.
 type cutConn struct {
 	net.Conn
@@ -48,6 +82,7 @@
 
 // Get implements platform.Table.
 func (c cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	c.node.step(StepGet, key)
 	if c.node.PlatformCut.Load() {
 		return platform.Row{}, platform.ErrUnavailable
 	}
@@ -64,10 +99,46 @@
 
 // Commit implements platform.Table.
 func (c cutTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	c.node.step(StepCommit, writtenKey(txn))
 	if c.node.PlatformCut.Load() {
 		return 0, platform.ErrUnavailable
 	}
-	return c.table.Commit(ctx, txn)
+	version, err := c.table.Commit(ctx, txn)
+	c.node.step(StepCommitted, writtenKey(txn))
+	if c.node.PlatformCut.Load() {
+		return 0, platform.ErrUnknown
+	}
+	return version, err
+}
+
+// cutObjects is the object store as a node reaches it.
+type cutObjects struct {
+	node    *Node
+	objects platform.Objects
+}
+
+// Put implements platform.Objects.
+func (c cutObjects) Put(ctx context.Context, key string, data []byte) error {
+	if c.node.PlatformCut.Load() {
+		return platform.ErrUnavailable
+	}
+	return c.objects.Put(ctx, key, data)
+}
+
+// Get implements platform.Objects.
+func (c cutObjects) Get(ctx context.Context, key string) ([]byte, error) {
+	if c.node.PlatformCut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return c.objects.Get(ctx, key)
+}
+
+// Delete implements platform.Objects.
+func (c cutObjects) Delete(ctx context.Context, key string) error {
+	if c.node.PlatformCut.Load() {
+		return platform.ErrUnavailable
+	}
+	return c.objects.Delete(ctx, key)
 }
 
 // cutMembership is the membership list as a node reaches it.
@@ -116,10 +187,21 @@
 
 // Run implements engine.Engine.
 func (c cutEngine) Run(ctx context.Context, req engine.Request) (engine.Stream, error) {
+	c.node.step(StepRun, req.ID)
 	if c.node.EndpointsCut.Load() {
 		return nil, engine.ErrNotSent
 	}
-	return c.Engine.Run(ctx, req)
+	stream, err := c.Engine.Run(ctx, req)
+	c.node.step(StepRunAccepted, req.ID)
+	return stream, err
+}
+
+// Cancel implements engine.Engine.
+func (c cutEngine) Cancel(ctx context.Context, requestID string) error {
+	if c.node.EndpointsCut.Load() {
+		return engine.ErrNotSent
+	}
+	return c.Engine.Cancel(ctx, requestID)
 }
 
 // RunStatus implements engine.Engine.
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -59,6 +59,7 @@
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
 	engines   map[string]*standin.Engine
+	services  map[string]*PipeListener
 }
 
 // Node is what routers and controllers have in common.
@@ -71,6 +72,8 @@
 	PlatformCut  atomic.Bool
 	PeersCut     atomic.Bool
 	EndpointsCut atomic.Bool
+	// OnStep is called at each step of the node.
+	OnStep atomic.Pointer[func(step Step, key string)]
 
 	system  *System
 	role    membership.Role
@@ -127,11 +130,15 @@
 		StandIn:   standin.New(settings),
 		listeners: map[string]*bufconn.Listener{},
 		engines:   map[string]*standin.Engine{},
+		services:  map[string]*PipeListener{},
 	}
 	s.Store = config.NewStore(s.StandIn.Table)
 	for _, entry := range settings.Engines {
 		s.engines[entry.Listen] = s.StandIn.Engines[entry.Name]
 	}
+	for _, entry := range settings.Services {
+		s.serveService(entry)
+	}
 	for vm, dataCentre := range vms {
 		s.Controllers = append(s.Controllers, s.StartController(vm, dataCentre))
 		s.Routers = append(s.Routers, s.StartRouter(vm, dataCentre))
@@ -139,6 +146,24 @@
 	return s
 }
 
+// serveService serves a plain service over in-memory connections.
+func (s *System) serveService(entry standin.ServiceEntry) {
+	listener := NewPipeListener()
+	s.services[entry.Listen] = listener
+	server := &http.Server{Handler: s.StandIn.Services[entry.Name].Handler()}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+}
+
+// dialService connects a node with the plain service at address.
+func (n *Node) dialService(ctx context.Context, _, address string) (net.Conn, error) {
+	listener := n.system.services[address]
+	if listener == nil || n.EndpointsCut.Load() {
+		return nil, refused(errCut)
+	}
+	return listener.Dial(ctx)
+}
+
 // Apply creates or replaces a deployment.
 func (s *System) Apply(deployment *pb.Deployment) *pb.DeploymentChange {
 	edit := config.Edit{
@@ -244,6 +269,8 @@
 	n := s.newNode(membership.RoleRouter, vm, dataCentre)
 	directory := endpoints.NewDirectory()
 	watcher := endpoints.NewWatcher(directory, n.members, n.peers, dataCentre, n.Events.Process(), n.log)
+	plainSettings := plain.DefaultSettings()
+	plainSettings.Dial = n.dialService
 	r := router.New(router.Parts{
 		VM:         vm,
 		DataCentre: dataCentre,
@@ -252,12 +279,13 @@
 		Directory:  directory,
 		Peers:      n.peers,
 		Connect:    n.connect,
-		Plain:      plain.NewCaller(),
-		Claims:     claim.NewStore(n.table, vm),
+		Plain:      plain.NewCaller(plainSettings),
+		Claims:     claim.NewStore(n.table, cutObjects{n, s.StandIn.Objects}, vm, claim.DefaultSettings()),
 		Events:     n.Events,
 		Log:        n.log,
 	})
-	n.start(watcher.Run)
+	n.start(watcher.Run, r.RunHealthChecks)
+	s.t.Cleanup(r.Close)
 	return &RouterNode{n, r}
 }
 
