--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -27,7 +27,6 @@
 	if !ok {
 		return outcome.Refuse(outcome.ReasonNoEndpoint, "endpoint "+endpoint+" is not configured")
 	}
-	defer r.begin(endpoint)()
 	tryID = bindTry(tryID, c)
 	r.record(events.RequestDispatched, c, endpoint, map[string]string{"try": tryID})
 	client := r.client(spec.Spec.GetAddress())
@@ -113,7 +112,6 @@
 	if !c.stream {
 		offset = 0
 	}
-	defer r.begin(from.endpoint)()
 	client := r.client(spec.Spec.GetAddress())
 	stream, err := follow.Resume(ctx, client, from.requestID, offset, follow.DefaultSettings())
 	if err != nil {
@@ -135,10 +133,10 @@
 	notRun := []error{engine.ErrNotSent, engine.ErrNotLoaded, engine.ErrBusy, engine.ErrLeaving, engine.ErrBadRequest}
 	for _, known := range notRun {
 		if errors.Is(err, known) && !errors.Is(err, follow.ErrIncomplete) {
-			return &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second}
+			return &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second, Cause: err}
 		}
 	}
-	e := &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error()}
+	e := &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error(), Cause: err}
 	if begun {
 		e.Run = outcome.Ran
 	}
--- a/internal/router/once.go
+++ b/internal/router/once.go
@@ -31,8 +31,14 @@
 type onceJob interface {
 	// digest tells a repeat from a different request under the same key.
 	digest() string
-	// place picks an endpoint other than those to avoid. It runs nothing.
+	// place picks an endpoint other than those to avoid, and takes a place
+	// there. It runs nothing.
 	place(ctx context.Context, avoid []string) (string, error)
+	// leave gives the place back, if there is one.
+	leave()
+	// detach returns the job with the place for use after the call's handler
+	// has ended.
+	detach() onceJob
 	// newTryID returns the id of a try.
 	newTryID() string
 	// run sends the request to the endpoint once and returns the whole answer.
@@ -100,8 +106,10 @@
 		return keyedAnswer{}, false, claimError(err)
 	}
 	if held == nil {
+		job.leave()
 		return keyedAnswer{}, false, nil
 	}
+	job = job.detach()
 	r.Events.Record(events.Event{Kind: events.RequestClaimed, RequestID: c.id, Endpoint: endpoint, Attributes: map[string]string{"try": tryID}})
 	// The caller hanging up must not stop a request whose answer may be asked
 	// for again.
@@ -109,10 +117,12 @@
 	done := make(chan runResult, 1)
 	if !r.background(func() {
 		defer cancel()
+		defer job.leave()
 		answer, err := r.runClaimed(runCtx, c, held, job)
 		done <- runResult{answer, err}
 	}) {
 		cancel()
+		job.leave()
 		_ = r.Claims.Release(ctx, held)
 		return keyedAnswer{}, false, outcome.Refuse(outcome.ReasonDraining, "the router is shutting down")
 	}
--- a/internal/router/oncechat.go
+++ b/internal/router/oncechat.go
@@ -41,6 +41,17 @@
 	return j.router.locate(ctx, j.call, avoid)
 }
 
+func (j chatJob) leave() {
+	j.router.leave(&j.call.call)
+}
+
+func (j chatJob) detach() onceJob {
+	detached := *j.call
+	j.call.slot = slot{}
+	j.call = &detached
+	return j
+}
+
 func (j chatJob) run(ctx context.Context, endpoint, tryID string) (claim.Answer, error) {
 	gathered := &gatherSink{wholeSink: &wholeSink{call: j.call}}
 	if err := j.router.dispatch(ctx, j.call, endpoint, tryID, gathered); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,10 +17,13 @@
 	"chestnutgauge/internal/endpoints"
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/load"
 	"chestnutgauge/internal/membership"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/peer"
 	"chestnutgauge/internal/plain"
+	"chestnutgauge/internal/retry"
+	"chestnutgauge/internal/session"
 )
 
 // Defaults for what neither the caller nor the configuration sets.
@@ -60,22 +63,30 @@
 	lateRuns atomic.Int64
 	signs    leavingSigns
 
-	mu       sync.Mutex
-	closed   bool
-	inFlight map[string]int
-	clients  map[string]engine.Engine
+	mu      sync.Mutex
+	closed  bool
+	clients map[string]engine.Engine
+
+	scheduler *scheduler
+	loads     *load.Tracker
+	sessions  *session.Table
+	retries   *retryBudget
 }
 
 // New returns a router.
 func New(parts Parts) *Router {
 	life, end := context.WithCancel(context.Background())
-	return &Router{
+	r := &Router{
 		Parts:    parts,
 		life:     life,
 		end:      end,
-		inFlight: map[string]int{},
 		clients:  map[string]engine.Engine{},
+		loads:    load.NewTracker(load.DefaultSettings()),
+		sessions: session.NewTable(session.DefaultSize),
+		retries:  newRetryBudget(retry.DefaultSettings()),
 	}
+	r.scheduler = newScheduler(r)
+	return r
 }
 
 // Handler serves the callers' interface.
@@ -159,34 +170,13 @@
 	writeError(w, "", outcome.BadField("path", req.Method+" "+req.URL.Path+" is not offered"))
 }
 
-// begin counts a request at an endpoint until the returned function is called.
-func (r *Router) begin(endpoint string) func() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[endpoint]++
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.inFlight[endpoint]--
-		if r.inFlight[endpoint] == 0 {
-			delete(r.inFlight, endpoint)
-		}
-	}
-}
-
-func (r *Router) inFlightAt(endpoint string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.inFlight[endpoint]
-}
-
 // client returns the client of the engine at an address.
 func (r *Router) client(address string) engine.Engine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	client, ok := r.clients[address]
 	if !ok {
-		client = r.Connect(address)
+		client = &measuredEngine{Engine: r.Connect(address), address: address, router: r}
 		r.clients[address] = client
 	}
 	return client
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -7,12 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
-	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/events"
@@ -62,6 +59,7 @@
 }
 
 func (r *Router) callService(ctx context.Context, c *call, service config.Service, req plain.Request) (claim.Answer, error) {
+	defer r.leave(c)
 	job := serviceJob{router: r, call: c, service: service.Spec.GetName(), request: req}
 	if service.Spec.GetNonIdempotent() {
 		answer, err := r.once(ctx, c, job)
@@ -70,6 +68,9 @@
 	return job.tryEndpoints(ctx)
 }
 
+// maxTries bounds the endpoints that one call is sent to.
+const maxTries = 3
+
 // serviceJob is a call to a plain service.
 type serviceJob struct {
 	router  *Router
@@ -93,12 +94,19 @@
 	return newRequestID()
 }
 
-func (j serviceJob) place(_ context.Context, avoid []string) (string, error) {
-	endpoint, ok := j.router.pickServiceEndpoint(j.service, avoid)
-	if !ok {
-		return "", &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: "the service has no endpoint", RetryAfter: time.Second}
-	}
-	return endpoint.Spec.GetName(), nil
+func (j serviceJob) place(ctx context.Context, avoid []string) (string, error) {
+	return j.router.locateService(ctx, j.call, j.service, avoid)
+}
+
+func (j serviceJob) leave() {
+	j.router.leave(j.call)
+}
+
+func (j serviceJob) detach() onceJob {
+	detached := *j.call
+	j.call.slot = slot{}
+	j.call = &detached
+	return j
 }
 
 // tryEndpoints sends a call that may be repeated to endpoints until one
@@ -130,7 +138,6 @@
 	if !ok {
 		return claim.Answer{}, outcome.Refuse(outcome.ReasonNoEndpoint, "endpoint "+endpoint+" is not configured")
 	}
-	defer r.begin(endpoint)()
 	r.Events.Record(events.Event{Kind: events.RequestDispatched, RequestID: j.call.id, Endpoint: endpoint, Attributes: map[string]string{"try": tryID}})
 	req := j.request
 	req.ID = tryID
@@ -140,9 +147,9 @@
 		return claim.Answer{Status: resp.Status, ContentType: resp.ContentType, Body: resp.Body}, nil
 	case errors.Is(err, plain.ErrNotSent) || errors.Is(err, plain.ErrRefused):
 		r.noteRefusal(endpoint, err)
-		return claim.Answer{}, &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second}
+		return claim.Answer{}, &outcome.Error{Reason: outcome.ReasonNoEndpoint, Run: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second, Cause: err}
 	}
-	return claim.Answer{}, &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error()}
+	return claim.Answer{}, &outcome.Error{Reason: outcome.ReasonBroken, Run: outcome.Unknown, Message: err.Error(), Cause: err}
 }
 
 // ask reads the status of a call at its endpoint, and the answer if the
@@ -166,31 +173,6 @@
 	return progress{state: progressRunning}
 }
 
-// pickServiceEndpoint prefers endpoints of the router's own data centre.
-func (r *Router) pickServiceEndpoint(service string, avoid []string) (config.Endpoint, bool) {
-	avoid = slices.Concat(avoid, r.leavingEndpoints())
-	var own, other []choose.Candidate
-	byName := map[string]config.Endpoint{}
-	for _, endpoint := range r.Config.Current().ServiceEndpoints(service) {
-		name := endpoint.Spec.GetName()
-		if endpoint.Spec.GetDrained() || slices.Contains(avoid, name) {
-			continue
-		}
-		byName[name] = endpoint
-		candidate := choose.Candidate{Name: name, InFlight: r.inFlightAt(name)}
-		if endpoint.Spec.GetDataCentre() == r.DataCentre {
-			own = append(own, candidate)
-		} else {
-			other = append(other, candidate)
-		}
-	}
-	if len(own) == 0 {
-		own = other
-	}
-	picked, ok := choose.Pick(own, rand.New(rand.NewPCG(rand.Uint64(), 0)))
-	return byName[picked.Name], ok
-}
-
 // completionText reads the text of a whole answer.
 func completionText(body []byte) (string, int, error) {
 	var whole completion
