Ask for a further replica when all are full, and prove where requests go

Cause: a model's second replica was loaded only after the first had gone, so a burst at one engine waited or was refused while slots were free.

Ruled out: asking at the first wait. A short burst would load, and evict, for nothing.

Change: an interactive request that has waited 300 ms at full replicas has the home controller asked for one beside them, at most once a second for a model. Tests bring about: growth in the own and in another data centre, an engine in another data centre that is cut off, sessions beside each other, refusals that must come at once.

--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -127,7 +127,7 @@
 				time.Sleep(time.Until(begun.Add(at)))
 				router := system.Routers[rng.IntN(len(system.Routers))]
 				each.Go(func() {
-					r := ask(router, l, fmt.Sprintf("%s-%d-%d", l.model, i, n))
+					r := ask(router, l, fmt.Sprintf("%s-%d-%d-%d", l.model, seed, i, n))
 					mu.Lock()
 					defer mu.Unlock()
 					replies = append(replies, r)
@@ -203,11 +203,20 @@
 				goodput := float64(good) / (length - settled).Seconds()
 				t.Logf("goodput %.3f of the capacity", goodput/capacity)
 				require.GreaterOrEqual(t, goodput, 0.9*capacity)
+				refused, atOnce := 0, 0
 				for _, r := range replies {
 					if r.load.model == "slow" {
 						require.Equal(t, http.StatusOK, r.status, "batch must end once load falls: %s", r.content)
 					}
+					if r.status != http.StatusOK {
+						refused++
+					}
+					if r.status != http.StatusOK && r.took == 0 {
+						atOnce++
+					}
 				}
+				t.Logf("%d refused, %d of them at once", refused, atOnce)
+				require.Greater(t, atOnce, refused/2, "refusals must come at once")
 			})
 		})
 	}
--- a/internal/router/pump.go
+++ b/internal/router/pump.go
@@ -78,13 +78,15 @@
 		return true
 	}
 	got, verdict := s.place(q, w.need)
-	if verdict == choose.Found {
+	switch verdict {
+	case choose.Found:
 		q.queue.Take(head)
 		s.finish(q, head, result{slot: got})
 		return true
-	}
-	if verdict == choose.Absent {
+	case choose.Absent:
 		s.load(q, w)
+	case choose.Full:
+		s.grow(q, w)
 	}
 	return false
 }
@@ -103,9 +105,10 @@
 	}
 	q.loading = true
 	tried := slices.Clone(w.need.tried)
+	deadline := w.need.call.deadline
 	go func() {
 		// The call goes on when the caller goes away: others wait for it.
-		ctx, cancel := context.WithDeadline(context.Background(), w.need.call.deadline)
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
 		name, err := w.need.bringUp(ctx, tried)
 		s.loaded(q, name, err, ctx.Err() != nil)
@@ -132,3 +135,33 @@
 	}
 	s.wake()
 }
+
+// grow asks for a replica beside those that are full, once a request with a
+// person behind it has waited for some time. Whether there is one is up to the
+// operators' limit; those that wait go on waiting. The caller holds mu.
+func (s *scheduler) grow(q *modelQueue, w *waiter) {
+	now := time.Now()
+	waited := now.Sub(w.since) >= growAfter
+	if !waited || w.need.class != admit.Interactive || w.need.bringUp == nil || q.loading || now.Sub(q.grownAt) < growPause {
+		return
+	}
+	q.loading = true
+	q.grownAt = now
+	full := slices.Clone(w.need.tried)
+	for _, p := range w.need.candidates(now, w.need.tried) {
+		full = append(full, p.Name)
+	}
+	deadline := w.need.call.deadline
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		_, err := w.need.bringUp(ctx, full)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		q.loading = false
+		if err != nil {
+			s.router.Log.Debug("no further replica", "model", q.name, "error", err)
+		}
+		s.wake()
+	}()
+}
--- a/internal/router/retries_test.go
+++ b/internal/router/retries_test.go
@@ -70,7 +70,7 @@
 func TestOneCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		system := newSystem(t, 2, func(*standin.EngineEntry) {})
-		system.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultCrashOnRequest, Marker: "quick-0-20", Count: 1})
+		system.StandIn.Faults.Set(standin.Fault{Kind: standin.FaultCrashOnRequest, Marker: "quick-1-0-20", Count: 1})
 		begun := time.Now()
 		replies := run(system, 1, load{model: "quick", rate: 10, end: 10 * time.Second, deadline: 20 * time.Second})
 		checkTruth(t, system, replies)
--- a/internal/router/scheduler.go
+++ b/internal/router/scheduler.go
@@ -18,6 +18,13 @@
 // loadPause is the time between two calls for the same model's load.
 const loadPause = 100 * time.Millisecond
 
+// Times of asking for a further replica: how long a request waits before, and
+// the least time between two calls for one model.
+const (
+	growAfter = 300 * time.Millisecond
+	growPause = time.Second
+)
+
 // need is what a request asks the scheduler for.
 type need struct {
 	// queue names the queue that it waits in.
@@ -57,6 +64,8 @@
 type waiter struct {
 	need *need
 	item *admit.Item
+	// since is when it began to wait.
+	since time.Time
 	// done gets the result, at most once.
 	done chan result
 }
@@ -76,6 +85,8 @@
 	// end of the last.
 	loading  bool
 	loadedAt time.Time
+	// grownAt is when a further replica was asked for last.
+	grownAt time.Time
 }
 
 // scheduler gives requests their places at endpoints. Requests that find no
@@ -167,7 +178,7 @@
 	if refusal != nil {
 		return nil, refused(refusal)
 	}
-	w := &waiter{need: n, item: item, done: make(chan result, 1)}
+	w := &waiter{need: n, item: item, since: now, done: make(chan result, 1)}
 	q.waiters[item] = w
 	if !s.pumping {
 		s.pumping = true
--- /dev/null
+++ b/internal/router/spread_test.go
@@ -0,0 +1,145 @@
+package router_test
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/events"
+	"chestnutgauge/internal/standin"
+	"chestnutgauge/internal/testsystem"
+)
+
+// newPair starts one VM and one engine in each of the data centres given, for
+// a model of which two replicas may be loaded.
+func newPair(t *testing.T, dataCentres [2]string) (*testsystem.System, *testsystem.RouterNode) {
+	settings := standin.Defaults()
+	vms := map[string]string{}
+	deployment := &pb.Deployment{
+		Name:     "showroom",
+		Services: []*pb.Service{{Name: "assistants", Kind: pb.ServiceKind_SERVICE_KIND_ENGINES}},
+		Models: []*pb.Model{{
+			Name: "quick", Version: "1", Services: []string{"assistants"}, MaxReplicas: 2,
+			CheckpointBytes: gigabyte, MemoryBytes: gigabyte,
+		}},
+	}
+	for i, dataCentre := range dataCentres {
+		entry := testsystem.EngineEntry(fmt.Sprintf("e%d", i), 64*gigabyte, true)
+		entry.MaxRunning, entry.MaxQueued = engineSlots, 4
+		settings.Engines = append(settings.Engines, entry)
+		vms[fmt.Sprintf("vm-%d", i)] = dataCentre
+		deployment.Endpoints = append(deployment.Endpoints, &pb.Endpoint{Name: entry.Name, Service: "assistants", Address: entry.Listen, DataCentre: dataCentre, ChecksFences: true})
+	}
+	system := testsystem.New(t, settings, vms)
+	system.Apply(deployment)
+	time.Sleep(5 * time.Second)
+	for _, router := range system.Routers {
+		if router.VM == "vm-0" {
+			return system, router
+		}
+	}
+	return nil, nil
+}
+
+// runsAt counts the executions at each engine after a time.
+func runsAt(system *testsystem.System, after time.Time) map[string]int {
+	out := map[string]int{}
+	for _, entry := range system.StandIn.Journal.Entries() {
+		if entry.Kind == standin.EntryRunStart && !entry.Time.Before(after) {
+			out[entry.Endpoint]++
+		}
+	}
+	return out
+}
+
+// TestGrows asks one router for half as much again as one engine can answer. A
+// second replica is loaded, in the same data centre or in another, and all are
+// answered. While the engine of the second is away, the first goes on.
+func TestGrows(t *testing.T) {
+	for name, dataCentres := range map[string][2]string{"own data centre": {"a", "a"}, "other data centre": {"a", "b"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system, router := newPair(t, dataCentres)
+				system.Routers = []*testsystem.RouterNode{router}
+				plan := load{model: "quick", rate: 1.5 * capacity, end: 10 * time.Second, deadline: 10 * time.Second}
+				for _, r := range run(system, 1, plan) {
+					require.Equal(t, http.StatusOK, r.status, r.content)
+				}
+				require.Equal(t, map[string]int{"quick": 2}, standin.Measure(system.StandIn.Journal.Entries()).Replicas)
+
+				calm := load{model: "quick", rate: 0.3 * capacity, end: 5 * time.Second, deadline: 2 * time.Second}
+				begun := time.Now()
+				for _, r := range run(system, 2, calm) {
+					require.Equal(t, http.StatusOK, r.status, r.content)
+				}
+				if dataCentres[0] != dataCentres[1] {
+					require.Len(t, runsAt(system, begun), 1, "the own data centre has room")
+				}
+			})
+		})
+	}
+}
+
+// TestOtherDataCentreCutOff takes the engine in the other data centre away
+// while both are in use and the own one is full. Each request is answered or
+// truly refused, and soon none is sent there.
+func TestOtherDataCentreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, router := newPair(t, [2]string{"a", "b"})
+		system.Routers = []*testsystem.RouterNode{router}
+		run(system, 1, load{model: "quick", rate: 1.5 * capacity, end: 5 * time.Second, deadline: 5 * time.Second})
+		cut := time.Now()
+		system.StandIn.Engines["e1"].Stop()
+		checkTruth(t, system, run(system, 2, load{model: "quick", rate: 1.5 * capacity, end: 10 * time.Second, deadline: 2 * time.Second}))
+		recorded, _ := router.Events.Select(&pb.GetTimelineRequest{Endpoint: "e1", Start: timestamppb.New(cut.Add(3 * time.Second))})
+		for _, event := range recorded {
+			require.NotEqual(t, string(events.RequestDispatched), event.GetKind())
+		}
+	})
+}
+
+// TestSessionsKeepTheirEndpoint runs sessions beside each other while two
+// replicas are loaded: each goes to the engine that has its prefix cached.
+func TestSessionsKeepTheirEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, router := newPair(t, [2]string{"a", "a"})
+		system.Routers = []*testsystem.RouterNode{router}
+		run(system, 1, load{model: "quick", rate: 1.5 * capacity, end: 5 * time.Second, deadline: 10 * time.Second})
+		var all sync.WaitGroup
+		for session := range 8 {
+			name := fmt.Sprint("session-", session)
+			all.Go(func() {
+				for turn := range 10 {
+					body := fmt.Sprintf(`{"model":"quick","messages":[{"role":"user","content":"%01000d"}],"max_tokens":%d}`, session, 4+session+turn)
+					answer := router.Chat(t.Context(), body, map[string]string{"X-Session-Id": name, "Idempotency-Key": name})
+					require.Equal(t, http.StatusOK, answer.Code, answer.Body.String())
+				}
+			})
+		}
+		all.Wait()
+		engines := map[string]map[string]bool{}
+		for _, entry := range system.StandIn.Journal.Entries() {
+			if entry.Kind == standin.EntryRunStart && strings.HasPrefix(entry.IdempotencyKey, "session-") {
+				if engines[entry.IdempotencyKey] == nil {
+					engines[entry.IdempotencyKey] = map[string]bool{}
+				}
+				engines[entry.IdempotencyKey][entry.Endpoint] = true
+			}
+		}
+		used := map[string]bool{}
+		for name, at := range engines {
+			require.Len(t, at, 1, name)
+			maps.Copy(used, at)
+		}
+		require.Len(t, used, 2, "the sessions spread over both")
+	})
+}
