Bound what waits over all queues of a router

Cause: each queue was bounded, their sum was not: 1,400 models at 8 MB each.

Change: at most 8,192 requests and 64 MB wait in a router; beyond, a request that would have to wait is refused at once as queue_full. Counters and the wait as metrics. Tests for each bound, for callers that go while they wait, and for what is kept of models and endpoints that are no longer configured.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -161,6 +161,11 @@
 	return q.refuse(Full, q.Wait(item.Request, capacity))
 }
 
+// Full returns the refusal of a request for which there is no room to wait.
+func (q *Queue) Full() *Refusal {
+	return q.refuse(Full, 0)
+}
+
 // TooLate returns the refusal of an item that waited too long.
 func (q *Queue) TooLate() *Refusal {
 	return q.refuse(TooLate, 0)
--- /dev/null
+++ b/internal/router/bounds_test.go
@@ -0,0 +1,109 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/admit"
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/outcome"
+)
+
+// TestWaitingBounds sends more requests to full endpoints than may wait. Those
+// beyond the bounds are refused at once; afterwards nothing is kept.
+func TestWaitingBounds(t *testing.T) {
+	cases := []struct {
+		name            string
+		queues, senders int
+		bytes           int
+		want            int
+	}{
+		{"requests of one queue", 1, 1000, 1, admit.DefaultSettings().MaxWaiting[admit.Interactive]},
+		{"bytes of one queue", 1, 10, 1 << 20, admit.DefaultSettings().MaxWaitingBytes[admit.Interactive] >> 20},
+		{"requests of all queues", 32, 300, 1, maxWaiting},
+		{"bytes of all queues", 20, 10, 1 << 20, maxWaitingBytes >> 20},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRouter(t, &pb.Deployment{Name: "d"}, func(*Parts) {})
+				var all sync.WaitGroup
+				var full, late atomic.Int64
+				begun := time.Now()
+				for i := range tc.queues * tc.senders {
+					all.Go(func() {
+						_, err := r.scheduler.acquire(t.Context(), &need{
+							queue: fmt.Sprint(i % tc.queues),
+							call:  &call{deadline: begun.Add(time.Minute)},
+							bytes: tc.bytes,
+							candidates: func(time.Time, []string) []place {
+								return []place{{Candidate: choose.Candidate{Name: "e", Limit: 1, InFlight: 1}}}
+							},
+						})
+						require.Equal(t, outcome.NotRun, asOutcome(err).Run)
+						if asOutcome(err).Status() == http.StatusTooManyRequests {
+							require.Equal(t, begun, time.Now())
+							full.Add(1)
+							return
+						}
+						late.Add(1)
+					})
+				}
+				all.Wait()
+				time.Sleep(time.Second)
+				require.EqualValues(t, tc.want, late.Load())
+				require.EqualValues(t, tc.queues*tc.senders-tc.want, full.Load())
+				require.Zero(t, r.scheduler.waiting)
+			})
+		})
+	}
+}
+
+// TestCallerGone gives up a request whose caller has gone while it waits.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRouter(t, &pb.Deployment{Name: "d"}, func(*Parts) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		begun := time.Now()
+		_, err := r.scheduler.acquire(ctx, &need{
+			queue: "q",
+			call:  &call{deadline: begun.Add(time.Minute)},
+			candidates: func(time.Time, []string) []place {
+				return []place{{Candidate: choose.Candidate{Name: "e", Limit: 1, InFlight: 1}}}
+			},
+		})
+		require.Equal(t, outcome.NotRun, asOutcome(err).Run)
+		require.Equal(t, time.Second, time.Since(begun))
+		time.Sleep(time.Second)
+		require.Zero(t, r.scheduler.waiting)
+		require.False(t, r.scheduler.pumping, "nothing is left running")
+	})
+}
+
+// TestPrune forgets the queues and measurements of what is no longer
+// configured.
+func TestPrune(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRouter(t, &pb.Deployment{Name: "d", Models: []*pb.Model{{Name: "kept"}}}, func(*Parts) {})
+		now := time.Now()
+		r.scheduler.queue("kept")
+		for i := range 1000 {
+			r.scheduler.queue(fmt.Sprint("old", i))
+			r.loads.Report(fmt.Sprint("old", i, ":1"), 1, 0, now)
+			r.loads.Report(replicaKey(fmt.Sprint("old", i, ":1"), "kept"), 1, 0, now)
+		}
+		r.scheduler.prune()
+		require.Len(t, r.scheduler.queues, 1)
+		require.Zero(t, r.loads.Len())
+	})
+}
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -98,6 +98,7 @@
 			return afterTries(lateError(ctx, err), run)
 		}
 		if errors.Is(err, engine.ErrBusy) {
+			busyTotal.Inc()
 			continue
 		}
 		r.leave(&c.call)
--- a/internal/router/locate.go
+++ b/internal/router/locate.go
@@ -45,7 +45,7 @@
 		queue:     c.name,
 		call:      &c.call,
 		class:     classOf(c.model.Spec),
-		bytes:     len(c.prompt),
+		bytes:     len(c.prompt) + len(c.organisation) + len(c.session),
 		maxTokens: c.maxTokens,
 		tried:     append([]string(nil), avoid...),
 		request: choose.Request{
--- a/internal/router/pump.go
+++ b/internal/router/pump.go
@@ -147,6 +147,7 @@
 	}
 	q.loading = true
 	q.grownAt = now
+	growsTotal.Inc()
 	full := slices.Clone(w.need.tried)
 	for _, p := range w.need.candidates(now, w.need.tried) {
 		full = append(full, p.Name)
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -50,6 +50,7 @@
 	if !decision.Retry {
 		return false
 	}
+	retriesTotal.Inc()
 	pause := time.NewTimer(decision.Pause)
 	defer pause.Stop()
 	select {
--- a/internal/router/scheduler.go
+++ b/internal/router/scheduler.go
@@ -25,6 +25,13 @@
 	growPause = time.Second
 )
 
+// Bounds of what waits over all queues of a router. At either bound a request
+// that would have to wait is refused.
+const (
+	maxWaiting      = 8192
+	maxWaitingBytes = 64 << 20
+)
+
 // need is what a request asks the scheduler for.
 type need struct {
 	// queue names the queue that it waits in.
@@ -98,10 +105,17 @@
 
 	mu      sync.Mutex
 	queues  map[string]*modelQueue
+	waiting waitingTotal
 	pumping bool
 	version int64
 }
 
+// waitingTotal sums what waits over all queues.
+type waitingTotal struct {
+	requests int
+	bytes    int
+}
+
 func newScheduler(r *Router) *scheduler {
 	return &scheduler{
 		router:  r,
@@ -161,6 +175,9 @@
 
 // enqueue puts a request into its queue. The caller holds mu.
 func (s *scheduler) enqueue(q *modelQueue, n *need) (*waiter, error) {
+	if s.waiting.requests >= maxWaiting || s.waiting.bytes+n.bytes > maxWaitingBytes {
+		return nil, refused(q.queue.Full())
+	}
 	now := time.Now()
 	work, safe := q.work.Expect(n.maxTokens)
 	capacity := s.capacity(n, now)
@@ -180,6 +197,8 @@
 	}
 	w := &waiter{need: n, item: item, since: now, done: make(chan result, 1)}
 	q.waiters[item] = w
+	s.waiting.requests++
+	s.waiting.bytes += item.Bytes
 	if !s.pumping {
 		s.pumping = true
 		go s.pump()
@@ -192,10 +211,18 @@
 // holds mu.
 func (s *scheduler) finish(q *modelQueue, item *admit.Item, r result) {
 	w := q.waiters[item]
-	delete(q.waiters, item)
+	s.forget(q, item)
+	waitSeconds.UpdateDuration(w.since)
 	w.done <- r
 }
 
+// forget drops an item that is no longer in its queue. The caller holds mu.
+func (s *scheduler) forget(q *modelQueue, item *admit.Item) {
+	delete(q.waiters, item)
+	s.waiting.requests--
+	s.waiting.bytes -= item.Bytes
+}
+
 // await waits for a request's place, and gives the request up when it can no
 // longer end in time or its caller has gone.
 func (s *scheduler) await(ctx context.Context, q *modelQueue, w *waiter) (slot, error) {
@@ -216,7 +243,7 @@
 		}
 	default:
 		q.queue.Remove(w.item)
-		delete(q.waiters, w.item)
+		s.forget(q, w.item)
 	}
 	return slot{}, &outcome.Error{
 		Reason: outcome.ReasonDeadline, Run: outcome.NotRun, RetryAfter: time.Second,
@@ -303,6 +330,7 @@
 
 // refused turns a refusal into an error for the caller.
 func refused(r *admit.Refusal) error {
+	countRefusal(r)
 	if r.Reason == admit.Full {
 		return &outcome.Error{Reason: outcome.ReasonQueueFull, Run: outcome.NotRun, RetryAfter: r.RetryAfter, Message: "too many requests wait"}
 	}
