--- a/internal/router/once_test.go
+++ b/internal/router/once_test.go
@@ -45,7 +45,7 @@
 	endOpen     = "not answered"
 )
 
-func kill(_ *testsystem.System, router *testsystem.RouterNode) { router.Freeze() }
+func kill(_ *testsystem.System, router *testsystem.RouterNode) { router.CutOff() }
 
 func freeze(_ *testsystem.System, _ *testsystem.RouterNode) { time.Sleep(20 * time.Second) }
 
