Unload idle models after the time of least expected cost

Cause: a loaded model stayed loaded until another one needed its memory, and the slot of a parked model on an engine that leaves could not be used anywhere else. Eviction went by the last load, not by the last use.

Change: an owner reads each model's use from the engine's counts, keeps a histogram of idle gaps per model and of all models together, and drains an idle model once the expected cost of keeping it is above that of the next cold start, by the operator's weight and bound. The slot stays bound. An engine that leaves or is drained is emptied and gives its slots back. The stand-in engines count the requests that began.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -52,6 +52,7 @@
 	settings   Settings
 	flights    flights
 	placements placements
+	idleGaps   idleGaps
 	// engineQueue holds the owned engines to look at, tableQueue the engines
 	// for which the table may have to be asked. A pass of the first kind never
 	// waits for the table.
--- /dev/null
+++ b/internal/controller/keepalive_test.go
@@ -0,0 +1,130 @@
+package controller_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/standin"
+)
+
+// unloads returns the unloads of a model in the journal.
+func (s wakeSystem) unloads(model string) []standin.Entry {
+	var out []standin.Entry
+	for _, entry := range s.StandIn.Journal.Entries() {
+		if entry.Kind == standin.EntryUnload && entry.Model == model {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
+
+func weighed(weight float64, maxIdle time.Duration) *pb.Model {
+	model := modelSpec("kept", 10, 1)
+	model.KeepAlive = &pb.KeepAlive{ColdStartWeight: weight}
+	if maxIdle > 0 {
+		model.KeepAlive.MaxIdle = durationpb.New(maxIdle)
+	}
+	return model
+}
+
+// TestKeepAlive asks for a model after gaps and looks at when the journal has
+// it unloaded. A wake takes 1 s from the engine's disk.
+func TestKeepAlive(t *testing.T) {
+	cases := []struct {
+		name  string
+		model *pb.Model
+		run   func(*testing.T, wakeSystem)
+		// unloads is their number, and from and to bound the time of the last
+		// after the last use.
+		unloads  int
+		from, to time.Duration
+	}{
+		{"an idle model is unloaded after its break-even time", weighed(20, 0), func(t *testing.T, s wakeSystem) {
+			s.askOne(t, "kept")
+			time.Sleep(time.Minute)
+		}, 1, 20 * time.Second, 23 * time.Second},
+		{"a higher weight keeps it longer", weighed(120, 0), func(t *testing.T, s wakeSystem) {
+			s.askOne(t, "kept")
+			time.Sleep(time.Minute)
+		}, 0, 0, 0},
+		{"the operator's bound", weighed(120, 10*time.Second), func(t *testing.T, s wakeSystem) {
+			s.askOne(t, "kept")
+			time.Sleep(time.Minute)
+		}, 1, 10 * time.Second, 13 * time.Second},
+		{"each use starts the time anew", weighed(20, 0), func(t *testing.T, s wakeSystem) {
+			for range 6 {
+				s.askOne(t, "kept")
+				time.Sleep(15 * time.Second)
+			}
+		}, 0, 0, 0},
+		{"a parked model wakes where it was", weighed(20, 0), func(t *testing.T, s wakeSystem) {
+			for range 3 {
+				s.askOne(t, "kept")
+				time.Sleep(time.Minute)
+			}
+		}, 3, 20 * time.Second, 23 * time.Second},
+		{"gaps of a minute are learnt", weighed(20, 0), func(t *testing.T, s wakeSystem) {
+			for range 30 {
+				s.askOne(t, "kept")
+				time.Sleep(time.Minute)
+			}
+		}, 30, 0, 4 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system := newWakeSystem(t, 1, 1, tc.model)
+				tc.run(t, system)
+				unloads := system.unloads("kept")
+				require.Len(t, unloads, tc.unloads)
+				if tc.unloads > 0 {
+					idle := unloads[len(unloads)-1].Time.Sub(system.lastRun("kept"))
+					require.GreaterOrEqual(t, idle, tc.from)
+					require.LessOrEqual(t, idle, tc.to)
+				}
+				engines := map[string]bool{}
+				for _, load := range system.loads("kept") {
+					engines[load.Endpoint] = true
+				}
+				require.Len(t, engines, 1)
+			})
+		})
+	}
+}
+
+// TestLeavingEngineFreesSlots has the only slot of a parked model on an engine
+// that leaves or is drained.
+func TestLeavingEngineFreesSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newWakeSystem(t, 1, 1)
+		first := system.park(t, "assistant")
+		system.set(t, standin.Fault{Kind: standin.FaultLeaving, Endpoint: first})
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 2, system.ask(t, "", 1, "assistant"))
+		loads := system.loads("assistant")
+		require.Len(t, loads, 2)
+		require.NotEqual(t, first, loads[1].Endpoint)
+		require.Equal(t, 1, standin.Measure(system.StandIn.Journal.Entries()).Replicas["assistant"])
+	})
+}
+
+func (s wakeSystem) askOne(t *testing.T, model string) {
+	answer := s.Routers[0].Chat(t.Context(), chatBody(model), nil)
+	require.Equal(t, 200, answer.Code, answer.Body.String())
+}
+
+// lastRun returns the end of the last request to a model.
+func (s wakeSystem) lastRun(model string) time.Time {
+	var last time.Time
+	for _, entry := range s.StandIn.Journal.Entries() {
+		if entry.Kind == standin.EntryRunEnd && entry.Model == model {
+			last = entry.Time
+		}
+	}
+	return last
+}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -126,6 +126,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		c.idleGaps.forget(c.Config.Current())
 		for _, name := range c.names() {
 			c.event(name)
 			c.tableEvent(name)
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -82,6 +82,7 @@
 	wantID   int64
 	draining map[string]time.Time
 	lastUsed map[string]time.Time
+	usage    map[string]*usage
 	revision int64
 	changed  chan struct{}
 }
@@ -105,6 +106,7 @@
 		asked:      1,
 		draining:   map[string]time.Time{},
 		lastUsed:   map[string]time.Time{},
+		usage:      map[string]*usage{},
 		changed:    make(chan struct{}),
 	}
 }
@@ -151,18 +153,15 @@
 		return
 	}
 	o.reachable = err == nil
-	before := o.state
 	if err == nil {
 		o.state = state
 		o.startedAt = started
 		o.readAt = time.Now()
 		o.ledger.Observe(state, started)
+		o.noteUse(state, o.readAt)
 	}
 	o.touch()
 	o.mu.Unlock()
-	if err == nil {
-		o.recordEnds(before, state)
-	}
 	o.controller.wake()
 	o.controller.event(o.name)
 }
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -103,7 +103,8 @@
 		Wants:    o.planned(),
 		Draining: o.draining,
 		Settle:   o.controller.settings.Settle,
-		Closing:  o.closing(),
+		Closing:  o.closing() || o.takesNoWork(),
+		Expires:  o.expires(),
 		Expected: func(model string) bool {
 			return now.Sub(o.lastUsed[model]) < o.controller.settings.ArrivalHold
 		},
--- a/internal/controller/wake_test.go
+++ b/internal/controller/wake_test.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		for i := range callers {
-			body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":4}`, models[i%len(models)])
+			body := chatBody(models[i%len(models)])
 			group.Go(func() {
 				answer := router.Chat(t.Context(), body, nil)
 				if answer.Code == http.StatusOK {
@@ -84,11 +84,14 @@
 	return int(answered.Load())
 }
 
+func chatBody(model string) string {
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":4}`, model)
+}
+
 // park loads a model and makes its engine start anew, so that the slot stays
 // bound, the checkpoint is on the engine's disk and nothing is loaded.
 func (s wakeSystem) park(t *testing.T, model string) string {
-	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":4}`, model)
-	require.Equal(t, http.StatusOK, s.Routers[0].Chat(t.Context(), body, nil).Code)
+	s.askOne(t, model)
 	loads := s.loads(model)
 	require.Len(t, loads, 1)
 	s.set(t, standin.Fault{Kind: standin.FaultRestart, Endpoint: loads[0].Endpoint})
@@ -138,7 +141,7 @@
 		}, 1},
 		{"an adapter of a loaded model is loaded there", 4, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
 			first := s.ask(t, "a", callers, "assistant")
-			time.Sleep(time.Minute / 4)
+			time.Sleep(3 * time.Second)
 			return first + s.ask(t, "b", callers, "assistant-x"), 4 * callers
 		}, 1},
 		{"a parked model while the platform is down", 1, 2, nil, func(t *testing.T, s wakeSystem) (int, int) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,8 @@
 	MemoryBytes int64     `json:"memory_bytes"`
 	Adapters    []Adapter `json:"adapters,omitempty"`
 	Running     int       `json:"running"`
+	// Started counts the requests that began since the model was loaded.
+	Started int64 `json:"started"`
 }
 
 // Loading is a load in progress.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -56,6 +56,9 @@
 	Expected func(model string) bool
 	// Value is what keeping a model loaded is worth.
 	Value func(model string) float64
+	// Expires holds the time until which each idle model is kept. One without
+	// an entry is kept.
+	Expires map[string]time.Time
 	// Settle is how long after the start of draining requests may still
 	// arrive.
 	Settle time.Duration
@@ -111,6 +114,7 @@
 	for _, want := range s.Wants {
 		m.meet(want)
 	}
+	m.leaveIdle()
 	m.unloadDrained()
 	return m.plan
 }
@@ -311,6 +315,20 @@
 	return out
 }
 
+// leaveIdle drains the models whose time of keeping has ended.
+func (m *maker) leaveIdle() {
+	for _, candidate := range m.candidates() {
+		until, ok := m.s.Expires[candidate.Model]
+		switch {
+		case !ok:
+		case m.s.Now.Before(until):
+			m.again(until)
+		default:
+			m.drain(candidate.Model)
+		}
+	}
+}
+
 // value is below that of every other model for one that drains already, so
 // that the choice stays the same from plan to plan.
 func (m *maker) value(model string) float64 {
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -105,6 +105,7 @@
 		e.running++
 		if loaded, ok := e.loaded[r.req.Model]; ok {
 			loaded.Running++
+			loaded.Started++
 		}
 		load := e.freshLoad()
 		r.advance(func() {
