--- a/internal/router/locate.go
+++ b/internal/router/locate.go
@@ -45,7 +45,7 @@
 		queue:     c.name,
 		call:      &c.call,
 		class:     classOf(c.model.Spec),
-		bytes:     len(c.prompt),
+		bytes:     len(c.prompt) + len(c.organisation) + len(c.session),
 		maxTokens: c.maxTokens,
 		tried:     append([]string(nil), avoid...),
 		request: choose.Request{
@@ -58,7 +58,7 @@
 		return r.candidates(c, now, tried, cached.Endpoint, n.request.Choosers)
 	}
 	n.bringUp = func(ctx context.Context, tried []string) (string, error) {
-		resp, err := r.ensureLoaded(ctx, c, tried)
+		resp, err := r.ensureLoaded(ctx, c, append(r.leavingEndpoints(), tried...))
 		if err != nil {
 			return "", err
 		}
@@ -108,14 +108,17 @@
 	var out []place
 	current := r.Config.Current()
 	model := c.model.Spec.GetName()
+	leaving := r.leavingEndpoints()
 	for _, entry := range r.Directory.Holders(model) {
 		name := entry.State.GetName()
 		endpoint, ok := current.Endpoint(name)
 		if !ok || contains(tried, name) || !endpoints.Holds(entry.State, model, c.model.Adapter.GetName()) {
 			continue
 		}
-		out = append(out, r.candidate(c, entry, endpoint, now, choosers))
-		out[len(out)-1].Cached = name == cachedAt
+		p := r.candidate(c, entry, endpoint, now, choosers)
+		p.Cached = name == cachedAt
+		p.Leaving = p.Leaving || contains(leaving, name)
+		out = append(out, p)
 	}
 	return out
 }
