--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -156,6 +156,7 @@
 		return
 	}
 	o.reachable = err == nil
+	before := o.state
 	if err == nil {
 		o.state = state
 		o.startedAt = started
@@ -165,6 +166,9 @@
 	}
 	o.touch()
 	o.mu.Unlock()
+	if err == nil {
+		o.recordEnds(before, state)
+	}
 	o.controller.wake()
 	o.controller.event(o.name)
 }
--- a/internal/testsystem/testsystem_test.go
+++ b/internal/testsystem/testsystem_test.go
@@ -53,5 +53,20 @@
 		peaks := standin.Measure(system.StandIn.Journal.Entries())
 		require.Equal(t, map[string]int{"assistant": 1}, peaks.Replicas)
 		require.Empty(t, peaks.Overcommitted)
+		for _, kind := range []string{"endpoint_taken", "slot_bound", "load_ordered", "load_ended"} {
+			require.Contains(t, kinds(system), kind)
+		}
 	})
 }
+
+// kinds returns the kinds of the events that the controllers recorded.
+func kinds(system *testsystem.System) []string {
+	var out []string
+	for _, controller := range system.Controllers {
+		list, _ := controller.Events.Select(&pb.GetTimelineRequest{})
+		for _, event := range list {
+			out = append(out, event.GetKind())
+		}
+	}
+	return out
+}
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -8,6 +8,7 @@
   echo "already up: run make down first" >&2
   exit 1
 fi
+rm -f "$RUN"/*.toml "$RUN"/*.log
 for file in "$ROOT/examples/$EXAMPLE"/*.toml; do
   settings "$file" >"$RUN/$(basename "$file")"
 done
