--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"maps"
+	"slices"
+
 	pb "chestnutgauge/api/chestnutgauge/v1"
 	"chestnutgauge/internal/peer/peerpb"
 )
@@ -13,12 +16,17 @@
 	return true, ""
 }
 
-// Status reports the owned engines.
+// Status reports the owned engines and the models on them.
 func (c *Controller) Status() *peerpb.GetNodeStatusResponse {
 	resp := &peerpb.GetNodeStatusResponse{}
+	models := map[string]*pb.ModelStatus{}
 	owned, _ := c.snapshot()
 	for _, o := range owned {
 		resp.Endpoints = append(resp.Endpoints, endpointStatus(o.published()))
+		o.addModels(models)
+	}
+	for _, name := range slices.Sorted(maps.Keys(models)) {
+		resp.Models = append(resp.Models, models[name])
 	}
 	return resp
 }
@@ -47,3 +55,66 @@
 	}
 	return out
 }
+
+// addModels adds what the engine holds of each model. A limit is in force here
+// if the configuration that this controller has in force is met: every slot
+// was checked against its limit, and none that has to be given back is left.
+func (o *ownedEngine) addModels(models map[string]*pb.ModelStatus) {
+	unchecked := o.unchecked()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for model, keep := range o.bound {
+		status := o.modelStatus(models, model)
+		_, pending := unchecked[model]
+		if !keep || pending {
+			status.LimitInForce = false
+		}
+		if !o.holdsAny(model) {
+			status.Parked++
+		}
+	}
+	for model := range o.releasing {
+		o.modelStatus(models, model).LimitInForce = false
+	}
+	for _, loaded := range o.state.Loaded {
+		status := o.modelStatus(models, loaded.Model)
+		status.Loaded++
+		if !o.bound[loaded.Model] {
+			status.LimitInForce = false
+		}
+	}
+	for _, loading := range o.state.Loading {
+		if loading.Adapter == "" {
+			o.modelStatus(models, loading.Model).Loading++
+		}
+	}
+}
+
+// holdsAny reports whether the engine has a model loaded or loading. The caller
+// holds mu.
+func (o *ownedEngine) holdsAny(model string) bool {
+	for _, loaded := range o.state.Loaded {
+		if loaded.Model == model {
+			return true
+		}
+	}
+	for _, loading := range o.state.Loading {
+		if loading.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *ownedEngine) modelStatus(models map[string]*pb.ModelStatus, name string) *pb.ModelStatus {
+	status, ok := models[name]
+	if ok {
+		return status
+	}
+	status = &pb.ModelStatus{Name: name, LimitInForce: true}
+	if model, ok := o.controller.Config.Current().Model(name); ok {
+		status.MaxReplicas = model.Spec.GetMaxReplicas()
+	}
+	models[name] = status
+	return status
+}
