Measure the level-triggered loop against one on events alone

Cause: the idea of the paper was taken over without a measurement.

A lost event costs up to a resync, never a repair.

--- /dev/null
+++ b/internal/controller/loop_test.go
@@ -0,0 +1,105 @@
+package controller_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/controller"
+	"chestnutgauge/internal/ownership"
+)
+
+// trials is the number of repairs that are timed for each share of events
+// dropped.
+const trials = 6
+
+// repairLimit is the time after which a repair counts as missed.
+const repairLimit = time.Minute
+
+// dropping returns a function that drops a share of events, by a fixed seed.
+func dropping(share float64, seed uint64) func() bool {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 1))
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64() < share
+	}
+}
+
+// repair lowers the limit of a model that two engines hold and returns the time
+// until one of them has let it go and its slot is free, and whether that
+// happened in time.
+func repair(t *testing.T, settings *controller.Settings) (took time.Duration, ok bool) {
+	runWorldWith(t, true, settings, func(w *world) {
+		w.limit = 2
+		w.both()
+		w.Apply(w.deployment(1))
+		begin := time.Now()
+		for time.Since(begin) < repairLimit {
+			if w.held("m1") == 1 && w.bindings("m1") == 1 {
+				took, ok = time.Since(begin), true
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	return took, ok
+}
+
+// TestLevelAgainstEdge drops events and counts the repairs that are missed: by
+// the loop as it is, and by one that acts on events alone.
+func TestLevelAgainstEdge(t *testing.T) {
+	for _, share := range []float64{0, 0.1, 0.5, 1} {
+		missed := map[string]int{}
+		for _, version := range []string{"level", "edge"} {
+			var sum, worst time.Duration
+			for trial := range trials {
+				settings := controller.DefaultSettings()
+				settings.DropEvent = dropping(share, uint64(trial))
+				if version == "edge" {
+					settings.Resync = 1000 * time.Hour
+				}
+				took, ok := repair(t, &settings)
+				if !ok {
+					missed[version]++
+					continue
+				}
+				sum += took
+				worst = max(worst, took)
+			}
+			mean := sum / time.Duration(max(1, trials-missed[version]))
+			t.Logf("%3.0f%% dropped, %s: missed %d of %d, mean %v, worst %v", share*100, version, missed[version], trials, mean.Round(time.Millisecond), worst)
+		}
+		require.Zero(t, missed["level"], "at %v dropped", share)
+		if share == 1 {
+			require.Equal(t, trials, missed["edge"], "the events that are dropped matter to nothing")
+		}
+	}
+}
+
+// TestSecondPassWritesNothing leaves a system alone: passes go on, and neither
+// the table nor an engine is written to, but for the leases of owners whose
+// engines ignore fences.
+func TestSecondPassWritesNothing(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		runWorld(t, fenced, func(w *world) {
+			w.bind("m1")
+			require.NoError(t, w.load(w.owner("e1"), "m1", true, 10*time.Second))
+			startReads, startCommits := w.StandIn.Table.Requests()
+			journal := len(w.StandIn.Journal.Entries())
+			time.Sleep(time.Minute)
+			reads, commits := w.StandIn.Table.Requests()
+			t.Logf("fenced=%t: at start %d reads, %d commits; in a minute %d reads, %d commits", fenced, startReads, startCommits, reads-startReads, commits-startCommits)
+			require.Equal(t, journal, len(w.StandIn.Journal.Entries()), "orders without a cause")
+			renewals := int64(0)
+			if !fenced {
+				renewals = int64(worldEngines * (time.Minute/ownership.DefaultSettings().Renew + 1))
+			}
+			require.LessOrEqual(t, commits-startCommits, renewals)
+		})
+	}
+}
