--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -238,7 +238,7 @@
 	defer cancel()
 	at := time.Now()
 	headReads.Inc()
-	head, err := f.store.Head(ctx)
+	head, err := f.store.ReadHead(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"chestnutgauge/internal/netcount"
 	"chestnutgauge/internal/platform"
 )
 
@@ -30,7 +31,7 @@
 // New returns a client of the platform at address, a host:port.
 func New(address string) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         netcount.Dial(&net.Dialer{Timeout: time.Second}, netcount.Platform),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 	}
@@ -98,7 +99,16 @@
 
 // Put implements platform.Objects.
 func (c *Client) Put(ctx context.Context, key string, data []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+"/objects?key="+url.QueryEscape(key), bytes.NewReader(data))
+	return c.writeObject(ctx, http.MethodPut, key, data)
+}
+
+// Delete implements platform.Objects.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	return c.writeObject(ctx, http.MethodDelete, key, nil)
+}
+
+func (c *Client) writeObject(ctx context.Context, method, key string, data []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+"/objects?key="+url.QueryEscape(key), bytes.NewReader(data))
 	if err != nil {
 		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
 	}
