Judge the processes of a data centre by list and heartbeats

Cause: membership was the platform's list alone. It lags, shows a killed process as live, and is empty at a start while the platform is away.

Ruled out: a full gossip table in each heartbeat (132 processes, about 8 KB each); an own failure alone as proof against a process (its link may be the broken one, so the word of others needs two reporters).

Change: evidence of heartbeats is judged as a pure function of records and time; a suspect is trusted again only after five seconds without a failure; evidence that comes round is known by its sequence. Members keeps its meaning, Alive leaves out leaving and suspected processes. The package comment holds the table of what is believed when list and heartbeats disagree.

Seen failing first (go test ./internal/membership ./internal/testsystem -run 'Membership|Suspect|Evidence|Joined'): - no heartbeats: TestMembership "killed, before the list shows it", "killed, while cut off from the platform", "cut off from its peers and back", "not listed, but answers" - no recover time: TestSuspect "answered again just now", "flapping" - no sequence: TestEvidenceComesRound

Tried and left out: a system-wide case with a link that changes each second.

--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -12,7 +12,7 @@
 	// recoverTime is how long a suspect must answer without a failure before
 	// it is trusted again. It keeps a flapping link from changing the view
 	// with each heartbeat.
-	recoverTime = 2 * time.Second
+	recoverTime = 5 * time.Second
 	// forgetTime is how long a process that the list does not show is kept
 	// after its last heartbeat.
 	forgetTime = 30 * time.Second
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -177,22 +177,28 @@
 }
 
 // Alive returns the processes of a role that can be given something new:
-// neither leaving nor under suspicion. If all are under suspicion, the process
-// itself is likelier to be cut off, and all that are not leaving are returned.
+// neither leaving nor under suspicion. A process that is cut off from all its
+// peers can't tell them from the dead: it gets all that are not leaving.
 func (t *Tracker) Alive(role Role, dataCentre string) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	staying := slices.DeleteFunc(t.members(role, dataCentre), func(m Member) bool { return m.Leaving })
-	var out []Member
-	for _, member := range staying {
+	if t.isolated() {
+		return staying
+	}
+	return slices.DeleteFunc(staying, func(m Member) bool { return t.suspect(m.Name()) })
+}
+
+// isolated reports whether all peers are under suspicion, and too many for all
+// to have failed.
+func (t *Tracker) isolated() bool {
+	others := t.neighbourhood()
+	for _, member := range others {
 		if !t.suspect(member.Name()) {
-			out = append(out, member)
+			return false
 		}
 	}
-	if len(out) == 0 {
-		return staying
-	}
-	return out
+	return len(others) >= Quorum
 }
 
 // Suspect reports whether a process, named role@vm, is under suspicion.
@@ -212,6 +218,10 @@
 func (t *Tracker) Neighbourhood() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.neighbourhood()
+}
+
+func (t *Tracker) neighbourhood() []Member {
 	var out []Member
 	for _, role := range Roles {
 		for _, member := range t.members(role, t.self.DataCentre) {
