Complete the operators' interface

Cause: WatchDeployments was not implemented, GetStatus ignored its filter and did not count replicas, refusals were not reported, and a time line was sorted by clock alone and was silent about a replaced process.

Change: watch from the log; status per deployment, with the endpoint's owner of the highest fence and replicas counted over endpoints; refusals counted where events are recorded; the time line in its own package, sorted topologically by process, request, version and fence and by clock among the rest, each event marked by how its place is known; gaps of four kinds; events bounded per process and per call; changes bounded to 10 s; ABORTED with ErrorInfo.

Seen failing first (go test ./internal/timeline ./internal/admin): - causes not linked: TestOrder "a router's clock is ahead", "an admin's clock is ahead", "a successor's clock is behind" - process gaps left out: TestTimelineGaps

Conclusion: the contract cases of internal/admin pass. Events of a VM that left the membership list are gone and only seen by the gap of their request.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -3,10 +3,8 @@
 package admin
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"time"
 
@@ -27,16 +25,20 @@
 	pb.UnimplementedOperatorsServer
 
 	store   *config.Store
+	config  *config.Follower
 	members *membership.Tracker
 	peers   *peer.Pool
 	events  *events.Recorder
 }
 
 // New returns a service.
-func New(store *config.Store, members *membership.Tracker, peers *peer.Pool, recorder *events.Recorder) *Service {
-	return &Service{store: store, members: members, peers: peers, events: recorder}
+func New(store *config.Store, follower *config.Follower, members *membership.Tracker, peers *peer.Pool, recorder *events.Recorder) *Service {
+	return &Service{store: store, config: follower, members: members, peers: peers, events: recorder}
 }
 
+// changeTimeout bounds a change, also while the table is away.
+const changeTimeout = 10 * time.Second
+
 // Pages of lists.
 const (
 	defaultPage = 100
@@ -81,6 +83,8 @@
 	if err := checkOperationID(req.GetOperationId()); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	change, err := s.store.Drain(ctx, req.GetOperationId(), config.Drain{Endpoint: req.GetEndpoint(), Drained: req.GetDrained()})
 	return s.changed(change, err)
 }
@@ -96,6 +100,8 @@
 	if err := checkOperationID(edit.OperationID); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
 	return s.changed(s.store.Change(ctx, edit))
 }
 
@@ -212,20 +218,27 @@
 // WaitInForce implements the operators' interface.
 func (s *Service) WaitInForce(ctx context.Context, req *pb.WaitInForceRequest) (*pb.WaitInForceResponse, error) {
 	limit := defaultWait
+	if req.GetVersion() <= 0 {
+		return nil, invalid([]config.Violation{{Field: "version", Reason: "must be above 0"}})
+	}
 	if req.GetTimeout() != nil {
 		limit = min(req.GetTimeout().AsDuration(), maxWait)
 	}
 	deadline := time.Now().Add(limit)
+	asked := s.allMembers()
 	for {
 		var missing []*pb.NodeStatus
-		for _, report := range s.gather(ctx) {
+		var left []membership.Member
+		for i, report := range s.gather(ctx, asked) {
 			if !report.node.GetReachable() || report.node.GetVersionInForce() < req.GetVersion() {
 				missing = append(missing, report.node)
+				left = append(left, asked[i])
 			}
 		}
 		if len(missing) == 0 || time.Now().After(deadline) {
 			return &pb.WaitInForceResponse{InForce: len(missing) == 0, Missing: missing}, nil
 		}
+		asked = left
 		select {
 		case <-time.After(waitInterval):
 		case <-ctx.Done():
@@ -233,14 +246,3 @@
 		}
 	}
 }
-
-// sortEvents orders events by clock, and those of one process by their
-// sequence.
-func sortEvents(list []*pb.Event) {
-	slices.SortStableFunc(list, func(a, b *pb.Event) int {
-		if a.GetIncarnation() == b.GetIncarnation() {
-			return cmp.Compare(a.GetSequence(), b.GetSequence())
-		}
-		return a.GetTime().AsTime().Compare(b.GetTime().AsTime())
-	})
-}
--- a/internal/admin/admind/admind.go
+++ b/internal/admin/admind/admind.go
@@ -44,7 +44,7 @@
 // Run runs the admin until ctx ends.
 func Run(ctx context.Context, s Settings) error {
 	parts := process.NewParts(membership.RoleAdmin, s.Node, s.Platform)
-	service := admin.New(parts.Store, parts.Members, parts.Peers, parts.Events)
+	service := admin.New(parts.Store, parts.Config, parts.Members, parts.Peers, parts.Events)
 	server := grpc.NewServer()
 	pb.RegisterOperatorsServer(server, service)
 	listener, err := net.Listen("tcp", s.Operators.Listen)
--- a/internal/admin/gather.go
+++ b/internal/admin/gather.go
@@ -22,7 +22,6 @@
 type nodeReport struct {
 	node      *pb.NodeStatus
 	endpoints []*pb.EndpointStatus
-	models    []*pb.ModelStatus
 }
 
 // allMembers returns every process of the membership list.
@@ -34,9 +33,8 @@
 	return out
 }
 
-// each calls every process at once and waits for all.
-func (s *Service) each(ctx context.Context, call func(ctx context.Context, i int, member membership.Member, client peerpb.NodeClient) error) []membership.Member {
-	members := s.allMembers()
+// each calls processes at once and waits for all.
+func (s *Service) each(ctx context.Context, members []membership.Member, call func(ctx context.Context, i int, member membership.Member, client peerpb.NodeClient) error) {
 	var group errgroup.Group
 	group.SetLimit(gatherParallel)
 	for i, member := range members {
@@ -51,14 +49,13 @@
 		})
 	}
 	_ = group.Wait()
-	return members
 }
 
-// gather asks every process for its status.
-func (s *Service) gather(ctx context.Context) []nodeReport {
+// gather asks processes for their status.
+func (s *Service) gather(ctx context.Context, members []membership.Member) []nodeReport {
 	var mu sync.Mutex
 	answered := map[int]*peerpb.GetNodeStatusResponse{}
-	members := s.each(ctx, func(ctx context.Context, i int, _ membership.Member, client peerpb.NodeClient) error {
+	s.each(ctx, members, func(ctx context.Context, i int, _ membership.Member, client peerpb.NodeClient) error {
 		resp, err := client.GetNodeStatus(ctx, &peerpb.GetNodeStatusRequest{})
 		if err != nil {
 			return err
@@ -73,65 +70,11 @@
 		resp, ok := answered[i]
 		if !ok {
 			reports[i].node = &pb.NodeStatus{Vm: member.VM, Role: string(member.Role), DataCentre: member.DataCentre}
+			reports[i].node.Suspect = s.members.Suspect(member.Name())
 			continue
 		}
-		reports[i] = nodeReport{resp.GetNode(), resp.GetEndpoints(), resp.GetModels()}
+		reports[i] = nodeReport{resp.GetNode(), resp.GetEndpoints()}
+		reports[i].node.Suspect = s.members.Suspect(member.Name())
 	}
 	return reports
 }
-
-// GetStatus implements the operators' interface.
-func (s *Service) GetStatus(ctx context.Context, _ *pb.GetStatusRequest) (*pb.Status, error) {
-	out := &pb.Status{}
-	if head, err := s.store.Head(ctx); err == nil {
-		out.HeadVersion = head
-	}
-	for _, report := range s.gather(ctx) {
-		out.Nodes = append(out.Nodes, report.node)
-		out.Endpoints = append(out.Endpoints, report.endpoints...)
-		out.Models = append(out.Models, report.models...)
-	}
-	return out, nil
-}
-
-// Bounds of a time line.
-const (
-	defaultEvents = 1000
-	maxEvents     = 10000
-)
-
-// GetTimeline implements the operators' interface.
-func (s *Service) GetTimeline(ctx context.Context, req *pb.GetTimelineRequest) (*pb.GetTimelineResponse, error) {
-	var mu sync.Mutex
-	out := &pb.GetTimelineResponse{}
-	answered := map[int]bool{}
-	members := s.each(ctx, func(ctx context.Context, i int, member membership.Member, client peerpb.NodeClient) error {
-		resp, err := client.GetEvents(ctx, &peerpb.GetEventsRequest{Filter: req})
-		if err != nil {
-			return err
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		answered[i] = true
-		out.Events = append(out.Events, resp.GetEvents()...)
-		if resp.GetDropped() > 0 {
-			out.Gaps = append(out.Gaps, &pb.TimelineGap{Process: resp.GetProcess(), Reason: "older events are no longer kept"})
-		}
-		return nil
-	})
-	for i, member := range members {
-		if !answered[i] {
-			out.Gaps = append(out.Gaps, &pb.TimelineGap{Process: member.Name(), Reason: "did not answer"})
-		}
-	}
-	sortEvents(out.Events)
-	limit := int(req.GetLimit())
-	if limit <= 0 {
-		limit = defaultEvents
-	}
-	limit = min(limit, maxEvents)
-	if extra := len(out.Events) - limit; extra > 0 {
-		out.Events = out.Events[extra:]
-	}
-	return out, nil
-}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -60,6 +60,7 @@
 type Recorder struct {
 	process     string
 	incarnation string
+	started     time.Time
 	log         *slog.Logger
 
 	mu       sync.Mutex
@@ -74,6 +75,7 @@
 	return &Recorder{
 		process:     process,
 		incarnation: uuid.NewString(),
+		started:     time.Now(),
 		log:         log,
 		ring:        make([]*pb.Event, size),
 		refusals:    map[string]int64{},
@@ -140,20 +142,43 @@
 	return out
 }
 
-// Select returns the kept events that match the filter, oldest first, and the
-// number of events that the ring has dropped.
-func (r *Recorder) Select(filter *pb.GetTimelineRequest) ([]*pb.Event, int64) {
+// Started returns when this life of the process began.
+func (r *Recorder) Started() time.Time {
+	return r.started
+}
+
+// Selection is what a process keeps of a time line.
+type Selection struct {
+	// Events match the filter, oldest first.
+	Events []*pb.Event
+	// Dropped is the number of events that the ring no longer keeps.
+	Dropped int64
+	// Oldest is the time of the oldest event that the ring keeps, nil if it
+	// is empty.
+	Oldest *timestamppb.Timestamp
+	// Omitted is the number of matching events beyond the filter's limit.
+	Omitted int64
+}
+
+// Select returns the newest events that match the filter, within its limit.
+func (r *Recorder) Select(filter *pb.GetTimelineRequest) Selection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	dropped := max(0, r.sequence-int64(len(r.ring)))
-	var out []*pb.Event
-	for sequence := dropped + 1; sequence <= r.sequence; sequence++ {
+	out := Selection{Dropped: max(0, r.sequence-int64(len(r.ring)))}
+	for sequence := out.Dropped + 1; sequence <= r.sequence; sequence++ {
 		event := r.ring[sequence%int64(len(r.ring))]
+		if out.Oldest == nil {
+			out.Oldest = event.GetTime()
+		}
 		if Matches(event, filter) {
-			out = append(out, event)
+			out.Events = append(out.Events, event)
 		}
 	}
-	return out, dropped
+	if extra := len(out.Events) - int(filter.GetLimit()); filter.GetLimit() > 0 && extra > 0 {
+		out.Events = out.Events[extra:]
+		out.Omitted = int64(extra)
+	}
+	return out
 }
 
 // Matches reports whether an event passes the filter.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
 	"chestnutgauge/internal/config"
@@ -59,12 +60,15 @@
 
 // GetEvents implements peerpb.NodeServer.
 func (s *Service) GetEvents(_ context.Context, req *peerpb.GetEventsRequest) (*peerpb.GetEventsResponse, error) {
-	selected, dropped := s.Events.Select(req.GetFilter())
+	selected := s.Events.Select(req.GetFilter())
 	return &peerpb.GetEventsResponse{
-		Events:      selected,
+		Events:      selected.Events,
 		Process:     s.Events.Process(),
 		Incarnation: s.Events.Incarnation(),
-		Dropped:     dropped,
+		Dropped:     selected.Dropped,
+		Started:     timestamppb.New(s.Events.Started()),
+		Oldest:      selected.Oldest,
+		Omitted:     selected.Omitted,
 	}, nil
 }
 
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -24,6 +24,7 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/admin"
 	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/controller"
@@ -208,7 +209,7 @@
 	n.cancel = cancel
 	peerpb.RegisterNodeServer(n.server, &node.Service{
 		VM: n.VM, Role: string(n.role), DataCentre: n.DataCentre,
-		Config: n.Config, Events: n.Events, Exchange: n.Exchange, Draining: func() bool { return false },
+		Config: n.Config, Events: n.Events, Exchange: n.Exchange, Status: n.status, Draining: func() bool { return false },
 	})
 	listener := bufconn.Listen(bufferBytes)
 	n.system.mu.Lock()
@@ -253,6 +254,7 @@
 		Log:        n.log,
 	})
 	peerpb.RegisterControllerServer(n.server, c)
+	n.status = c.Status
 	n.start(watcher.Run, c.RunOwnership)
 	return &ControllerNode{n, c}
 }
@@ -279,6 +281,18 @@
 	return &RouterNode{n, r}
 }
 
+// StartAdmin starts an admin on a VM and returns a client of it. The admin
+// answers its peers, but the membership list does not show it.
+func (s *System) StartAdmin(vm, dataCentre string) pb.OperatorsClient {
+	n := s.newNode(membership.RoleAdmin, vm, dataCentre)
+	service := admin.New(config.NewStore(n.table), n.Config, n.Members, n.peers, n.Events)
+	pb.RegisterOperatorsServer(n.server, service)
+	n.start()
+	conn, err := n.peers.Conn(n.Events.Process())
+	require.NoError(s.t, err)
+	return pb.NewOperatorsClient(conn)
+}
+
 // Chat sends a chat request to the router and returns its whole answer.
 func (r *RouterNode) Chat(ctx context.Context, body string, headers map[string]string) *httptest.ResponseRecorder {
 	return r.Post(ctx, "/v1/chat/completions", body, headers)
