--- a/internal/router/spread_test.go
+++ b/internal/router/spread_test.go
@@ -100,7 +100,7 @@
 		cut := time.Now()
 		system.StandIn.Engines["e1"].Stop()
 		checkTruth(t, system, run(system, 2, load{model: "quick", rate: 1.5 * capacity, end: 10 * time.Second, deadline: 2 * time.Second}))
-		recorded, _ := router.Events.Select(&pb.GetTimelineRequest{Endpoint: "e1", Start: timestamppb.New(cut.Add(3 * time.Second))})
+		recorded := router.Events.Select(&pb.GetTimelineRequest{Endpoint: "e1", Start: timestamppb.New(cut.Add(3 * time.Second))}).Events
 		for _, event := range recorded {
 			require.NotEqual(t, string(events.RequestDispatched), event.GetKind())
 		}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -156,7 +156,7 @@
 // the caller's may offer.
 func (s *Store) olderThanHead(ctx context.Context, version int64) (bool, error) {
 	head, err := s.config.Head(ctx)
-	return head.Version > version, storeError(err)
+	return head > version, storeError(err)
 }
 
 // Bind binds a free slot of a model to an engine. The limit is checked against
--- a/internal/testsystem/testsystem_test.go
+++ b/internal/testsystem/testsystem_test.go
@@ -63,7 +63,7 @@
 func kinds(system *testsystem.System) []string {
 	var out []string
 	for _, controller := range system.Controllers {
-		list, _ := controller.Events.Select(&pb.GetTimelineRequest{})
+		list := controller.Events.Select(&pb.GetTimelineRequest{}).Events
 		for _, event := range list {
 			out = append(out, event.GetKind())
 		}
