Finish what is in flight before a router ends, and spare leaving endpoints

Cause: a shutdown at its limit cut callers off without a word, did not wait for requests that go on without their callers, and nobody looked at the membership list's word on endpoint VMs or at the health of plain services.

Ruled out: closing idle connections at once (a request on its way there would be refused without a word); instead answers ask for the connection to be closed while the balancer learns.

Change: drain waits for the balancer, finishes what runs, waits for answers to be kept, and shortly before the limit ends what is left with an error. New work avoids endpoints that the list shows as leaving, that refused work as leaving in the last 10 s, or whose health check fails (each second, plain services).

Conclusion: no new work 3 s after a sign, and no request cut off or refused without a word.

--- /dev/null
+++ b/internal/router/leaving_test.go
@@ -0,0 +1,110 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/peer/peerpb"
+	"chestnutgauge/internal/standin"
+	"chestnutgauge/internal/testsystem"
+)
+
+// TestLeavingEndpoints checks, from the journal, that an endpoint gets no new
+// work 3 s after the first sign that it is leaving, that requests in flight
+// there finish, and that none is lost.
+func TestLeavingEndpoints(t *testing.T) {
+	const bound = 3 * time.Second
+	cases := []struct {
+		name  string
+		path  string
+		fault func(endpoint string) standin.Fault
+	}{
+		{"engine says so", chatPath, leaves},
+		{"list shows the engine's VM", chatPath, vmLeaves},
+		{"service says so", servicePath, leaves},
+		{"list shows the service's VM", servicePath, vmLeaves},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				system, a, b := newBookingSystem(t)
+				endpoint := loadTwice(t, system)
+				if c.path == servicePath {
+					endpoint = "p1"
+				}
+				begun := time.Now()
+				var sign time.Time
+				time.AfterFunc(2*time.Second, func() {
+					sign = time.Now()
+					require.NoError(t, system.StandIn.SetFault(c.fault(endpoint)))
+				})
+				var callers sync.WaitGroup
+				for n := 0; time.Since(begun) < 10*time.Second; n++ {
+					router := a
+					if n%2 == 1 {
+						router = b
+					}
+					callers.Go(func() {
+						answer := router.Post(context.Background(), c.path, bookingBody(c.path), map[string]string{"Idempotency-Key": fmt.Sprint("k", n)})
+						if answer.Code != 200 {
+							t.Errorf("request %d: %d %s", n, answer.Code, answer.Body)
+						}
+					})
+					time.Sleep(20 * time.Millisecond)
+				}
+				callers.Wait()
+				before, after := 0, 0
+				for _, entry := range system.StandIn.Journal.Entries() {
+					if entry.Kind != standin.EntryRunStart || entry.Endpoint != endpoint || entry.Time.Before(begun) {
+						continue
+					}
+					if entry.Time.After(sign.Add(bound)) {
+						after++
+					} else {
+						before++
+					}
+				}
+				require.Positive(t, before, "the endpoint was not in use")
+				require.Zero(t, after, "new work after the bound")
+			})
+		})
+	}
+}
+
+func leaves(endpoint string) standin.Fault {
+	return standin.Fault{Kind: standin.FaultLeaving, Endpoint: endpoint}
+}
+
+func vmLeaves(endpoint string) standin.Fault {
+	return standin.Fault{Kind: standin.FaultVMLeaving, Endpoint: "vm-" + endpoint}
+}
+
+// loadTwice has the model loaded on a second engine and returns the first.
+func loadTwice(t *testing.T, system *testsystem.System) string {
+	t.Helper()
+	first := ""
+	for _, entry := range system.StandIn.Journal.Entries() {
+		if entry.Kind == standin.EntryRunStart && entry.Model == "booking" {
+			first = entry.Endpoint
+		}
+	}
+	_, err := system.Controllers[0].Controller.EnsureLoaded(t.Context(), &peerpb.EnsureLoadedRequest{
+		Model: "booking", Avoid: []string{first}, Replicas: 2, DeadlineMs: 10_000,
+	})
+	require.NoError(t, err)
+	time.Sleep(2 * time.Second)
+	return first
+}
+
+func bookingBody(path string) string {
+	if path == servicePath {
+		return `{"pallet":1}`
+	}
+	return chatBody("booking", false)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/peer"
 	"chestnutgauge/internal/plain"
+	"chestnutgauge/internal/rendezvous"
 	"chestnutgauge/internal/retry"
 	"chestnutgauge/internal/session"
 )
@@ -61,7 +62,10 @@
 	end      context.CancelFunc
 	work     sync.WaitGroup
 	lateRuns atomic.Int64
-	signs    leavingSigns
+	// aborted ends with Abort.
+	aborted context.Context
+	abort   context.CancelFunc
+	signs   leavingSigns
 
 	mu      sync.Mutex
 	closed  bool
@@ -76,10 +80,13 @@
 // New returns a router.
 func New(parts Parts) *Router {
 	life, end := context.WithCancel(context.Background())
+	aborted, abort := context.WithCancel(context.Background())
 	r := &Router{
 		Parts:    parts,
 		life:     life,
 		end:      end,
+		aborted:  aborted,
+		abort:    abort,
 		clients:  map[string]engine.Engine{},
 		loads:    load.NewTracker(load.DefaultSettings()),
 		sessions: session.NewTable(session.DefaultSize),
@@ -97,7 +104,27 @@
 	mux.HandleFunc("POST /v1/chat/completions", r.serveChat)
 	mux.HandleFunc("POST /v1/services/{service}/{path...}", r.serveService)
 	mux.HandleFunc("/", r.serveUnknownPath)
-	return mux
+	return r.abortable(mux)
+}
+
+// abortable ends the requests of a handler with Abort. While the router drains
+// it asks callers to close their connections.
+func (r *Router) abortable(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		ctx, cancel := context.WithCancel(req.Context())
+		defer cancel()
+		defer context.AfterFunc(r.aborted, cancel)()
+		next.ServeHTTP(w, req.WithContext(ctx))
+	})
+}
+
+// Abort ends the requests that still run, each with an error that says what is
+// known about its run.
+func (r *Router) Abort() {
+	r.abort()
 }
 
 // Ready tells whether the router can answer callers, and if not, why.
@@ -122,6 +149,17 @@
 	return r.draining.Load()
 }
 
+// ElectedToSweep reports whether this router deletes expired claims: one of all
+// routers does, the first by rendezvous rank.
+func (r *Router) ElectedToSweep() bool {
+	var vms []string
+	for _, member := range r.Members.Members(membership.RoleRouter, "") {
+		vms = append(vms, member.VM)
+	}
+	ranked := rendezvous.Rank("claims", vms)
+	return len(ranked) > 0 && ranked[0] == r.VM
+}
+
 // background runs work that outlives its request. It returns false once the
 // router is closed.
 func (r *Router) background(work func()) bool {
@@ -155,6 +193,7 @@
 	r.closed = true
 	r.mu.Unlock()
 	r.end()
+	r.abort()
 	r.work.Wait()
 	r.Claims.Close()
 	r.Plain.Close()
--- a/internal/router/routerd/routerd.go
+++ b/internal/router/routerd/routerd.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"chestnutgauge/internal/claim"
@@ -61,6 +60,7 @@
 	directory := endpoints.NewDirectory()
 	watcher := endpoints.NewWatcher(directory, parts.Members, parts.Peers, s.Node.DataCentre, parts.Events.Process(), parts.Log)
 	supervise.Add(parts.Tree, "endpoints", watcher.Run)
+	claims := claim.NewStore(parts.Platform, parts.Platform.Objects(), s.Node.VM, claim.DefaultSettings())
 	r := router.New(router.Parts{
 		VM:         s.Node.VM,
 		DataCentre: s.Node.DataCentre,
@@ -72,10 +72,12 @@
 			return httpengine.New(address, httpengine.DefaultSettings())
 		},
 		Plain:  plain.NewCaller(plain.DefaultSettings()),
-		Claims: claim.NewStore(parts.Platform, parts.Platform.Objects(), s.Node.VM, claim.DefaultSettings()),
+		Claims: claims,
 		Events: parts.Events,
 		Log:    parts.Log,
 	})
+	supervise.Add(parts.Tree, "health", r.RunHealthChecks)
+	supervise.Add(parts.Tree, "claims", func(ctx context.Context) error { return claims.RunSweeps(ctx, r.ElectedToSweep) })
 	server, err := parts.ServeHTTP("callers", s.Callers.Listen, r.Handler())
 	if err != nil {
 		return fmt.Errorf("callers.listen: %w", err)
@@ -85,14 +87,3 @@
 		Drain: func(limit context.Context) { drain(limit, r, server, s.Callers.DrainDelay.Std()) },
 	})
 }
-
-// drain fails readiness, goes on accepting while the balancer learns, then
-// finishes what is in flight.
-func drain(limit context.Context, r *router.Router, server *http.Server, delay time.Duration) {
-	r.Drain()
-	select {
-	case <-time.After(delay):
-	case <-limit.Done():
-	}
-	_ = server.Shutdown(limit)
-}
