--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/semaphore"
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/endpoints"
@@ -52,6 +53,7 @@
 	settings   Settings
 	flights    flights
 	placements placements
+	idleGaps   idleGaps
 	// engineQueue holds the owned engines to look at, tableQueue the engines
 	// for which the table may have to be asked. A pass of the first kind never
 	// waits for the table.
@@ -92,6 +94,7 @@
 		rows:        map[string]ownership.Row{},
 		unheard:     map[string]time.Time{},
 		leases:      map[string]seenLease{},
+		lease:       leaseKeeper{writing: semaphore.NewWeighted(1)},
 	}
 	c.life, c.end = context.WithCancel(context.Background())
 	return c
