Measure a router process's time for a request and a streamed chunk

Cause: the benchmark of the handler leaves sockets, parsing of the engine's stream and the scheduler of the runtime out.

Change: chestnut-bench speed, part of make bench, reads a router's processor time from /proc around 2,000 requests and 400 streams of 300 tokens.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,6 +18,7 @@
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
+		speedCommand(),
 	}
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -7,6 +7,7 @@
 EXAMPLE=agency bash scripts/up.sh
 trap 'bash "$ROOT/scripts/down.sh"' EXIT
 "$BIN/chestnut-bench" path --callers "127.0.0.1:$((8080 + OFFSET))" --platform "127.0.0.1:$((8070 + OFFSET))"
+"$BIN/chestnut-bench" speed --callers "127.0.0.1:$((8080 + OFFSET))"
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
 "$BIN/chestnut-bench" capacity
