--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/ledger"
@@ -37,7 +39,7 @@
 	stop       context.CancelFunc
 
 	// passes lets one pass at a time order the engine.
-	passes sync.Mutex
+	passes *semaphore.Weighted
 
 	mu        sync.Mutex
 	state     engine.State
@@ -82,6 +84,7 @@
 	wantID   int64
 	draining map[string]time.Time
 	lastUsed map[string]time.Time
+	usage    map[string]*usage
 	revision int64
 	changed  chan struct{}
 }
@@ -96,6 +99,7 @@
 		fence:      row.Fence,
 		fenced:     row.Fenced,
 		client:     c.Connect(row.Address),
+		passes:     semaphore.NewWeighted(1),
 		row:        version,
 		rowStands:  true,
 		generation: generation,
@@ -105,6 +109,7 @@
 		asked:      1,
 		draining:   map[string]time.Time{},
 		lastUsed:   map[string]time.Time{},
+		usage:      map[string]*usage{},
 		changed:    make(chan struct{}),
 	}
 }
@@ -157,6 +162,7 @@
 		o.startedAt = started
 		o.readAt = time.Now()
 		o.ledger.Observe(state, started)
+		o.noteUse(state, o.readAt)
 	}
 	o.touch()
 	o.mu.Unlock()
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -20,8 +20,10 @@
 	if !ok {
 		return 0
 	}
-	o.passes.Lock()
-	defer o.passes.Unlock()
+	if o.passes.Acquire(ctx, 1) != nil {
+		return 0
+	}
+	defer o.passes.Release(1)
 	if o.replaced() {
 		c.drop(o, events.EndpointLost)
 		return 0
@@ -103,7 +105,8 @@
 		Wants:    o.planned(),
 		Draining: o.draining,
 		Settle:   o.controller.settings.Settle,
-		Closing:  o.closing(),
+		Closing:  o.closing() || o.takesNoWork(),
+		Expires:  o.expires(),
 		Expected: func(model string) bool {
 			return now.Sub(o.lastUsed[model]) < o.controller.settings.ArrivalHold
 		},
--- a/internal/router/locateservice.go
+++ b/internal/router/locateservice.go
@@ -50,10 +50,15 @@
 		return nil
 	}
 	var out []place
+	leaving := r.leavingEndpoints()
 	for _, endpoint := range current.ServiceEndpoints(service) {
-		if !contains(tried, endpoint.Spec.GetName()) {
-			out = append(out, r.serviceCandidate(spec, endpoint, now, choosers))
+		name := endpoint.Spec.GetName()
+		if contains(tried, name) {
+			continue
 		}
+		p := r.serviceCandidate(spec, endpoint, now, choosers)
+		p.Leaving = contains(leaving, name)
+		out = append(out, p)
 	}
 	return out
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -55,10 +56,16 @@
 	Parts
 
 	draining atomic.Bool
+	// life ends with Close. Work that goes on without a caller runs under it.
+	life     context.Context
+	end      context.CancelFunc
+	work     sync.WaitGroup
+	lateRuns atomic.Int64
+	signs    leavingSigns
 
-	mu       sync.Mutex
-	inFlight map[string]int
-	clients  map[string]engine.Engine
+	mu      sync.Mutex
+	closed  bool
+	clients map[string]engine.Engine
 
 	scheduler *scheduler
 	loads     *load.Tracker
@@ -68,9 +75,11 @@
 
 // New returns a router.
 func New(parts Parts) *Router {
+	life, end := context.WithCancel(context.Background())
 	r := &Router{
 		Parts:    parts,
-		inFlight: map[string]int{},
+		life:     life,
+		end:      end,
 		clients:  map[string]engine.Engine{},
 		loads:    load.NewTracker(load.DefaultSettings()),
 		sessions: session.NewTable(session.DefaultSize),
@@ -113,35 +122,52 @@
 	return r.draining.Load()
 }
 
-func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if ok, reason := r.Ready(); !ok {
-		http.Error(w, reason, http.StatusServiceUnavailable)
+// background runs work that outlives its request. It returns false once the
+// router is closed.
+func (r *Router) background(work func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
 	}
+	r.work.Go(work)
+	return true
 }
 
-func (r *Router) serveUnknownPath(w http.ResponseWriter, req *http.Request) {
-	writeError(w, "", outcome.BadField("path", req.Method+" "+req.URL.Path+" is not offered"))
+// Finish waits until the requests that go on without their callers have ended
+// and what is to be kept of them is kept, or ctx ends.
+func (r *Router) Finish(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.work.Wait()
+		r.Claims.Flush(ctx)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
-// begin counts a request at an endpoint until the returned function is called.
-func (r *Router) begin(endpoint string) func() {
+// Close ends the router's own work at once.
+func (r *Router) Close() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[endpoint]++
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.inFlight[endpoint]--
-		if r.inFlight[endpoint] == 0 {
-			delete(r.inFlight, endpoint)
-		}
+	r.closed = true
+	r.mu.Unlock()
+	r.end()
+	r.work.Wait()
+	r.Claims.Close()
+	r.Plain.Close()
+}
+
+func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ok, reason := r.Ready(); !ok {
+		http.Error(w, reason, http.StatusServiceUnavailable)
 	}
 }
 
-func (r *Router) inFlightAt(endpoint string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.inFlight[endpoint]
+func (r *Router) serveUnknownPath(w http.ResponseWriter, req *http.Request) {
+	writeError(w, "", outcome.BadField("path", req.Method+" "+req.URL.Path+" is not offered"))
 }
 
 // client returns the client of the engine at an address.
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -56,12 +56,16 @@
 	Store       *config.Store
 	Routers     []*RouterNode
 	Controllers []*ControllerNode
+	// ControllerSettings are those of controllers started from now on, nil for
+	// the defaults.
+	ControllerSettings *controller.Settings
 	// Prepare is called for each node before it starts. It may be nil.
 	Prepare func(*Node)
 
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
 	engines   map[string]*standin.Engine
+	services  map[string]*PipeListener
 }
 
 // Node is what routers and controllers have in common.
@@ -76,7 +80,13 @@
 	PlatformCut  atomic.Bool
 	PeersCut     atomic.Bool
 	EndpointsCut atomic.Bool
+	// OnStep is called at each step of the node.
+	OnStep atomic.Pointer[func(step Step, key string)]
+	// HalfSent makes an order that a frozen node was about to send arrive after
+	// Thaw although its deadline has passed.
+	HalfSent atomic.Bool
 
+	gate   gate
 	system *System
 	role   membership.Role
 	peers  *peer.Pool
@@ -120,6 +130,11 @@
 // New starts a system with one router and one controller on a VM of each name
 // in vms, which maps VMs to data centres. It ends with the test.
 func New(t testing.TB, settings standin.Settings, vms map[string]string) *System {
+	return NewWith(t, settings, nil, vms)
+}
+
+// NewWith is New with settings of the controllers.
+func NewWith(t testing.TB, settings standin.Settings, controllers *controller.Settings, vms map[string]string) *System {
 	for vm, dataCentre := range vms {
 		settings.Membership.VMs = append(settings.Membership.VMs, standin.VMEntry{
 			ID: vm, Kind: platform.EntryVM, Region: "region", DataCentre: dataCentre,
@@ -131,11 +146,17 @@
 		StandIn:   standin.New(settings),
 		listeners: map[string]*bufconn.Listener{},
 		engines:   map[string]*standin.Engine{},
+		services:  map[string]*PipeListener{},
+
+		ControllerSettings: controllers,
 	}
 	s.Store = config.NewStore(s.StandIn.Table)
 	for _, entry := range settings.Engines {
 		s.engines[entry.Listen] = s.StandIn.Engines[entry.Name]
 	}
+	for _, entry := range settings.Services {
+		s.serveService(entry)
+	}
 	for vm, dataCentre := range vms {
 		s.Controllers = append(s.Controllers, s.StartController(vm, dataCentre))
 		s.Routers = append(s.Routers, s.StartRouter(vm, dataCentre))
@@ -143,6 +164,24 @@
 	return s
 }
 
+// serveService serves a plain service over in-memory connections.
+func (s *System) serveService(entry standin.ServiceEntry) {
+	listener := NewPipeListener()
+	s.services[entry.Listen] = listener
+	server := &http.Server{Handler: s.StandIn.Services[entry.Name].Handler()}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+}
+
+// dialService connects a node with the plain service at address.
+func (n *Node) dialService(ctx context.Context, _, address string) (net.Conn, error) {
+	listener := n.system.services[address]
+	if listener == nil || n.EndpointsCut.Load() {
+		return nil, refused(errCut)
+	}
+	return listener.Dial(ctx)
+}
+
 // Apply creates or replaces a deployment.
 func (s *System) Apply(deployment *pb.Deployment) *pb.DeploymentChange {
 	edit := config.Edit{
@@ -192,7 +231,7 @@
 	s.mu.Lock()
 	listener := s.listeners[address]
 	s.mu.Unlock()
-	if listener == nil || from.PeersCut.Load() {
+	if listener == nil || from.PeersCut.Load() || from.frozen() {
 		return nil, errCut
 	}
 	conn, err := listener.DialContext(ctx)
@@ -224,6 +263,7 @@
 
 // Kill ends the node at once.
 func (n *Node) Kill() {
+	n.Thaw()
 	n.cancel()
 	n.server.Stop()
 	n.peers.Close()
@@ -251,6 +291,7 @@
 		Connect:    n.connect,
 		Events:     n.Events,
 		Log:        n.log,
+		Settings:   s.ControllerSettings,
 	})
 	peerpb.RegisterControllerServer(n.server, c)
 	n.start(watcher.Run, c.RunOwnership)
@@ -262,6 +303,8 @@
 	n := s.newNode(membership.RoleRouter, vm, dataCentre)
 	directory := endpoints.NewDirectory()
 	watcher := endpoints.NewWatcher(directory, n.Members, n.peers, dataCentre, n.Events.Process(), n.log)
+	plainSettings := plain.DefaultSettings()
+	plainSettings.Dial = n.dialService
 	r := router.New(router.Parts{
 		VM:         vm,
 		DataCentre: dataCentre,
@@ -270,12 +313,13 @@
 		Directory:  directory,
 		Peers:      n.peers,
 		Connect:    n.connect,
-		Plain:      plain.NewCaller(),
-		Claims:     claim.NewStore(n.table, vm),
+		Plain:      plain.NewCaller(plainSettings),
+		Claims:     claim.NewStore(n.table, cutObjects{n, s.StandIn.Objects}, vm, claim.DefaultSettings()),
 		Events:     n.Events,
 		Log:        n.log,
 	})
-	n.start(watcher.Run)
+	n.start(watcher.Run, r.RunHealthChecks)
+	s.t.Cleanup(r.Close)
 	return &RouterNode{n, r}
 }
 
