Keep batch requests behind interactive ones of other models

Cause: a request that found nothing waiting in its own queue took a free place at once, also when an interactive request of another model waited for it and the queues had not been looked at yet.

Ruled out: the same rule for interactive requests. A model that waits for its load would then make each request of every other model go through a queue.

Change: a batch request goes through its queue while an interactive one waits in any.

Seen failing first (go test -run BatchBehind ./internal/router): round 0 gave the place to the batch request.

--- a/internal/router/bounds_test.go
+++ b/internal/router/bounds_test.go
@@ -107,3 +107,44 @@
 		require.Zero(t, r.loads.Len())
 	})
 }
+
+// TestBatchBehindOtherQueues frees the only place while an interactive request
+// waits in one queue and a batch request comes to another: the interactive one
+// gets it, each time.
+func TestBatchBehindOtherQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRouter(t, &pb.Deployment{Name: "d"}, func(*Parts) {})
+		request := func(queue string, class admit.Class) *need {
+			return &need{
+				queue: queue, class: class, call: &call{deadline: time.Now().Add(time.Minute)},
+				candidates: func(now time.Time, _ []string) []place {
+					c := choose.Candidate{Name: "e", Limit: 1, InFlight: r.loads.View("e", now).InFlight}
+					return []place{{Candidate: c, keys: []string{"e"}}}
+				},
+			}
+		}
+		var order []string
+		for range 100 {
+			first, err := r.scheduler.acquire(t.Context(), request("a", admit.Interactive))
+			require.NoError(t, err)
+			var interactive sync.WaitGroup
+			interactive.Go(func() {
+				held, err := r.scheduler.acquire(t.Context(), request("a", admit.Interactive))
+				require.NoError(t, err)
+				order = append(order, "interactive")
+				r.scheduler.free(held)
+			})
+			time.Sleep(time.Second)
+			r.scheduler.free(first)
+			held, err := r.scheduler.acquire(t.Context(), request("b", admit.Batch))
+			require.NoError(t, err)
+			order = append(order, "batch")
+			r.scheduler.free(held)
+			interactive.Wait()
+		}
+		for i, class := range order {
+			require.Equal(t, []string{"interactive", "batch"}[i%2], class, "round %d", i/2)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/router/scheduler.go
+++ b/internal/router/scheduler.go
@@ -164,7 +164,13 @@
 	return s.await(ctx, q, w)
 }
 
+// nothingBefore reports whether a request that comes now may start without
+// waiting: nothing of its class or one before waits in its queue and, for a
+// batch request, nothing interactive in any. The caller holds mu.
 func (s *scheduler) nothingBefore(q *modelQueue, class admit.Class) bool {
+	if class == admit.Batch && s.waiting.requests > 0 && s.waits(admit.Interactive) {
+		return false
+	}
 	for c := admit.Interactive; c <= class; c++ {
 		if q.queue.Len(c) > 0 {
 			return false
@@ -173,6 +179,17 @@
 	return true
 }
 
+// waits reports whether a request of a class waits in any queue. The caller
+// holds mu.
+func (s *scheduler) waits(class admit.Class) bool {
+	for _, q := range s.queues {
+		if q.queue.Len(class) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // enqueue puts a request into its queue. The caller holds mu.
 func (s *scheduler) enqueue(q *modelQueue, n *need) (*waiter, error) {
 	if s.waiting.requests >= maxWaiting || s.waiting.bytes+n.bytes > maxWaitingBytes {
