--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -19,6 +19,7 @@
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
+		speedCommand(),
 	}
 }
 
