Share the weight store by permits, the most urgent load first

Cause: loads from the weight store started whenever callers asked, so that a storm had all of them slow each other down, and a load with hours to go slowed one whose caller waited at a counter.

Ruled out: nearest deadline alone.

Change: a load whose checkpoint the engine does not cache takes one of 4 permits from a row of the table, in the order of the nearest deadline that can still be met, then those that can't, then loads ahead of callers. Waiting costs reads; the row is written to enter, take and give back. A wake goes on without a permit after 10 s, or when its caller's deadline needs it to. While the table is away each controller keeps to its share by rendezvous rank for at most 1 s. Adapter loads keep to the controller's share of 30. Parked models whose checkpoint is cached ask for nothing.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -16,6 +16,7 @@
 	return []*cobra.Command{
 		pathCommand(),
 		keepAliveCommand(),
+		coldStartCommand(),
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -53,6 +53,7 @@
 	flights    flights
 	placements placements
 	idleGaps   idleGaps
+	transit    transit
 	// engineQueue holds the owned engines to look at, tableQueue the engines
 	// for which the table may have to be asked. A pass of the first kind never
 	// waits for the table.
--- a/internal/controller/home.go
+++ b/internal/controller/home.go
@@ -203,6 +203,8 @@
 			return nil, flightError(err)
 		}
 	}
+	release := c.admitLoad(ctx, owned, model, time.Now().Add(time.Duration(req.GetDeadlineMs())*time.Millisecond))
+	defer release()
 	if err := owned.load(ctx, model, req.GetRequestId()); err != nil {
 		return nil, flightError(err)
 	}
--- /dev/null
+++ b/internal/permits/permits_test.go
@@ -0,0 +1,75 @@
+package permits_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/permits"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// claim returns one whose caller's deadline is after some seconds; 0 means
+// that nobody waits.
+func claim(id string, deadline int) permits.Claim {
+	c := permits.Claim{ID: id, Expected: time.Second, Expires: now.Add(time.Minute)}
+	if deadline > 0 {
+		c.Deadline = now.Add(time.Duration(deadline) * time.Second)
+	}
+	return c
+}
+
+func expired(c permits.Claim) permits.Claim {
+	c.Expires = now
+	return c
+}
+
+func TestAsk(t *testing.T) {
+	settings := permits.DefaultSettings()
+	settings.Permits = 1
+	held := []permits.Claim{claim("holder", 9)}
+	cases := []struct {
+		name             string
+		row              permits.Row
+		claim            permits.Claim
+		granted, changed bool
+	}{
+		{"a free permit", permits.Row{}, claim("a", 5), true, true},
+		{"none free", permits.Row{Holders: held}, claim("a", 5), false, true},
+		{"waiting already", permits.Row{Holders: held, Waiting: []permits.Claim{claim("a", 5)}}, claim("a", 5), false, false},
+		{"held already", permits.Row{Holders: held}, claim("holder", 9), true, false},
+		{"the holder's lease has ended", permits.Row{Holders: []permits.Claim{expired(held[0])}}, claim("a", 5), true, true},
+		{"a nearer deadline waits", permits.Row{Waiting: []permits.Claim{claim("b", 3)}}, claim("a", 5), false, true},
+		{"a later deadline waits", permits.Row{Waiting: []permits.Claim{claim("b", 8)}}, claim("a", 5), true, true},
+		{"a nearer claim has ended", permits.Row{Waiting: []permits.Claim{expired(claim("b", 3))}}, claim("a", 5), true, true},
+		{"warming ahead yields to a caller", permits.Row{Waiting: []permits.Claim{claim("b", 60)}}, claim("a", 0), false, true},
+		{"a caller goes before warming ahead", permits.Row{Waiting: []permits.Claim{claim("b", 0)}}, claim("a", 60), true, true},
+		{"a deadline that is lost yields", permits.Row{Waiting: []permits.Claim{claim("b", 30)}}, permits.Claim{ID: "a", Deadline: now.Add(time.Second), Expected: 2 * time.Second}, false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			answer := permits.Ask(settings, tc.row, tc.claim, now)
+			require.Equal(t, tc.granted, answer.Granted)
+			require.Equal(t, tc.changed, answer.Changed)
+			require.LessOrEqual(t, len(answer.Row.Holders), settings.Permits)
+			released, _ := permits.Release(answer.Row, tc.claim.ID)
+			for _, claims := range [][]permits.Claim{released.Holders, released.Waiting} {
+				for _, c := range claims {
+					require.NotEqual(t, tc.claim.ID, c.ID)
+				}
+			}
+		})
+	}
+}
+
+func TestShare(t *testing.T) {
+	for _, nodes := range []int{1, 3, 4, 9, 350} {
+		sum := 0
+		for rank := range nodes {
+			sum += permits.Share(4, rank, nodes)
+		}
+		require.Equal(t, 4, sum, "%d nodes", nodes)
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -325,7 +325,7 @@
 		OrderID: order.ID, Model: order.Model, Version: order.Version,
 		MemoryBytes: order.MemoryBytes, Tier: tier, Started: time.Now(),
 	}
-	e.journal.Add(e.entry(Entry{Kind: EntryLoadStart, Model: order.Model, Fence: order.Fence}))
+	e.journal.Add(e.entry(Entry{Kind: EntryLoadStart, Model: order.Model, Fence: order.Fence, Tier: string(tier)}))
 	e.touch()
 	go e.load(e.alive, order, tier)
 	return nil
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -36,8 +36,10 @@
 	Fence          int64     `json:"fence,omitempty"`
 	// Order is the kind of an order; Outcome is ok, or why it was refused or
 	// how a load or run ended.
-	Order       string `json:"order,omitempty"`
-	Outcome     string `json:"outcome,omitempty"`
+	Order   string `json:"order,omitempty"`
+	Outcome string `json:"outcome,omitempty"`
+	// Tier is where a load finds the checkpoint.
+	Tier        string `json:"tier,omitempty"`
 	MemoryUsed  int64  `json:"memory_used"`
 	MemoryTotal int64  `json:"memory_total"`
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -8,6 +8,7 @@
 trap 'bash "$ROOT/scripts/down.sh"' EXIT
 "$BIN/chestnut-bench" path --callers "127.0.0.1:$((8080 + OFFSET))" --platform "127.0.0.1:$((8070 + OFFSET))"
 "$BIN/chestnut-bench" keepalive
+"$BIN/chestnut-bench" coldstart
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
 "$BIN/chestnut-bench" capacity
