--- a/internal/testsystem/cut.go
+++ b/internal/testsystem/cut.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// Freeze cuts the node off from everything for good, as a kill does.
-func (n *Node) Freeze() {
+// CutOff cuts the node off from everything, as a kill does.
+func (n *Node) CutOff() {
 	n.PlatformCut.Store(true)
 	n.PeersCut.Store(true)
 	n.EndpointsCut.Store(true)
@@ -52,7 +52,7 @@
 
 // Write implements net.Conn.
 func (c *cutConn) Write(data []byte) (int, error) {
-	if c.node.PeersCut.Load() {
+	if c.node.PeersCut.Load() || c.node.frozen() {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
@@ -83,7 +83,7 @@
 // Get implements platform.Table.
 func (c cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
 	c.node.step(StepGet, key)
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return platform.Row{}, platform.ErrUnavailable
 	}
 	return c.table.Get(ctx, key)
@@ -91,7 +91,7 @@
 
 // Scan implements platform.Table.
 func (c cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return nil, platform.ErrUnavailable
 	}
 	return c.table.Scan(ctx, prefix, after, limit)
@@ -100,7 +100,7 @@
 // Commit implements platform.Table.
 func (c cutTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
 	c.node.step(StepCommit, writtenKey(txn))
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return 0, platform.ErrUnavailable
 	}
 	version, err := c.table.Commit(ctx, txn)
@@ -149,7 +149,7 @@
 
 // List implements platform.Membership.
 func (c cutMembership) List(ctx context.Context) ([]platform.VM, error) {
-	if c.node.PlatformCut.Load() {
+	if !c.node.pass(ctx) || c.node.PlatformCut.Load() {
 		return nil, platform.ErrUnavailable
 	}
 	return c.list.List(ctx)
@@ -163,7 +163,7 @@
 
 // State implements engine.Engine.
 func (c cutEngine) State(ctx context.Context) (engine.State, error) {
-	if c.node.EndpointsCut.Load() {
+	if !c.node.pass(ctx) || c.node.EndpointsCut.Load() {
 		return engine.State{}, engine.ErrNotSent
 	}
 	return c.Engine.State(ctx)
@@ -171,7 +171,7 @@
 
 // Watch implements engine.Engine.
 func (c cutEngine) Watch(ctx context.Context, after int64) (engine.State, error) {
-	if c.node.EndpointsCut.Load() {
+	if !c.node.pass(ctx) || c.node.EndpointsCut.Load() {
 		return engine.State{}, engine.ErrNotSent
 	}
 	return c.Engine.Watch(ctx, after)
@@ -179,6 +179,9 @@
 
 // Order implements engine.Engine.
 func (c cutEngine) Order(ctx context.Context, order engine.Order) error {
+	if !c.node.pass(ctx) && !c.node.HalfSent.Load() {
+		return engine.ErrUnknown
+	}
 	if c.node.EndpointsCut.Load() {
 		return engine.ErrNotSent
 	}
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -56,6 +56,9 @@
 	Store       *config.Store
 	Routers     []*RouterNode
 	Controllers []*ControllerNode
+	// ControllerSettings are those of controllers started from now on, nil for
+	// the defaults.
+	ControllerSettings *controller.Settings
 	// Prepare is called for each node before it starts. It may be nil.
 	Prepare func(*Node)
 
@@ -79,7 +82,11 @@
 	EndpointsCut atomic.Bool
 	// OnStep is called at each step of the node.
 	OnStep atomic.Pointer[func(step Step, key string)]
+	// HalfSent makes an order that a frozen node was about to send arrive after
+	// Thaw although its deadline has passed.
+	HalfSent atomic.Bool
 
+	gate   gate
 	system *System
 	role   membership.Role
 	peers  *peer.Pool
@@ -123,6 +130,11 @@
 // New starts a system with one router and one controller on a VM of each name
 // in vms, which maps VMs to data centres. It ends with the test.
 func New(t testing.TB, settings standin.Settings, vms map[string]string) *System {
+	return NewWith(t, settings, nil, vms)
+}
+
+// NewWith is New with settings of the controllers.
+func NewWith(t testing.TB, settings standin.Settings, controllers *controller.Settings, vms map[string]string) *System {
 	for vm, dataCentre := range vms {
 		settings.Membership.VMs = append(settings.Membership.VMs, standin.VMEntry{
 			ID: vm, Kind: platform.EntryVM, Region: "region", DataCentre: dataCentre,
@@ -135,6 +147,8 @@
 		listeners: map[string]*bufconn.Listener{},
 		engines:   map[string]*standin.Engine{},
 		services:  map[string]*PipeListener{},
+
+		ControllerSettings: controllers,
 	}
 	s.Store = config.NewStore(s.StandIn.Table)
 	for _, entry := range settings.Engines {
@@ -217,7 +231,7 @@
 	s.mu.Lock()
 	listener := s.listeners[address]
 	s.mu.Unlock()
-	if listener == nil || from.PeersCut.Load() {
+	if listener == nil || from.PeersCut.Load() || from.frozen() {
 		return nil, errCut
 	}
 	conn, err := listener.DialContext(ctx)
@@ -249,6 +263,7 @@
 
 // Kill ends the node at once.
 func (n *Node) Kill() {
+	n.Thaw()
 	n.cancel()
 	n.server.Stop()
 	n.peers.Close()
@@ -276,6 +291,7 @@
 		Connect:    n.connect,
 		Events:     n.Events,
 		Log:        n.log,
+		Settings:   s.ControllerSettings,
 	})
 	peerpb.RegisterControllerServer(n.server, c)
 	n.start(watcher.Run, c.RunOwnership)
