--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -16,6 +16,8 @@
 	return []*cobra.Command{
 		pathCommand(),
 		keepAliveCommand(),
+		coldStartCommand(),
+		deltasCommand(),
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
