--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -16,9 +16,12 @@
 	return []*cobra.Command{
 		pathCommand(),
 		keepAliveCommand(),
+		coldStartCommand(),
+		deltasCommand(),
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
+		speedCommand(),
 	}
 }
 
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -89,7 +89,7 @@
 // loadOnce reads all deployments and replays the changes that were made
 // meanwhile, until the result matches the head.
 func (s *Store) loadOnce(ctx context.Context) (*Snapshot, error) {
-	start, err := s.Head(ctx)
+	start, err := s.ReadHead(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -99,7 +99,7 @@
 	}
 	snapshot := NewSnapshot(start.Version, deployments)
 	for range loadReplays {
-		head, err := s.Head(ctx)
+		head, err := s.ReadHead(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -78,7 +78,7 @@
 	for {
 		head, err := store.Head(ctx)
 		if err == nil {
-			return c.Config.Await(ctx, head.Version)
+			return c.Config.Await(ctx, head)
 		}
 		sleep(ctx, jitter(c.settings.Retry))
 		if ctx.Err() != nil {
