Read an engine again before a drained model is unloaded

Cause: an engine's revision does not rise when a request starts, so a reading that shows a model idle may be a second old. Keep-alive and evictions unloaded models under requests that had just begun. Ruled out: a longer drain (it adds to each cold start that evicts, and the reading may still be older).

Change: a plan unloads a drained model only by a reading that was started after the drain had settled, and asks for one otherwise.

--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -75,20 +75,28 @@
 			return engine.State{}, err
 		}
 	}
-	started := time.Now()
-	readCtx, cancel := context.WithTimeout(ctx, o.controller.settings.OrderTimeout)
-	defer cancel()
-	state, err := o.client.State(readCtx)
+	state, err := o.reread(ctx)
 	if err != nil {
 		return state, err
 	}
-	o.observe(state, started, nil)
 	if o.fenced && state.Fence != o.fence {
 		return state, engine.ErrOldFence
 	}
 	return state, nil
 }
 
+// reread reads the engine's state now.
+func (o *ownedEngine) reread(ctx context.Context) (engine.State, error) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, o.controller.settings.OrderTimeout)
+	defer cancel()
+	state, err := o.client.State(ctx)
+	if err == nil {
+		o.observe(state, started, nil)
+	}
+	return state, err
+}
+
 // release ends the quarantine once two readings agree, and confirms the
 // incarnation that was read.
 func (o *ownedEngine) release(reading engine.State) (time.Duration, bool) {
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -99,6 +99,7 @@
 	s := plan.Snapshot{
 		Now:      now,
 		State:    o.state,
+		Read:     o.startedAt,
 		Ledger:   &o.ledger,
 		Bound:    o.bound,
 		Offers:   map[string]plan.Offer{},
@@ -154,6 +155,12 @@
 			return jitter(o.controller.settings.Retry)
 		}
 	}
+	if made.Reread {
+		// The reading wakes the next pass.
+		if _, err := o.reread(ctx); err != nil {
+			return jitter(o.controller.settings.Retry)
+		}
+	}
 	if made.Again.IsZero() {
 		return 0
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -38,8 +38,11 @@
 
 // Snapshot is what a plan is made from.
 type Snapshot struct {
-	Now    time.Time
-	State  engine.State
+	Now   time.Time
+	State engine.State
+	// Read is when the reading of State was started. An engine does not report
+	// each change of its running requests, so a reading may be old.
+	Read   time.Time
 	Ledger *ledger.Ledger
 	// Bound holds the models with a slot at this engine. The value is false if
 	// the slot has to be given back.
@@ -100,6 +103,9 @@
 	Free []string
 	// Failed are wants that can't be met.
 	Failed map[int64]Failure
+	// Reread means that the engine has to be read again before it is known
+	// whether a model that drains is idle.
+	Reread bool
 	// Again is the time at which to plan again although nothing changes; zero
 	// if there is none.
 	Again time.Time
@@ -359,6 +365,9 @@
 		if ready := since.Add(m.s.Settle); m.s.Now.Before(ready) {
 			m.again(ready)
 			continue
+		} else if m.s.Read.Before(ready) {
+			m.plan.Reread = true
+			continue
 		}
 		m.order(Step{Kind: engine.OrderUnload, Model: loaded.Model})
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -20,6 +20,7 @@
 func fixture(change func(s *plan.Snapshot)) plan.Snapshot {
 	s := plan.Snapshot{
 		Now:      now,
+		Read:     now,
 		State:    engine.State{MemoryTotal: 10},
 		Ledger:   &ledger.Ledger{},
 		Bound:    map[string]bool{"m1": true, "m2": true, "m3": true},
@@ -80,6 +81,7 @@
 		draining []string
 		free     []string
 		failed   map[int64]plan.Failure
+		reread   bool
 	}{
 		{name: "nothing wanted, nothing to do", change: holding("m1")},
 		{name: "a bound model is loaded", change: wants(m1), orders: []string{"load m1 "}},
@@ -102,6 +104,10 @@
 		},
 		{name: "the least value per byte makes room", change: all(holding("m1", "m2"), wants(m3)), draining: []string{"m1"}},
 		{name: "an eviction finishes before the load starts", change: all(holding("m1", "m2"), wants(m3), drained("m1")), draining: []string{"m1"}, orders: []string{"unload m1 "}},
+		{
+			name: "a reading from before the draining does not show what is in use", draining: []string{"m1"}, reread: true,
+			change: all(holding("m1", "m2"), wants(m3), drained("m1"), func(s *plan.Snapshot) { s.Read = now.Add(-time.Millisecond) }),
+		},
 		{
 			name: "what is in use is not evicted", draining: []string{"m2"},
 			change: all(holding("m1", "m2"), wants(m3), func(s *plan.Snapshot) { s.State.Loaded[0].Running = 1 }),
@@ -180,6 +186,7 @@
 				tc.failed = map[int64]plan.Failure{}
 			}
 			require.Equal(t, tc.failed, made.Failed)
+			require.Equal(t, tc.reread, made.Reread)
 			s.Draining = made.Draining
 			require.Equal(t, made, plan.Make(s), "planning again must change nothing")
 		})
