Unload only after a reading from when routers had stopped

Cause: an owner unloaded a drained model by the count of requests in its last reading, up to a second old; requests that arrived since were ended by the unload. Seen once leaving engines were emptied: TestLeavingEndpoints, 11 to 20 requests in flight broken (answer_broken, ran) in each run. Requests queued at the engine were not in the count either.

Ruled out: a longer time to settle (the reading stays as old as the long poll); not emptying leaving engines (their slots would stay bound).

Change: a plan unloads only by a reading that was started after the routers had time to learn; otherwise the engine is read anew. The count of a model covers queued requests.

--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -99,6 +99,7 @@
 	s := plan.Snapshot{
 		Now:      now,
 		State:    o.state,
+		ReadAt:   o.startedAt,
 		Ledger:   &o.ledger,
 		Bound:    o.bound,
 		Offers:   map[string]plan.Offer{},
@@ -148,6 +149,14 @@
 
 // carryOut sends the orders of a plan.
 func (o *ownedEngine) carryOut(ctx context.Context, made plan.Plan) time.Duration {
+	if made.Reread {
+		started := time.Now()
+		state, err := o.client.State(ctx)
+		if err != nil {
+			return jitter(o.controller.settings.Retry)
+		}
+		o.observe(state, started, nil)
+	}
 	for _, step := range made.Steps {
 		if err := o.step(ctx, step); err != nil {
 			o.controller.Log.Debug("order failed", "endpoint", o.name, "order", step.Kind, "model", step.Model, "error", err)
--- a/internal/endpoints/delta.go
+++ b/internal/endpoints/delta.go
@@ -31,8 +31,6 @@
 	loadFields uint64 = 1<<fieldMemoryUsed | 1<<fieldRunning | 1<<fieldQueued | 1<<fieldTokensPerSec | 1<<fieldReplicaRunning
 	// riders never cause a change to be sent, but go with one.
 	riders uint64 = 1<<fieldRevision | 1<<fieldReportAge
-	// cachedFields are for those who place models.
-	cachedFields uint64 = 1<<fieldCachedMemory | 1<<fieldCachedDisk
 )
 
 // Steps of coarsened fields.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,7 +58,9 @@
 	Version     string    `json:"version"`
 	MemoryBytes int64     `json:"memory_bytes"`
 	Adapters    []Adapter `json:"adapters,omitempty"`
-	Running     int       `json:"running"`
+	// Running counts the requests that the engine has accepted, queued ones
+	// included, and that have not ended.
+	Running int `json:"running"`
 	// Started counts the requests that began since the model was loaded.
 	Started int64 `json:"started"`
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -38,8 +38,10 @@
 
 // Snapshot is what a plan is made from.
 type Snapshot struct {
-	Now    time.Time
-	State  engine.State
+	Now   time.Time
+	State engine.State
+	// ReadAt is when the reading that gave State was started.
+	ReadAt time.Time
 	Ledger *ledger.Ledger
 	// Bound holds the models with a slot at this engine. The value is false if
 	// the slot has to be given back.
@@ -100,6 +102,9 @@
 	Free []string
 	// Failed are wants that can't be met.
 	Failed map[int64]Failure
+	// Reread means that the engine has to be read anew before the next plan:
+	// the state at hand is from before the routers stopped using a model.
+	Reread bool
 	// Again is the time at which to plan again although nothing changes; zero
 	// if there is none.
 	Again time.Time
@@ -348,8 +353,9 @@
 	})
 }
 
-// unloadDrained orders the unloading of drained models that are idle and that
-// routers have had time to learn of.
+// unloadDrained orders the unloading of drained models that a reading shows as
+// idle after the routers have had time to learn of it. An older reading may not
+// show a request that arrived since.
 func (m *maker) unloadDrained() {
 	for _, loaded := range m.s.State.Loaded {
 		since, draining := m.plan.Draining[loaded.Model]
@@ -360,6 +366,10 @@
 			m.again(ready)
 			continue
 		}
+		if m.s.ReadAt.Before(since.Add(m.s.Settle)) {
+			m.plan.Reread = true
+			continue
+		}
 		m.order(Step{Kind: engine.OrderUnload, Model: loaded.Model})
 	}
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -20,6 +20,7 @@
 func fixture(change func(s *plan.Snapshot)) plan.Snapshot {
 	s := plan.Snapshot{
 		Now:      now,
+		ReadAt:   now,
 		State:    engine.State{MemoryTotal: 10},
 		Ledger:   &ledger.Ledger{},
 		Bound:    map[string]bool{"m1": true, "m2": true, "m3": true},
@@ -78,6 +79,7 @@
 		// orders are written as kind, model and adapter.
 		orders   []string
 		draining []string
+		reread   bool
 		free     []string
 		failed   map[int64]plan.Failure
 	}{
@@ -112,6 +114,13 @@
 				s.Expected = func(model string) bool { return model == "m2" }
 			}),
 		},
+		{
+			name: "a reading from before the routers stopped does not unload", draining: []string{"m1"}, reread: true,
+			change: all(holding("m1"), drained("m1"), func(s *plan.Snapshot) {
+				delete(s.Bound, "m1")
+				s.ReadAt = now.Add(-settle / 2)
+			}),
+		},
 		{
 			name: "a request that began while draining keeps the model", draining: []string{"m1"},
 			change: all(holding("m1", "m2"), wants(m3), drained("m1"), func(s *plan.Snapshot) {
@@ -176,6 +185,7 @@
 			require.Equal(t, tc.orders, orders)
 			require.ElementsMatch(t, tc.draining, draining)
 			require.Equal(t, tc.free, made.Free)
+			require.Equal(t, tc.reread, made.Reread)
 			if tc.failed == nil {
 				tc.failed = map[int64]plan.Failure{}
 			}
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -62,6 +62,7 @@
 	}
 	r.ctx, r.cancel = context.WithCancel(e.alive)
 	e.keep(r)
+	e.loaded[req.Model].Running++
 	e.queued = append(e.queued, r)
 	slices.SortStableFunc(e.queued, func(a, b *run) int { return cmp.Compare(b.req.Priority, a.req.Priority) })
 	e.startQueued()
@@ -104,7 +105,6 @@
 		e.queued = e.queued[1:]
 		e.running++
 		if loaded, ok := e.loaded[r.req.Model]; ok {
-			loaded.Running++
 			loaded.Started++
 		}
 		load := e.freshLoad()
@@ -207,6 +207,9 @@
 	r.cancel()
 	if i := slices.Index(e.queued, r); i >= 0 {
 		e.queued = slices.Delete(e.queued, i, i+1)
+		if loaded, ok := e.loaded[r.req.Model]; ok {
+			loaded.Running--
+		}
 		r.advance(func() { r.phase = engine.RunFailed })
 	}
 	return nil
