--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -40,9 +40,8 @@
 type Snapshot struct {
 	Now   time.Time
 	State engine.State
-	// Read is when the reading of State was started. An engine does not report
-	// each change of its running requests, so a reading may be old.
-	Read   time.Time
+	// ReadAt is when the reading that gave State was started.
+	ReadAt time.Time
 	Ledger *ledger.Ledger
 	// Bound holds the models with a slot at this engine. The value is false if
 	// the slot has to be given back.
@@ -103,8 +102,8 @@
 	Free []string
 	// Failed are wants that can't be met.
 	Failed map[int64]Failure
-	// Reread means that the engine has to be read again before it is known
-	// whether a model that drains is idle.
+	// Reread means that the engine has to be read anew before the next plan:
+	// the state at hand is from before the routers stopped using a model.
 	Reread bool
 	// Again is the time at which to plan again although nothing changes; zero
 	// if there is none.
@@ -354,8 +353,9 @@
 	})
 }
 
-// unloadDrained orders the unloading of drained models that are idle and that
-// routers have had time to learn of.
+// unloadDrained orders the unloading of drained models that a reading shows as
+// idle after the routers have had time to learn of it. An older reading may not
+// show a request that arrived since.
 func (m *maker) unloadDrained() {
 	for _, loaded := range m.s.State.Loaded {
 		since, draining := m.plan.Draining[loaded.Model]
@@ -365,7 +365,8 @@
 		if ready := since.Add(m.s.Settle); m.s.Now.Before(ready) {
 			m.again(ready)
 			continue
-		} else if m.s.Read.Before(ready) {
+		}
+		if m.s.ReadAt.Before(since.Add(m.s.Settle)) {
 			m.plan.Reread = true
 			continue
 		}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -20,7 +20,7 @@
 func fixture(change func(s *plan.Snapshot)) plan.Snapshot {
 	s := plan.Snapshot{
 		Now:      now,
-		Read:     now,
+		ReadAt:   now,
 		State:    engine.State{MemoryTotal: 10},
 		Ledger:   &ledger.Ledger{},
 		Bound:    map[string]bool{"m1": true, "m2": true, "m3": true},
@@ -79,9 +79,9 @@
 		// orders are written as kind, model and adapter.
 		orders   []string
 		draining []string
+		reread   bool
 		free     []string
 		failed   map[int64]plan.Failure
-		reread   bool
 	}{
 		{name: "nothing wanted, nothing to do", change: holding("m1")},
 		{name: "a bound model is loaded", change: wants(m1), orders: []string{"load m1 "}},
@@ -104,10 +104,6 @@
 		},
 		{name: "the least value per byte makes room", change: all(holding("m1", "m2"), wants(m3)), draining: []string{"m1"}},
 		{name: "an eviction finishes before the load starts", change: all(holding("m1", "m2"), wants(m3), drained("m1")), draining: []string{"m1"}, orders: []string{"unload m1 "}},
-		{
-			name: "a reading from before the draining does not show what is in use", draining: []string{"m1"}, reread: true,
-			change: all(holding("m1", "m2"), wants(m3), drained("m1"), func(s *plan.Snapshot) { s.Read = now.Add(-time.Millisecond) }),
-		},
 		{
 			name: "what is in use is not evicted", draining: []string{"m2"},
 			change: all(holding("m1", "m2"), wants(m3), func(s *plan.Snapshot) { s.State.Loaded[0].Running = 1 }),
@@ -118,6 +114,13 @@
 				s.Expected = func(model string) bool { return model == "m2" }
 			}),
 		},
+		{
+			name: "a reading from before the routers stopped does not unload", draining: []string{"m1"}, reread: true,
+			change: all(holding("m1"), drained("m1"), func(s *plan.Snapshot) {
+				delete(s.Bound, "m1")
+				s.ReadAt = now.Add(-settle / 2)
+			}),
+		},
 		{
 			name: "a request that began while draining keeps the model", draining: []string{"m1"},
 			change: all(holding("m1", "m2"), wants(m3), drained("m1"), func(s *plan.Snapshot) {
@@ -182,11 +185,11 @@
 			require.Equal(t, tc.orders, orders)
 			require.ElementsMatch(t, tc.draining, draining)
 			require.Equal(t, tc.free, made.Free)
+			require.Equal(t, tc.reread, made.Reread)
 			if tc.failed == nil {
 				tc.failed = map[int64]plan.Failure{}
 			}
 			require.Equal(t, tc.failed, made.Failed)
-			require.Equal(t, tc.reread, made.Reread)
 			s.Draining = made.Draining
 			require.Equal(t, made, plan.Make(s), "planning again must change nothing")
 		})
