--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -150,12 +150,9 @@
 // carryOut sends the orders of a plan.
 func (o *ownedEngine) carryOut(ctx context.Context, made plan.Plan) time.Duration {
 	if made.Reread {
-		started := time.Now()
-		state, err := o.client.State(ctx)
-		if err != nil {
+		if _, err := o.reread(ctx); err != nil {
 			return jitter(o.controller.settings.Retry)
 		}
-		o.observe(state, started, nil)
 	}
 	for _, step := range made.Steps {
 		if err := o.step(ctx, step); err != nil {
