Read the scheduler's state under its lock in tests

Cause: go test -race reported TestCallerGone, which read the sums while the scheduler's worker may write them. The code was right, the test was not. It checks the same as before.

--- a/internal/router/bounds_test.go
+++ b/internal/router/bounds_test.go
@@ -18,6 +18,12 @@
 	"chestnutgauge/internal/outcome"
 )
 
+func (s *scheduler) total() waitingTotal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
 // TestWaitingBounds sends more requests to full endpoints than may wait. Those
 // beyond the bounds are refused at once; afterwards nothing is kept.
 func TestWaitingBounds(t *testing.T) {
@@ -62,7 +68,7 @@
 				time.Sleep(time.Second)
 				require.EqualValues(t, tc.want, late.Load())
 				require.EqualValues(t, tc.queues*tc.senders-tc.want, full.Load())
-				require.Zero(t, r.scheduler.waiting)
+				require.Zero(t, r.scheduler.total())
 			})
 		})
 	}
@@ -85,7 +91,9 @@
 		require.Equal(t, outcome.NotRun, asOutcome(err).Run)
 		require.Equal(t, time.Second, time.Since(begun))
 		time.Sleep(time.Second)
-		require.Zero(t, r.scheduler.waiting)
+		require.Zero(t, r.scheduler.total())
+		r.scheduler.mu.Lock()
+		defer r.scheduler.mu.Unlock()
 		require.False(t, r.scheduler.pumping, "nothing is left running")
 	})
 }
