--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -22,6 +22,7 @@
 		capacityCommand(),
 		routingCommand(),
 		speedCommand(),
+		claimsCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/bench/claims.go
@@ -0,0 +1,28 @@
+package bench
+
+import (
+	"github.com/spf13/cobra"
+
+	"chestnutgauge/internal/bench/claims"
+	"chestnutgauge/internal/bench/report"
+)
+
+func claimsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "claims",
+		Short: "commits to the table for each request that may not be repeated, by batch",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			table, err := claims.Run(cmd.Context(), claims.DefaultSettings())
+			if err != nil {
+				return err
+			}
+			return publish(cmd, report.Report{
+				Name:    "claims",
+				Command: "chestnut-bench claims",
+				Notes:   []string{"One router on the stand-in's table, 10 ms a commit, each request claimed and its answer of 1 KiB kept. The last column is for a table that carries 300 commits a second. Reads are not counted."},
+				Tables:  []report.Table{table},
+			})
+		},
+	}
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -13,4 +13,5 @@
 "$BIN/chestnut-bench" deltas
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
+"$BIN/chestnut-bench" claims
 "$BIN/chestnut-bench" capacity
