Keep the check that unloading ends requests that have just begun

Cause: seen in TestLeavingEndpoints; an owner unloads a model whose time of keeping has ended although requests have just begun there.

--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -77,6 +77,31 @@
 	}
 }
 
+// TestUnloadSparesRequests lets a model's time of keeping end while requests
+// begin: none of those may be ended by the unloading.
+func TestUnloadSparesRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, a, b := newBookingSystemKept(t, 0)
+		loadTwice(t, system)
+		begun := time.Now()
+		var callers sync.WaitGroup
+		for n := 0; time.Since(begun) < 10*time.Second; n++ {
+			router := a
+			if n%2 == 1 {
+				router = b
+			}
+			callers.Go(func() {
+				answer := router.Post(context.Background(), chatPath, bookingBody(chatPath), map[string]string{"Idempotency-Key": fmt.Sprint("k", n)})
+				if answer.Code != 200 {
+					t.Errorf("request %d: %d %s", n, answer.Code, answer.Body)
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		callers.Wait()
+	})
+}
+
 func leaves(endpoint string) standin.Fault {
 	return standin.Fault{Kind: standin.FaultLeaving, Endpoint: endpoint}
 }
