--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -81,7 +81,7 @@
 // begin: none of those may be ended by the unloading.
 func TestUnloadSparesRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		system, a, b := newBookingSystemKept(t, 0)
+		system, a, b := newBookingSystem(t)
 		loadTwice(t, system)
 		begun := time.Now()
 		var callers sync.WaitGroup
--- a/internal/router/system_test.go
+++ b/internal/router/system_test.go
@@ -27,12 +27,6 @@
 // instances of a plain service. The model "booking" and the service "pallets"
 // may not be repeated; "assistant" may. A request takes about a second.
 func newBookingSystem(t *testing.T) (system *testsystem.System, a, b *testsystem.RouterNode) {
-	return newBookingSystemKept(t, 3600)
-}
-
-// newBookingSystemKept is newBookingSystem with the weight that decides how long
-// idle models stay loaded.
-func newBookingSystemKept(t *testing.T, coldStartWeight float64) (system *testsystem.System, a, b *testsystem.RouterNode) {
 	s := standin.Defaults()
 	var endpoints []*pb.Endpoint
 	for _, name := range []string{"e1", "e2", "e3", "e4"} {
@@ -54,7 +48,7 @@
 		}
 	}
 	model := func(name string, nonIdempotent bool) *pb.Model {
-		return &pb.Model{Name: name, Version: "1", Services: []string{"assistants"}, CheckpointBytes: gigabyte, MemoryBytes: 10 * gigabyte, MaxReplicas: 4, NonIdempotent: nonIdempotent, KeepAlive: &pb.KeepAlive{ColdStartWeight: coldStartWeight}}
+		return &pb.Model{Name: name, Version: "1", Services: []string{"assistants"}, CheckpointBytes: gigabyte, MemoryBytes: 10 * gigabyte, MaxReplicas: 4, NonIdempotent: nonIdempotent}
 	}
 	system.Apply(&pb.Deployment{
 		Name: "showroom",
