--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -176,6 +176,23 @@
 	return out
 }
 
+// LeavingEndpoints returns the names of the endpoints on VMs that are leaving.
+func (t *Tracker) LeavingEndpoints() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, vm := range t.vms {
+		if vm.Kind != platform.EndpointVM || vm.State != platform.VMLeaving {
+			continue
+		}
+		for name := range vm.Processes {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Alive returns the processes of a role that can be given something new:
 // neither leaving nor under suspicion. A process that is cut off from all its
 // peers can't tell them from the dead: it gets all that are not leaving.
--- a/internal/router/scheduler.go
+++ b/internal/router/scheduler.go
@@ -18,6 +18,20 @@
 // loadPause is the time between two calls for the same model's load.
 const loadPause = 100 * time.Millisecond
 
+// Times of asking for a further replica: how long a request waits before, and
+// the least time between two calls for one model.
+const (
+	growAfter = 300 * time.Millisecond
+	growPause = time.Second
+)
+
+// Bounds of what waits over all queues of a router. At either bound a request
+// that would have to wait is refused.
+const (
+	maxWaiting      = 8192
+	maxWaitingBytes = 64 << 20
+)
+
 // need is what a request asks the scheduler for.
 type need struct {
 	// queue names the queue that it waits in.
@@ -57,6 +71,8 @@
 type waiter struct {
 	need *need
 	item *admit.Item
+	// since is when it began to wait.
+	since time.Time
 	// done gets the result, at most once.
 	done chan result
 }
@@ -76,6 +92,8 @@
 	// end of the last.
 	loading  bool
 	loadedAt time.Time
+	// grownAt is when a further replica was asked for last.
+	grownAt time.Time
 }
 
 // scheduler gives requests their places at endpoints. Requests that find no
@@ -87,10 +105,17 @@
 
 	mu      sync.Mutex
 	queues  map[string]*modelQueue
+	waiting waitingTotal
 	pumping bool
 	version int64
 }
 
+// waitingTotal sums what waits over all queues.
+type waitingTotal struct {
+	requests int
+	bytes    int
+}
+
 func newScheduler(r *Router) *scheduler {
 	return &scheduler{
 		router:  r,
@@ -150,6 +175,9 @@
 
 // enqueue puts a request into its queue. The caller holds mu.
 func (s *scheduler) enqueue(q *modelQueue, n *need) (*waiter, error) {
+	if s.waiting.requests >= maxWaiting || s.waiting.bytes+n.bytes > maxWaitingBytes {
+		return nil, refused(q.queue.Full())
+	}
 	now := time.Now()
 	work, safe := q.work.Expect(n.maxTokens)
 	capacity := s.capacity(n, now)
@@ -167,8 +195,10 @@
 	if refusal != nil {
 		return nil, refused(refusal)
 	}
-	w := &waiter{need: n, item: item, done: make(chan result, 1)}
+	w := &waiter{need: n, item: item, since: now, done: make(chan result, 1)}
 	q.waiters[item] = w
+	s.waiting.requests++
+	s.waiting.bytes += item.Bytes
 	if !s.pumping {
 		s.pumping = true
 		go s.pump()
@@ -181,10 +211,18 @@
 // holds mu.
 func (s *scheduler) finish(q *modelQueue, item *admit.Item, r result) {
 	w := q.waiters[item]
-	delete(q.waiters, item)
+	s.forget(q, item)
+	waitSeconds.UpdateDuration(w.since)
 	w.done <- r
 }
 
+// forget drops an item that is no longer in its queue. The caller holds mu.
+func (s *scheduler) forget(q *modelQueue, item *admit.Item) {
+	delete(q.waiters, item)
+	s.waiting.requests--
+	s.waiting.bytes -= item.Bytes
+}
+
 // await waits for a request's place, and gives the request up when it can no
 // longer end in time or its caller has gone.
 func (s *scheduler) await(ctx context.Context, q *modelQueue, w *waiter) (slot, error) {
@@ -205,7 +243,7 @@
 		}
 	default:
 		q.queue.Remove(w.item)
-		delete(q.waiters, w.item)
+		s.forget(q, w.item)
 	}
 	return slot{}, &outcome.Error{
 		Reason: outcome.ReasonDeadline, Run: outcome.NotRun, RetryAfter: time.Second,
@@ -292,6 +330,7 @@
 
 // refused turns a refusal into an error for the caller.
 func refused(r *admit.Refusal) error {
+	countRefusal(r)
 	if r.Reason == admit.Full {
 		return &outcome.Error{Reason: outcome.ReasonQueueFull, Run: outcome.NotRun, RetryAfter: r.RetryAfter, Message: "too many requests wait"}
 	}
