Let operators see a change before it is made, and make it once

Cause: chestnutctl tried one admin only, a lost answer was repeated under a new operation id, there was no difference, no dry run, no JSON, and every error was exit code 1.

Ruled out: go-cmp for the difference (its text is not stable and shows the protobuf internals); the difference is of lines named by object instead.

A benchmark of the time from acceptance to in force is added.

Seen failing first (go test ./internal/ctl): with a new operation id at each admin TestAdminAway ends with exit code 3 (conflict) instead of 0.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,6 +15,7 @@
 func Commands() []*cobra.Command {
 	return []*cobra.Command{
 		pathCommand(),
+		configurationCommand(),
 		keepAliveCommand(),
 		soakCommand(),
 		capacityCommand(),
--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,149 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+
+	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/deployfile"
+)
+
+func (c *client) apply() *cobra.Command {
+	var dryRun bool
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "create or change a deployment from a TOML or JSON file",
+		Args:  exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			deployment, err := deployfile.Read(args[0])
+			if err != nil {
+				return usageError{err}
+			}
+			plan := &applyPlan{deployment: deployment, operation: uuid.NewString(), dryRun: dryRun}
+			return c.do(cmd, func(ctx context.Context, operators pb.OperatorsClient) error {
+				resp, err := plan.run(ctx, cmd, operators, c.output)
+				if err != nil || resp == nil {
+					return err
+				}
+				if c.output == outputJSON {
+					return printJSON(cmd, resp)
+				}
+				state := "in the table at"
+				if dryRun {
+					state = "checked against"
+				}
+				_, err = fmt.Fprintf(cmd.OutOrStdout(), "deployment %s %s version %d\n", deployment.GetName(), state, resp.GetVersion())
+				return err
+			})
+		},
+	}
+	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "only print the difference and check it")
+	return cmd
+}
+
+// applyPlan is one change. A repeat at another admin sends the same change
+// under the same operation id, so that it is made once.
+type applyPlan struct {
+	deployment *pb.Deployment
+	operation  string
+	dryRun     bool
+	// current is what the change was made from, once it was read.
+	current *pb.Deployment
+	read    bool
+}
+
+// run makes the change. It returns nil if there is nothing to change.
+func (p *applyPlan) run(ctx context.Context, cmd *cobra.Command, operators pb.OperatorsClient, output string) (*pb.ChangeResponse, error) {
+	if !p.read {
+		current, err := operators.GetDeployment(ctx, &pb.GetDeploymentRequest{Name: p.deployment.GetName()})
+		if err != nil && status.Code(err) != codes.NotFound {
+			return nil, err
+		}
+		p.current, p.read = current, true
+		if err := p.show(cmd, output); err != nil {
+			return nil, err
+		}
+	}
+	if p.current == nil || p.current.GetName() == "" {
+		return operators.CreateDeployment(ctx, &pb.CreateDeploymentRequest{Deployment: p.deployment, OperationId: p.operation, DryRun: p.dryRun})
+	}
+	p.deployment.Version = p.current.GetVersion()
+	if proto.Equal(p.deployment, p.current) {
+		return nil, nil
+	}
+	return operators.UpdateDeployment(ctx, &pb.UpdateDeploymentRequest{Deployment: p.deployment, OperationId: p.operation, DryRun: p.dryRun})
+}
+
+// show prints the difference.
+func (p *applyPlan) show(cmd *cobra.Command, output string) error {
+	if output != outputTable {
+		return nil
+	}
+	lines := difference(lines(p.current), lines(p.deployment))
+	if len(lines) == 0 {
+		lines = []string{"no difference"}
+	}
+	_, err := fmt.Fprintln(cmd.OutOrStdout(), strings.Join(lines, "\n"))
+	return err
+}
+
+// lines returns a deployment, but for its version, as lines of path = value.
+func lines(deployment *pb.Deployment) []string {
+	if deployment == nil {
+		return nil
+	}
+	plain := proto.Clone(deployment).(*pb.Deployment)
+	plain.Version = 0
+	var out []string
+	add := func(prefix string, message proto.Message) {
+		text := prototext.MarshalOptions{Multiline: true, Indent: " "}.Format(message)
+		for line := range strings.SplitSeq(strings.TrimSpace(text), "\n") {
+			// The library varies the spaces on purpose.
+			out = append(out, prefix+strings.Join(strings.Fields(line), " "))
+		}
+	}
+	for _, service := range plain.GetServices() {
+		add("service "+service.GetName()+": ", service)
+	}
+	for _, endpoint := range plain.GetEndpoints() {
+		add("endpoint "+endpoint.GetName()+": ", endpoint)
+	}
+	for _, model := range plain.GetModels() {
+		add("model "+model.GetName()+": ", model)
+	}
+	return out
+}
+
+// difference returns the lines that only one side has, after a minus sign
+// those of before, and after a plus sign those of after.
+func difference(before, after []string) []string {
+	left := map[string]int{}
+	for _, line := range after {
+		left[line]++
+	}
+	var out []string
+	kept := map[string]int{}
+	for _, line := range before {
+		if left[line] > kept[line] {
+			kept[line]++
+			continue
+		}
+		out = append(out, "- "+line)
+	}
+	for _, line := range after {
+		if kept[line] > 0 {
+			kept[line]--
+			continue
+		}
+		out = append(out, "+ "+line)
+	}
+	return out
+}
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -26,25 +26,48 @@
 	return err
 }
 
+func printList(cmd *cobra.Command, deployments []*pb.Deployment) error {
+	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "NAME\tVERSION\tMODELS\tENDPOINTS")
+	for _, d := range deployments {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\n", d.GetName(), d.GetVersion(), len(d.GetModels()), len(d.GetEndpoints()))
+	}
+	return table.Flush()
+}
+
 func printStatus(cmd *cobra.Command, st *pb.Status) error {
 	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
 	fmt.Fprintf(table, "HEAD VERSION\t%d\n\n", st.GetHeadVersion())
-	fmt.Fprintln(table, "NODE\tDATA CENTRE\tVERSION\tREACHABLE\tDRAINING")
+	fmt.Fprintln(table, "NODE\tDATA CENTRE\tVERSION\tREACHABLE\tSUSPECT\tDRAINING\tREFUSALS")
 	for _, node := range st.GetNodes() {
-		fmt.Fprintf(table, "%s@%s\t%s\t%d\t%t\t%t\n", node.GetRole(), node.GetVm(), node.GetDataCentre(), node.GetVersionInForce(), node.GetReachable(), node.GetDraining())
+		fmt.Fprintf(table, "%s@%s\t%s\t%d\t%t\t%t\t%t\t%s\n", node.GetRole(), node.GetVm(), node.GetDataCentre(), node.GetVersionInForce(),
+			node.GetReachable(), node.GetSuspect(), node.GetDraining(), counts(node.GetRefusals()))
 	}
 	fmt.Fprintln(table, "\nENDPOINT\tOWNER\tFENCE\tMEMORY\tLOADED\tLOADING\tPARKED")
 	for _, e := range st.GetEndpoints() {
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d/%d\t%s\t%s\t%s\n", e.GetName(), e.GetOwner(), e.GetFence(), e.GetMemoryUsedBytes(), e.GetMemoryTotalBytes(),
 			strings.Join(e.GetLoaded(), ","), strings.Join(e.GetLoading(), ","), strings.Join(e.GetParked(), ","))
 	}
+	fmt.Fprintln(table, "\nMODEL\tLIMIT\tLOADED\tLOADING\tPARKED\tLIMIT IN FORCE")
+	for _, m := range st.GetModels() {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%t\n", m.GetName(), m.GetMaxReplicas(), m.GetLoaded(), m.GetLoading(), m.GetParked(), m.GetLimitInForce())
+	}
 	return table.Flush()
 }
 
+// counts shows numbers by name, as in a=1,b=2.
+func counts(numbers map[string]int64) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(numbers)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", name, numbers[name]))
+	}
+	return strings.Join(parts, ",")
+}
+
 func printTimeline(cmd *cobra.Command, resp *pb.GetTimelineResponse) error {
 	out := cmd.OutOrStdout()
 	for _, event := range resp.GetEvents() {
-		fields := []string{event.GetTime().AsTime().Format(timeFormat), event.GetProcess(), event.GetKind()}
+		fields := []string{event.GetTime().AsTime().Format(timeFormat), event.GetProcess(), event.GetKind(), "order=" + order(event)}
 		add := func(key, value string) {
 			if value != "" && value != "0" {
 				fields = append(fields, key+"="+value)
@@ -63,9 +86,28 @@
 		}
 	}
 	for _, gap := range resp.GetGaps() {
-		if _, err := fmt.Fprintf(out, "gap process=%s reason=%q\n", gap.GetProcess(), gap.GetReason()); err != nil {
+		if _, err := fmt.Fprintf(out, "gap process=%s kind=%s reason=%q before=%s\n", gap.GetProcess(), gapKind(gap), gap.GetReason(), gapBefore(gap)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// order tells how the place of an event is known.
+func order(event *pb.Event) string {
+	if event.GetOrder() == pb.EventOrder_EVENT_ORDER_CAUSE {
+		return "cause"
+	}
+	return "clock"
+}
+
+func gapKind(gap *pb.TimelineGap) string {
+	return strings.ToLower(strings.TrimPrefix(gap.GetKind().String(), "TIMELINE_GAP_KIND_"))
+}
+
+func gapBefore(gap *pb.TimelineGap) string {
+	if gap.GetBefore() == nil {
+		return "any"
+	}
+	return gap.GetBefore().AsTime().Format(timeFormat)
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,3 +11,4 @@
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
 "$BIN/chestnut-bench" capacity
+"$BIN/chestnut-bench" configuration
