--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -17,9 +17,12 @@
 		pathCommand(),
 		configurationCommand(),
 		keepAliveCommand(),
+		coldStartCommand(),
+		deltasCommand(),
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
+		speedCommand(),
 	}
 }
 
