--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -15,3 +15,4 @@
 trap - EXIT
 "$BIN/chestnut-bench" claims
 "$BIN/chestnut-bench" capacity
+"$BIN/chestnut-bench" configuration
