--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,6 +18,7 @@
 		keepAliveCommand(),
 		coldStartCommand(),
 		deltasCommand(),
+		placementCommand(),
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -10,6 +10,7 @@
 "$BIN/chestnut-bench" keepalive
 "$BIN/chestnut-bench" coldstart
 "$BIN/chestnut-bench" deltas
+"$BIN/chestnut-bench" placement
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
 "$BIN/chestnut-bench" capacity
