--- a/internal/endpoints/delta.go
+++ b/internal/endpoints/delta.go
@@ -20,8 +20,6 @@
 	fieldQueued         = 13
 	fieldTokensPerSec   = 14
 	fieldReportAge      = 15
-	fieldCachedMemory   = 16
-	fieldCachedDisk     = 17
 	fieldReplicaRunning = 18
 )
 
@@ -31,8 +29,6 @@
 	loadFields uint64 = 1<<fieldMemoryUsed | 1<<fieldRunning | 1<<fieldQueued | 1<<fieldTokensPerSec | 1<<fieldReplicaRunning
 	// riders never cause a change to be sent, but go with one.
 	riders uint64 = 1<<fieldRevision | 1<<fieldReportAge
-	// cachedFields are for those who place models.
-	cachedFields uint64 = 1<<fieldCachedMemory | 1<<fieldCachedDisk
 )
 
 // Steps of coarsened fields.
