--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -22,6 +22,7 @@
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
+		speedCommand(),
 	}
 }
 
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -96,8 +96,14 @@
 	Digest uint64 `json:"digest"`
 }
 
-// Head reads the head row. It returns ErrUnavailable.
-func (s *Store) Head(ctx context.Context) (Head, error) {
+// Head returns the newest version. It returns ErrUnavailable.
+func (s *Store) Head(ctx context.Context) (int64, error) {
+	head, err := s.ReadHead(ctx)
+	return head.Version, err
+}
+
+// ReadHead reads the head row. It returns ErrUnavailable.
+func (s *Store) ReadHead(ctx context.Context) (Head, error) {
 	head, _, err := s.head(ctx)
 	return head, storeError(err)
 }
