--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -37,6 +37,8 @@
 	*testsystem.System
 	t      *testing.T
 	fenced bool
+	// limit is the highest limit of a model at any time.
+	limit  int
 	random *rand.Rand
 	calls  sync.WaitGroup
 	stop   chan struct{}
@@ -63,7 +65,7 @@
 				Processes: map[string]string{name: name + ":1"},
 			})
 		}
-		w := &world{t: t, fenced: fenced, random: rand.New(rand.NewPCG(1, 2)), stop: make(chan struct{})}
+		w := &world{t: t, fenced: fenced, limit: 1, random: rand.New(rand.NewPCG(1, 2)), stop: make(chan struct{})}
 		w.System = testsystem.NewWith(t, outside, settings, map[string]string{"v1": "a", "v2": "a", "v3": "a"})
 		slices.SortFunc(w.Controllers, func(a, b *testsystem.ControllerNode) int {
 			return int(a.VM[1]) - int(b.VM[1])
@@ -91,6 +93,7 @@
 		d.Models = append(d.Models, &pb.Model{
 			Name: modelName(i), Version: "1", Services: []string{"assistants"},
 			CheckpointBytes: gigabyte, MemoryBytes: 4 * gigabyte, MaxReplicas: limit,
+			KeepAlive: &pb.KeepAlive{ColdStartWeight: 1e6},
 		})
 	}
 	return d
@@ -148,13 +151,22 @@
 	return owners[0]
 }
 
-// check holds the journal of the stand-in against the two promises.
+// check holds the journal of the stand-in against the two promises, and that no
+// engine has carried out an order of one owner after one of its successor.
 func (w *world) check() {
 	peaks := standin.Measure(w.StandIn.Journal.Entries())
 	for model, replicas := range peaks.Replicas {
-		require.LessOrEqual(w.t, replicas, 1, "replicas of %s", model)
+		require.LessOrEqual(w.t, replicas, w.limit, "replicas of %s", model)
 	}
 	require.Empty(w.t, peaks.Overcommitted)
+	fences := map[string]int64{}
+	for _, entry := range w.StandIn.Journal.Entries() {
+		if entry.Kind != standin.EntryOrder || entry.Outcome != "ok" {
+			continue
+		}
+		require.GreaterOrEqual(w.t, entry.Fence, fences[entry.Endpoint], "%s obeys an owner that was replaced: %+v", entry.Endpoint, entry)
+		fences[entry.Endpoint] = entry.Fence
+	}
 }
 
 // served waits until every model is answered, and so every engine has an owner
