--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,13 +15,16 @@
 func Commands() []*cobra.Command {
 	return []*cobra.Command{
 		pathCommand(),
+		configurationCommand(),
 		keepAliveCommand(),
 		coldStartCommand(),
 		deltasCommand(),
+		placementCommand(),
 		soakCommand(),
 		capacityCommand(),
 		routingCommand(),
 		speedCommand(),
+		claimsCommand(),
 	}
 }
 
--- a/internal/endpoints/delta.go
+++ b/internal/endpoints/delta.go
@@ -20,8 +20,6 @@
 	fieldQueued         = 13
 	fieldTokensPerSec   = 14
 	fieldReportAge      = 15
-	fieldCachedMemory   = 16
-	fieldCachedDisk     = 17
 	fieldReplicaRunning = 18
 )
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,6 +11,9 @@
 "$BIN/chestnut-bench" keepalive
 "$BIN/chestnut-bench" coldstart
 "$BIN/chestnut-bench" deltas
+"$BIN/chestnut-bench" placement
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
+"$BIN/chestnut-bench" claims
 "$BIN/chestnut-bench" capacity
+"$BIN/chestnut-bench" configuration
