--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,6 +15,7 @@
 func Commands() []*cobra.Command {
 	return []*cobra.Command{
 		pathCommand(),
+		configurationCommand(),
 		keepAliveCommand(),
 		coldStartCommand(),
 		deltasCommand(),
@@ -23,6 +24,7 @@
 		capacityCommand(),
 		routingCommand(),
 		speedCommand(),
+		claimsCommand(),
 	}
 }
 
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -89,8 +89,8 @@
 
 	gate   gate
 	system *System
-	role   membership.Role
 	status node.Status
+	role   membership.Role
 	peers  *peer.Pool
 	server *grpc.Server
 	table  platform.Table
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -14,4 +14,6 @@
 "$BIN/chestnut-bench" placement
 bash "$ROOT/scripts/down.sh"
 trap - EXIT
+"$BIN/chestnut-bench" claims
 "$BIN/chestnut-bench" capacity
+"$BIN/chestnut-bench" configuration
