Rank controllers by their peers' heartbeats

Cause: routers and controllers ranked homes and candidates by the platform's list alone, so a frozen controller stayed first for its models and engines for as long as the list showed it.

Ruled out: leaving suspects out altogether (a process cut off from its peers would know nobody); they come last for a router.

Change: homes, candidates and offers go by membership's Alive; a router asks those under suspicion last.

--- a/internal/controller/offer.go
+++ b/internal/controller/offer.go
@@ -217,11 +217,9 @@
 func (c *Controller) ranked(key, dataCentre string) []membership.Member {
 	byVM := map[string]membership.Member{}
 	var vms []string
-	for _, member := range c.Members.Members(membership.RoleController, dataCentre) {
-		if !member.Leaving {
-			byVM[member.VM] = member
-			vms = append(vms, member.VM)
-		}
+	for _, member := range c.Members.Alive(membership.RoleController, dataCentre) {
+		byVM[member.VM] = member
+		vms = append(vms, member.VM)
 	}
 	var out []membership.Member
 	for _, vm := range rendezvous.Rank(key, vms) {
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -243,10 +243,8 @@
 // take engines.
 func (c *Controller) liveControllers() []string {
 	var out []string
-	for _, member := range c.Members.Members(membership.RoleController, c.DataCentre) {
-		if !member.Leaving {
-			out = append(out, member.VM)
-		}
+	for _, member := range c.Members.Alive(membership.RoleController, c.DataCentre) {
+		out = append(out, member.VM)
 	}
 	return out
 }
--- a/internal/router/locate.go
+++ b/internal/router/locate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -226,15 +227,9 @@
 		Avoid:         avoid,
 		ConfigVersion: r.Config.Current().Version,
 	}
-	addresses := map[string]string{}
-	var vms []string
-	for _, member := range r.Members.Members(membership.RoleController, r.DataCentre) {
-		addresses[member.VM] = member.Address
-		vms = append(vms, member.VM)
-	}
 	var last error = outcome.Refuse(outcome.ReasonNoReplica, "no controller is known")
-	for _, vm := range rendezvous.Rank(c.name, vms) {
-		client, err := r.Peers.Controller(addresses[vm])
+	for _, address := range r.homes(c.name) {
+		client, err := r.Peers.Controller(address)
 		if err != nil {
 			last = err
 			continue
@@ -251,6 +246,30 @@
 	return nil, last
 }
 
+// homes returns the addresses of the controllers to ask for a model, in order:
+// those that answer their peers by rank, then those under suspicion or leaving.
+func (r *Router) homes(model string) []string {
+	alive := r.Members.Alive(membership.RoleController, r.DataCentre)
+	others := slices.DeleteFunc(r.Members.Members(membership.RoleController, r.DataCentre), func(m membership.Member) bool {
+		return slices.Contains(alive, m)
+	})
+	return append(rankedAddresses(model, alive), rankedAddresses(model, others)...)
+}
+
+func rankedAddresses(model string, members []membership.Member) []string {
+	addresses := map[string]string{}
+	var vms []string
+	for _, member := range members {
+		addresses[member.VM] = member.Address
+		vms = append(vms, member.VM)
+	}
+	var out []string
+	for _, vm := range rendezvous.Rank(model, vms) {
+		out = append(out, addresses[vm])
+	}
+	return out
+}
+
 // loadError turns a controller's error into one for the caller. Nothing has
 // been dispatched, so the request did not run.
 func loadError(err error) error {
