--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -16,9 +16,9 @@
 // The loop is level-triggered: a pass gets the name of an engine and nothing
 // else, and acts on the difference between what is wanted and what is the
 // case. Events only bring a pass forward; the resync, which reads nothing but
-// memory, brings it anyway. The idea and what to measure are from "What
-// Kubernetes controllers actually do" (docs/design/ownership.md names it and
-// gives the measurements made here).
+// memory, brings it anyway. The idea and what to measure are from "What a
+// Kubernetes controller actually does when you break something";
+// docs/design/ownership.md gives the measurements made here.
 
 // lookInterval is the shortest time between two looks at the streams of the
 // other controllers.
