Keep suspects of different routers apart

Ruled out: giving each endpoint to one router (a model with one replica would be out of reach for the suspects of all others); blaming only after a third crash.

Change: a router asks all others before it runs a suspect at an endpoint; of two that ask at once the lower name goes first, and one that does not answer in 250 ms has no say. A try that could not connect is free, and up to ten tries follow while endpoints crash, so that the requests beside a crash find another.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,13 @@
 	// Suspects takes over requests that are suspected of crashing endpoints. It
 	// may be nil.
 	Suspects func(*peerpb.ShareSuspectsRequest)
+	// Occupied answers a router that wants to run a suspect alone. It may be nil.
+	Occupied func(*peerpb.OccupyRequest) bool
+}
+
+// Occupy implements peerpb.NodeServer.
+func (s *Service) Occupy(_ context.Context, req *peerpb.OccupyRequest) (*peerpb.OccupyResponse, error) {
+	return &peerpb.OccupyResponse{Granted: s.Occupied == nil || s.Occupied(req)}, nil
 }
 
 // ShareSuspects implements peerpb.NodeServer.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -166,6 +166,9 @@
 	Status node.Status
 	// Suspects takes over suspects from peers. It may be nil.
 	Suspects func(*peerpb.ShareSuspectsRequest)
+	// Occupied answers a router that wants to run a suspect alone. It may be
+	// nil.
+	Occupied func(*peerpb.OccupyRequest) bool
 	// Ready tells whether the process is ready.
 	Ready opshttp.Ready
 	// Drain is called at the start of a graceful shutdown and returns once the
@@ -184,6 +187,7 @@
 		Exchange:   p.Exchange,
 		Status:     hooks.Status,
 		Suspects:   hooks.Suspects,
+		Occupied:   hooks.Occupied,
 		Draining:   p.Draining,
 	})
 	listener, err := net.Listen("tcp", p.Node.PeerListen)
--- a/internal/retry/crashes.go
+++ b/internal/retry/crashes.go
@@ -24,16 +24,10 @@
 	crashSpared = 2
 )
 
-// Known reports whether an endpoint is one of the first that crashed within the
-// window.
-func (c *Crashes) Known(endpoint string, now time.Time) bool {
-	c.recent = slices.DeleteFunc(c.recent, func(have crash) bool { return now.Sub(have.at) > crashWindow })
-	return slices.ContainsFunc(c.recent, func(have crash) bool { return have.endpoint == endpoint })
-}
-
 // Spared reports whether a try that was lost when an endpoint crashed is free.
 func (c *Crashes) Spared(endpoint string, now time.Time) bool {
-	known := c.Known(endpoint, now)
+	c.recent = slices.DeleteFunc(c.recent, func(have crash) bool { return now.Sub(have.at) > crashWindow })
+	known := slices.ContainsFunc(c.recent, func(have crash) bool { return have.endpoint == endpoint })
 	if !known && len(c.recent) < crashSpared {
 		c.recent = append(c.recent, crash{endpoint, now})
 		known = true
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -16,6 +16,9 @@
 type Settings struct {
 	// MaxTries bounds the tries of one request.
 	MaxTries int
+	// MaxSparedTries bounds them while the last try was lost to a crash whose
+	// tries are free.
+	MaxSparedTries int
 	// Share is the number of retries that each request adds to the budget.
 	Share float64
 	// Start is the budget before the first request, Most its upper bound.
@@ -32,7 +35,10 @@
 // 100 + 4 + 100 * 0.05 tries.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxTries:   3,
+		MaxTries: 3,
+
+		MaxSparedTries: 10,
+
 		Share:      0.05,
 		Start:      4,
 		Most:       16,
@@ -98,7 +104,11 @@
 // Decide tells whether another try follows. It takes the retry from the
 // budget.
 func (b *Budget) Decide(f Failure) Decision {
-	if f.Begun || f.Tries >= b.settings.MaxTries {
+	most := b.settings.MaxTries
+	if f.Spared {
+		most = b.settings.MaxSparedTries
+	}
+	if f.Begun || f.Tries >= most {
 		return Decision{}
 	}
 	if f.Run != outcome.NotRun && !f.Idempotent {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -26,6 +26,9 @@
 		{"ran, not idempotent", Failure{Deadline: late, Tries: 1, Run: outcome.Ran}, false},
 		{"answer begun", Failure{Deadline: late, Tries: 1, Run: outcome.NotRun, Begun: true}, false},
 		{"last try", Failure{Deadline: late, Tries: 3, Run: outcome.NotRun}, false},
+		{"lost to a crash, beyond the last try", Failure{Deadline: late, Tries: 3, Run: outcome.NotRun, Spared: true}, true},
+		{"last try of one lost to crashes", Failure{Deadline: late, Tries: 10, Run: outcome.NotRun, Spared: true}, false},
+		{"lost to a crash, not idempotent", Failure{Deadline: late, Tries: 1, Run: outcome.Unknown, Spared: true}, false},
 		{"deadline passed", Failure{Deadline: now, Tries: 1, Run: outcome.NotRun}, false},
 		{"pause would pass the deadline", Failure{Deadline: now.Add(5 * time.Millisecond), Tries: 1, Run: outcome.NotRun, Jitter: 0.9}, false},
 	}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return outcome.Refuse(outcome.ReasonNoEndpoint, "endpoint "+endpoint+" is not configured")
 	}
-	leave, err := r.suspects.Enter(ctx, endpoint, contentDigest(c), time.Now())
+	leave, err := r.isolate(ctx, c, endpoint)
 	if err != nil {
 		return outcome.Refuse(outcome.ReasonDeadline, "the deadline passed while another suspect ran on the endpoint")
 	}
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -43,7 +43,8 @@
 	if lostByCrash(err) {
 		return b.crashes.Spared(endpoint, now)
 	}
-	return errors.Is(err, engine.ErrNotSent) && b.crashes.Known(endpoint, now)
+	// Nothing was sent: the try cost the endpoint nothing.
+	return errors.Is(err, engine.ErrNotSent)
 }
 
 // again decides about a failed try and waits for the pause before the next.
--- a/internal/router/routerd/routerd.go
+++ b/internal/router/routerd/routerd.go
@@ -85,6 +85,7 @@
 	return parts.Run(ctx, process.Hooks{
 		Ready:    r.Ready,
 		Suspects: r.TakeSuspects,
+		Occupied: r.GrantOccupy,
 		Drain:    func(limit context.Context) { drain(limit, r, server, s.Callers.DrainDelay.Std()) },
 	})
 }
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/engine/follow"
 	"chestnutgauge/internal/events"
@@ -15,8 +18,13 @@
 	"chestnutgauge/internal/suspect"
 )
 
-// shareTimeout bounds the telling of one peer about a suspect.
-const shareTimeout = time.Second
+// Bounds of the calls to peers.
+const (
+	// shareTimeout bounds the telling of one peer about a suspect.
+	shareTimeout = time.Second
+	// occupyTimeout bounds the asking of one peer for an endpoint.
+	occupyTimeout = 250 * time.Millisecond
+)
 
 // contentDigest names what a call asks for, whoever sends it.
 func contentDigest(c *chatCall) suspect.Digest {
@@ -62,6 +70,65 @@
 	}
 }
 
+// isolate waits until a suspect is the only one at an endpoint, over all
+// routers. Other requests do not wait.
+func (r *Router) isolate(ctx context.Context, c *chatCall, endpoint string) (leave func(), err error) {
+	if !r.suspects.Suspected(contentDigest(c), time.Now()) {
+		return func() {}, nil
+	}
+	release, err := r.suspects.Occupy(ctx, endpoint, func(ctx context.Context, endpoint string) bool {
+		return r.askRouters(ctx, &peerpb.OccupyRequest{Endpoint: endpoint, Router: r.VM, ExpiresUnixMs: c.deadline.UnixMilli()})
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		release()
+		r.background(func() {
+			r.askRouters(r.life, &peerpb.OccupyRequest{Endpoint: endpoint, Router: r.VM, Ended: true})
+		})
+	}, nil
+}
+
+// askRouters asks all other routers and reports whether none denied. One that
+// does not answer has no say.
+func (r *Router) askRouters(ctx context.Context, req *peerpb.OccupyRequest) bool {
+	var denied atomic.Bool
+	var group errgroup.Group
+	for _, member := range r.Members.Alive(membership.RoleRouter, "") {
+		if member.VM == r.VM {
+			continue
+		}
+		group.Go(func() error {
+			client, err := r.Peers.Node(member.Address)
+			if err != nil {
+				return err
+			}
+			bounded, cancel := context.WithTimeout(ctx, occupyTimeout)
+			defer cancel()
+			resp, err := client.Occupy(bounded, req)
+			if err == nil && !resp.GetGranted() {
+				denied.Store(true)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		r.Log.Debug("a router did not answer for a suspect", "error", err)
+	}
+	return !denied.Load()
+}
+
+// GrantOccupy answers another router that wants to run a suspect alone at an
+// endpoint, or has run it.
+func (r *Router) GrantOccupy(req *peerpb.OccupyRequest) bool {
+	if req.GetEnded() {
+		r.suspects.Left(req.GetEndpoint(), req.GetRouter())
+		return true
+	}
+	return r.suspects.Grant(req.GetEndpoint(), r.VM, req.GetRouter(), time.UnixMilli(req.GetExpiresUnixMs()), time.Now())
+}
+
 // shareSuspect tells the other routers.
 func (r *Router) shareSuspect(mark suspect.Mark) {
 	req := &peerpb.ShareSuspectsRequest{Suspects: []*peerpb.Suspect{{
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -7,7 +7,6 @@
 package suspect
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -60,14 +59,14 @@
 
 	mu       sync.Mutex
 	marks    *lru.Cache[Digest, Mark]
-	occupied map[string]chan struct{}
+	occupied *occupations
 }
 
 // NewTable returns an empty table. A size below 1 counts as 1.
 func NewTable(settings Settings) *Table {
 	// The only error of New is a size below 1.
 	marks, _ := lru.New[Digest, Mark](max(1, settings.Size))
-	return &Table{settings: settings, marks: marks, occupied: map[string]chan struct{}{}}
+	return &Table{settings: settings, marks: marks, occupied: newOccupations()}
 }
 
 // get returns the mark of a digest unless it has expired. The caller holds mu.
@@ -88,37 +87,12 @@
 	return mark.Expires, ok && len(mark.Crashed) >= condemnedAt
 }
 
-// Enter admits a request to an endpoint. A suspect waits until no other
-// suspect is there. leave must be called when the request has ended there. It
-// returns the error of ctx.
-func (t *Table) Enter(ctx context.Context, endpoint string, digest Digest, now time.Time) (leave func(), err error) {
-	for {
-		t.mu.Lock()
-		if _, suspected := t.get(digest, now); !suspected {
-			t.mu.Unlock()
-			return func() {}, nil
-		}
-		taken, ok := t.occupied[endpoint]
-		if !ok {
-			free := make(chan struct{})
-			t.occupied[endpoint] = free
-			t.mu.Unlock()
-			return func() { t.leave(endpoint, free) }, nil
-		}
-		t.mu.Unlock()
-		select {
-		case <-taken:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-func (t *Table) leave(endpoint string, free chan struct{}) {
+// Suspected reports whether a digest was on an endpoint when it crashed.
+func (t *Table) Suspected(digest Digest, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.occupied, endpoint)
-	close(free)
+	_, ok := t.get(digest, now)
+	return ok
 }
 
 // Crashed marks a digest that was on an endpoint when it crashed, and returns
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -69,31 +69,46 @@
 	}
 }
 
-// TestOneSuspectPerEndpoint checks that suspects wait for each other at an
-// endpoint, and that other requests and other endpoints do not wait.
-func TestOneSuspectPerEndpoint(t *testing.T) {
+// granting and denying are peers that answer all the same.
+func granting(context.Context, string) bool { return true }
+func denying(context.Context, string) bool  { return false }
+
+// TestOccupy checks that one suspect at a time has an endpoint, here and at
+// peers, and that of two that ask at once the lower name goes first.
+func TestOccupy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := suspect.NewTable(suspect.DefaultSettings())
-		start := time.Now()
-		table.Crashed("e1", 1, start)
-		table.Crashed("e1", 2, start)
-		leave, err := table.Enter(t.Context(), "e2", 1, start)
-		require.NoError(t, err)
-		for _, free := range []struct {
-			endpoint string
-			digest   suspect.Digest
-		}{{"e2", 3}, {"e3", 2}} {
-			other, err := table.Enter(t.Context(), free.endpoint, free.digest, start)
-			require.NoError(t, err)
-			other()
+		short := func() context.Context {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			t.Cleanup(cancel)
+			return ctx
 		}
-		late, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
-		_, err = table.Enter(late, "e2", 2, start)
+		_, err := table.Occupy(short(), "e1", denying)
 		require.ErrorIs(t, err, context.DeadlineExceeded)
-		time.AfterFunc(time.Second, leave)
-		waited, err := table.Enter(t.Context(), "e2", 2, start)
+
+		leave, err := table.Occupy(short(), "e1", func(context.Context, string) bool {
+			later := time.Now().Add(time.Minute)
+			require.False(t, table.Grant("e1", "b", "c", later, time.Now()), "a higher name that asks at the same time waits")
+			require.True(t, table.Grant("e1", "b", "a", time.Now().Add(time.Millisecond), time.Now()), "a lower one goes first")
+			return true
+		})
 		require.NoError(t, err)
-		waited()
+		require.False(t, table.Grant("e1", "b", "a", time.Now().Add(time.Minute), time.Now()), "nobody gets what is taken")
+		_, err = table.Occupy(short(), "e1", granting)
+		require.ErrorIs(t, err, context.DeadlineExceeded, "one at a time here")
+		leave()
+
+		require.True(t, table.Grant("e1", "b", "a", time.Now().Add(time.Minute), time.Now()))
+		_, err = table.Occupy(short(), "e1", granting)
+		require.ErrorIs(t, err, context.DeadlineExceeded, "a peer has it")
+		table.Left("e1", "a")
+		leave, err = table.Occupy(short(), "e1", granting)
+		require.NoError(t, err)
+		leave()
+
+		require.True(t, table.Grant("e1", "b", "a", time.Now().Add(time.Minute), time.Now()))
+		time.Sleep(2 * time.Minute)
+		_, err = table.Occupy(short(), "e1", granting)
+		require.NoError(t, err, "a peer's occupation ends by itself")
 	})
 }
--- a/internal/testsystem/testsystem.go
+++ b/internal/testsystem/testsystem.go
@@ -91,6 +91,7 @@
 	system   *System
 	status   node.Status
 	suspects func(*peerpb.ShareSuspectsRequest)
+	occupied func(*peerpb.OccupyRequest) bool
 	role     membership.Role
 	peers    *peer.Pool
 	server   *grpc.Server
@@ -250,7 +251,7 @@
 	n.cancel = cancel
 	peerpb.RegisterNodeServer(n.server, &node.Service{
 		VM: n.VM, Role: string(n.role), DataCentre: n.DataCentre,
-		Config: n.Config, Events: n.Events, Exchange: n.Exchange, Status: n.status, Suspects: n.suspects, Draining: func() bool { return false },
+		Config: n.Config, Events: n.Events, Exchange: n.Exchange, Status: n.status, Suspects: n.suspects, Occupied: n.occupied, Draining: func() bool { return false },
 	})
 	listener := bufconn.Listen(bufferBytes)
 	n.system.mu.Lock()
@@ -323,6 +324,7 @@
 		Log:        n.log,
 	})
 	n.suspects = r.TakeSuspects
+	n.occupied = r.GrantOccupy
 	n.start(watcher.Run, r.RunHealthChecks)
 	s.t.Cleanup(r.Close)
 	return &RouterNode{n, r}
