Refuse as not ready while there is no configuration

Cause: a router that started while the table was down answered 404 unknown_model to a caller that reached it, since nothing is offered by an empty configuration.

Ruled out: relying on /readyz alone (a balancer learns late, callers may come by address).

Change: calls are refused with 503 not_ready and Retry-After until the first version is in force. Errors at start are wrapped by eris; the scheduler's loop is called what it does.

--- a/internal/admin/admind/admind.go
+++ b/internal/admin/admind/admind.go
@@ -3,9 +3,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
@@ -49,7 +49,7 @@
 	pb.RegisterOperatorsServer(server, service)
 	listener, err := net.Listen("tcp", s.Operators.Listen)
 	if err != nil {
-		return fmt.Errorf("operators.listen: %w", err)
+		return eris.Wrap(err, "operators.listen")
 	}
 	go func() {
 		if err := server.Serve(listener); err != nil {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -135,7 +136,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var version int64
 			if _, err := fmt.Sscan(args[0], &version); err != nil {
-				return usageError{fmt.Errorf("VERSION: %w", err)}
+				return usageError{eris.Wrap(err, "VERSION")}
 			}
 			return c.do(cmd, func(ctx context.Context, operators pb.OperatorsClient) error {
 				resp, err := operators.WaitInForce(ctx, &pb.WaitInForceRequest{Version: version, Timeout: durationpb.New(limit)})
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc"
 
@@ -192,7 +193,7 @@
 	})
 	listener, err := net.Listen("tcp", p.Node.PeerListen)
 	if err != nil {
-		return fmt.Errorf("node.peer_listen: %w", err)
+		return eris.Wrap(err, "node.peer_listen")
 	}
 	go func() {
 		if err := p.Server.Serve(netcount.Listen(listener, netcount.Processes)); err != nil {
--- a/internal/router/pump.go
+++ b/internal/router/assign.go
@@ -10,9 +10,9 @@
 	"chestnutgauge/internal/choose"
 )
 
-// pump gives places to waiting requests until none waits.
-func (s *scheduler) pump() {
-	tick := time.NewTicker(pumpInterval)
+// assignLoop gives places to waiting requests until none waits.
+func (s *scheduler) assignLoop() {
+	tick := time.NewTicker(assignInterval)
 	defer tick.Stop()
 	for {
 		changed := s.router.Directory.Changed()
@@ -20,7 +20,7 @@
 		s.serve(admit.Interactive)
 		s.serve(admit.Batch)
 		if s.idle() {
-			s.pumping = false
+			s.assigning = false
 			s.mu.Unlock()
 			return
 		}
--- a/internal/router/bounds_test.go
+++ b/internal/router/bounds_test.go
@@ -94,7 +94,7 @@
 		require.Zero(t, r.scheduler.total())
 		r.scheduler.mu.Lock()
 		defer r.scheduler.mu.Unlock()
-		require.False(t, r.scheduler.pumping, "nothing is left running")
+		require.False(t, r.scheduler.assigning, "nothing is left running")
 	})
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -104,12 +104,24 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", r.serveReady)
 	mux.HandleFunc("GET /v1/models", r.serveModels)
-	mux.HandleFunc("POST /v1/chat/completions", r.serveChat)
-	mux.HandleFunc("POST /v1/services/{service}/{path...}", r.serveService)
+	mux.HandleFunc("POST /v1/chat/completions", r.configured(r.serveChat))
+	mux.HandleFunc("POST /v1/services/{service}/{path...}", r.configured(r.serveService))
 	mux.HandleFunc("/", r.serveUnknownPath)
 	return r.abortable(mux)
 }
 
+// configured refuses calls while the router has no configuration: it can't know
+// then what is offered.
+func (r *Router) configured(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if r.Config.Current().Version > 0 {
+			next(w, req)
+			return
+		}
+		r.refuse(w, req, &outcome.Error{Reason: outcome.ReasonNotReady, Run: outcome.NotRun, Message: "no configuration yet", RetryAfter: time.Second})
+	}
+}
+
 // abortable ends the requests of a handler with Abort. While the router drains
 // it asks callers to close their connections.
 func (r *Router) abortable(next http.Handler) http.Handler {
--- a/internal/router/routerd/routerd.go
+++ b/internal/router/routerd/routerd.go
@@ -3,9 +3,10 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/endpoints"
 	"chestnutgauge/internal/engine"
@@ -80,7 +81,7 @@
 	supervise.Add(parts.Tree, "claims", func(ctx context.Context) error { return claims.RunSweeps(ctx, r.ElectedToSweep) })
 	server, err := parts.ServeHTTP("callers", s.Callers.Listen, r.Handler())
 	if err != nil {
-		return fmt.Errorf("callers.listen: %w", err)
+		return eris.Wrap(err, "callers.listen")
 	}
 	return parts.Run(ctx, process.Hooks{
 		Ready:    r.Ready,
--- a/internal/router/scheduler.go
+++ b/internal/router/scheduler.go
@@ -12,8 +12,8 @@
 	"chestnutgauge/internal/outcome"
 )
 
-// pumpInterval is the longest time between two looks at what waits.
-const pumpInterval = 20 * time.Millisecond
+// assignInterval is the longest time between two looks at what waits.
+const assignInterval = 20 * time.Millisecond
 
 // loadPause is the time between two calls for the same model's load.
 const loadPause = 100 * time.Millisecond
@@ -106,7 +106,7 @@
 	mu      sync.Mutex
 	queues  map[string]*modelQueue
 	waiting waitingTotal
-	pumping bool
+	assigning bool
 	version int64
 }
 
@@ -216,9 +216,9 @@
 	q.waiters[item] = w
 	s.waiting.requests++
 	s.waiting.bytes += item.Bytes
-	if !s.pumping {
-		s.pumping = true
-		go s.pump()
+	if !s.assigning {
+		s.assigning = true
+		go s.assignLoop()
 	}
 	s.wake()
 	return w, nil
@@ -281,7 +281,7 @@
 	for _, key := range held.keys {
 		s.router.loads.End(key, now)
 	}
-	if s.pumping {
+	if s.assigning {
 		s.wake()
 	}
 }
