Format the scheduler after a rename

Cause: the rename of a field left its column unaligned, and lint failed on it.

Change: gofmt, nothing else.

Measured: gofmt -l is empty.

--- a/internal/router/scheduler.go
+++ b/internal/router/scheduler.go
@@ -103,11 +103,11 @@
 	chooser choose.Chooser
 	kick    chan struct{}
 
-	mu      sync.Mutex
-	queues  map[string]*modelQueue
-	waiting waitingTotal
+	mu        sync.Mutex
+	queues    map[string]*modelQueue
+	waiting   waitingTotal
 	assigning bool
-	version int64
+	version   int64
 }
 
 // waitingTotal sums what waits over all queues.
