Wait as long as a takeover takes before a wake is given up

Cause: a wake whose engine had no owner, or whose engine was away, was refused after 5 s, while a takeover of a frozen owner's engine takes about 10 s.

Ruled out: waiting until the deadline (a data centre without room would hold its callers for nothing).

Change: both waits are 12 s, still bounded by the callers' deadlines.

Takeover of engines that ignore fences takes about 30 s and is still refused before.

--- a/internal/controller/home.go
+++ b/internal/controller/home.go
@@ -25,7 +25,7 @@
 	wakePause = 200 * time.Millisecond
 	// returnLimit is how long a wake waits for the engines of its slots to
 	// come back when no other slot is free.
-	returnLimit = 5 * time.Second
+	returnLimit = 12 * time.Second
 )
 
 // wake is what one flight brings up.
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -18,7 +18,7 @@
 	// home controller places by itself; the guarded binding keeps the limit.
 	placeTimeout = 2 * time.Second
 	// settleLimit bounds the wait for engines that nobody owns yet.
-	settleLimit = 5 * time.Second
+	settleLimit = 12 * time.Second
 	// settlePause is the time between two looks at such engines.
 	settlePause = 100 * time.Millisecond
 )
