--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
+	"chestnutgauge/internal/version"
 )
 
 // client holds what the commands share.
@@ -28,6 +29,7 @@
 	c := &client{}
 	root := &cobra.Command{
 		Use:           "chestnutctl",
+		Version:       version.Text(),
 		Short:         "operates chestnutgauge",
 		Long:          "Operates chestnutgauge.\n\n" + exitCodesHelp,
 		SilenceUsage:  true,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -32,11 +31,9 @@
 	"chestnutgauge/internal/platform/httpplatform"
 	"chestnutgauge/internal/settings"
 	"chestnutgauge/internal/supervise"
+	"chestnutgauge/internal/version"
 )
 
-// Version is the version of the programs.
-const Version = "0.1.0"
-
 // Command returns the command line of a daemon. run gets the path of the
 // settings; with check it only checks them.
 func Command(use, short string, run func(ctx context.Context, file string, check bool) error) *cobra.Command {
@@ -45,7 +42,7 @@
 	cmd := &cobra.Command{
 		Use:           use,
 		Short:         short,
-		Version:       versionText(),
+		Version:       version.Text(),
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
@@ -61,14 +58,6 @@
 	return cmd
 }
 
-func versionText() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return Version
-	}
-	return Version + " " + info.GoVersion
-}
-
 // Main runs a command until it ends or a signal asks for shutdown. A second
 // signal ends the process at once.
 func Main(cmd *cobra.Command) {
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,16 @@
+// Package version tells the version of the programs.
+package version
+
+import "runtime/debug"
+
+// Number is the version of the programs.
+const Number = "0.1.0"
+
+// Text returns the version with that of the Go release that built the program.
+func Text() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Number
+	}
+	return Number + " " + info.GoVersion
+}
--- a/test/elf_test.go
+++ b/test/elf_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"debug/elf"
+	"os/exec"
 	"path/filepath"
 	"testing"
 
@@ -23,3 +24,17 @@
 		require.Contains(t, libraries, "libc.so.6", program)
 	}
 }
+
+// TestVersionAndHelp checks that each program tells its version, and help with
+// examples.
+func TestVersionAndHelp(t *testing.T) {
+	for _, program := range programs {
+		path := filepath.Join("..", "bin", program)
+		out, err := exec.CommandContext(t.Context(), path, "--version").CombinedOutput()
+		require.NoError(t, err, "%s: %s", program, out)
+		require.Contains(t, string(out), program+" version ")
+		out, err = exec.CommandContext(t.Context(), path, "--help").CombinedOutput()
+		require.NoError(t, err, program)
+		require.Contains(t, string(out), "Examples:", program)
+	}
+}
