--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,12 @@
 	@mkdir -p $(BIN)
 	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
 
-# Faults that are known and not mended yet are printed, and their tests left out.
+# Faults that are known and not mended yet are printed. Entries that begin with
+# the name of a test have just that test left out.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
 test: build
-	@grep '^Test' KNOWN-RED.txt || true
+	@grep -v '^#' KNOWN-RED.txt || true
 	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 lint:
