Serve the platform with one node program a machine

Cause: the product speaks its own interface only; on the users' machines nothing answered.

Ruled out: running router and controller as two processes a machine (memory and processor time are priced, and both need the same inventory and configuration); gRPC between the nodes (a call that times out must take its connection along, since connections go silent; HTTP/1.1 does that).

Change: chestnut-node joins a relay of requests whose content is not read (internal/relay), the owner of all engines under one lease in the store (internal/owner, lease, orders, swap) and the exchange of demand between nodes (internal/fleet, demand). platform/ translates settings, store, manifest, engines' entries and orders, and callers' requests.

--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,167 @@
+// Package catalog holds the operators' configuration of a node: the routes of
+// callers, the services behind them, and the models that a service's engines
+// may hold. A Catalog never changes after it is built.
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells how often a request of a route may run.
+type Kind int
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// Once marks requests that may run at most once.
+	Once
+	// Stream marks requests that are answered with a stream of events.
+	Stream
+)
+
+// Target is a service that a part of a route's requests goes to.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route says how requests of one host and path prefix are handled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Resumable streams may go on at another endpoint after an event.
+	Resumable bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer is worth most.
+	Target time.Duration
+	// MaxGap is the longest pause between events of a stream that is on time.
+	MaxGap time.Duration
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+	// MaxEndpoints bounds the endpoints that one request may run on.
+	MaxEndpoints int
+	Targets      []Target
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Pick returns the service that a request goes to, by the weights of the
+// targets. The same point, from 0 up to 1, always gives the same service.
+func (r *Route) Pick(point float64) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	left := point * float64(total)
+	for _, target := range r.Targets {
+		left -= float64(target.Weight)
+		if left < 0 {
+			return target.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Model is a model that engines of a service may hold.
+type Model struct {
+	Name      string
+	WeightsMB float64
+	// StoreLoad, DiskLoad and MemoryLoad are the times of a load from the
+	// weight store, from the engine's disk and from its host memory.
+	StoreLoad  time.Duration
+	DiskLoad   time.Duration
+	MemoryLoad time.Duration
+	Adapters   int
+	AdapterMB  float64
+}
+
+// Engine describes the engines of a service.
+type Engine struct {
+	Slots    int
+	KVTokens int
+	// MemoryMB is the room for weights and adapters together.
+	MemoryMB    float64
+	MaxAdapters int
+	// StoreLoadsPerSecond bounds the loads from the weight store over all
+	// engines.
+	StoreLoadsPerSecond float64
+	Models              map[string]Model
+}
+
+// Service is a set of endpoints that do the same.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the number of connections that an endpoint takes from all
+	// callers together.
+	MaxConns int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	BodyBytes int64
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	Version  int64
+	Services map[string]*Service
+	Limits   Limits
+	routes   map[string][]*Route
+}
+
+// New returns a catalog of the routes.
+func New(version int64, routes []*Route, services []*Service, limits Limits) *Catalog {
+	c := &Catalog{
+		Version:  version,
+		Services: map[string]*Service{},
+		Limits:   limits,
+		routes:   map[string][]*Route{},
+	}
+	for _, service := range services {
+		c.Services[service.Name] = service
+	}
+	for _, route := range routes {
+		host := strings.ToLower(route.Host)
+		c.routes[host] = append(c.routes[host], route)
+	}
+	for _, of := range c.routes {
+		slices.SortStableFunc(of, func(a, b *Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	return c
+}
+
+// Route returns the route of a host with the longest prefix that begins the
+// path, or nil. A port in host is ignored.
+func (c *Catalog) Route(host, path string) *Route {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, route := range c.routes[name] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Routes calls visit for each route.
+func (c *Catalog) Routes(visit func(*Route)) {
+	for _, of := range c.routes {
+		for _, route := range of {
+			visit(route)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,281 @@
+// Package fleet carries what the nodes of a system tell the node that owns the
+// engines, and its answers: demand, expected loads, and adapters to bring up.
+//
+// The calls are plain HTTP/1.1: a call that times out takes its connection
+// along, so that the next one does not meet a connection that went silent.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/owner"
+)
+
+// Expected is a load that is under way at the owner.
+type Expected struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	InMS    int64  `json:"in_ms"`
+}
+
+// DemandAnswer is the owner's answer to a report of demand.
+type DemandAnswer struct {
+	// Nodes is the number of nodes that report.
+	Nodes    int        `json:"nodes"`
+	Expected []Expected `json:"expected"`
+}
+
+// AdapterRequest asks for an adapter.
+type AdapterRequest struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+}
+
+// AdapterAnswer tells where an adapter is.
+type AdapterAnswer struct {
+	Engine  string `json:"engine"`
+	ReadyMS int64  `json:"ready_ms"`
+}
+
+// Paths of the calls between nodes.
+const (
+	demandPath  = "/v1/demand"
+	adapterPath = "/v1/adapter"
+)
+
+// maxBody bounds the body of a call, in bytes.
+const maxBody = 1 << 20
+
+// Handler serves the calls at a node.
+func Handler(own *owner.Owner, book *demand.Book, log *slog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+demandPath, func(w http.ResponseWriter, r *http.Request) {
+		var report demand.Report
+		if !read(w, r, &report) {
+			return
+		}
+		if _, ok := own.Lease.Fence(); !ok {
+			http.Error(w, owner.ErrNotOwner.Error(), http.StatusConflict)
+			return
+		}
+		answer := take(own, book, report)
+		write(w, answer, log)
+	})
+	mux.HandleFunc("POST "+adapterPath, func(w http.ResponseWriter, r *http.Request) {
+		var req AdapterRequest
+		if !read(w, r, &req) {
+			return
+		}
+		engine, ready, err := own.EnsureAdapter(r.Context(), req.Service, req.Model, req.Adapter)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		write(w, AdapterAnswer{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, log)
+	})
+	return mux
+}
+
+// take takes a report over and answers it.
+func take(own *owner.Owner, book *demand.Book, report demand.Report) DemandAnswer {
+	now := time.Now()
+	urgent := book.Add(report, now)
+	if urgent {
+		own.Kick()
+	}
+	answer := DemandAnswer{Nodes: book.Nodes()}
+	for key, in := range own.Expected(now) {
+		answer.Expected = append(answer.Expected, Expected{Service: key.Service, Model: key.Model, InMS: in.Milliseconds()})
+	}
+	return answer
+}
+
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func write(w http.ResponseWriter, body any, log *slog.Logger) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		log.Info("answer to a node not sent", "error", err)
+	}
+}
+
+// Holder tells who owns the engines.
+type Holder interface {
+	// Holder returns the owner's address for other nodes, or "".
+	Holder() string
+}
+
+// Client speaks with the owner for one node. Its methods are safe for
+// concurrent use.
+type Client struct {
+	Self   string
+	Holder Holder
+	Meter  *demand.Meter
+	Own    *owner.Owner
+	Book   *demand.Book
+	HTTP   *http.Client
+	Log    *slog.Logger
+
+	mu       sync.Mutex
+	nodes    int
+	expected map[demand.ModelKey]time.Time
+	heardAt  time.Time
+	// heardFrom is the owner that answered at heardAt.
+	heardFrom string
+}
+
+// Times of the exchange.
+const (
+	// reportEvery is the time between reports, reportSoon the least time.
+	reportEvery = 250 * time.Millisecond
+	reportSoon  = 8 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
+	// heardKeep is how long the owner counts as alive after an answer.
+	heardKeep = 900 * time.Millisecond
+	// expectedKeep is how long what the owner said of loads counts.
+	expectedKeep = time.Second
+)
+
+// initialNodes is taken for the number of nodes until the owner tells it.
+const initialNodes = 10
+
+// Nodes returns the number of nodes.
+func (c *Client) Nodes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nodes == 0 {
+		return initialNodes
+	}
+	return c.nodes
+}
+
+// Alive reports whether the owner at an address answered lately.
+func (c *Client) Alive(peer string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heardFrom == peer && time.Since(c.heardAt) < heardKeep
+}
+
+// Expected implements relay.Loads.
+func (c *Client) Expected(service, model string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.expected[demand.ModelKey{Service: service, Model: model}]
+	return at, ok && time.Since(c.heardAt) < expectedKeep
+}
+
+// Run reports the demand until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := c.report(ctx); err != nil {
+			c.Log.Info("demand not reported", "owner", c.Holder.Holder(), "error", err)
+		}
+		if !pause(ctx, reportSoon, nil) || !pause(ctx, reportEvery-reportSoon, c.Meter.Urgent()) {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration, sooner <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-sooner:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+var errNoOwner = errors.New("fleet: no node owns the engines")
+
+// report tells the owner the demand at this node.
+func (c *Client) report(ctx context.Context) error {
+	report := c.Meter.Report(time.Now())
+	holder := c.Holder.Holder()
+	var answer DemandAnswer
+	switch holder {
+	case "":
+		return errNoOwner
+	case c.Self:
+		answer = take(c.Own, c.Book, report)
+	default:
+		if err := c.call(ctx, holder, demandPath, report, &answer); err != nil {
+			return err
+		}
+	}
+	c.heard(holder, answer)
+	return nil
+}
+
+func (c *Client) heard(from string, answer DemandAnswer) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heardAt, c.heardFrom = now, from
+	c.nodes = max(1, answer.Nodes)
+	c.expected = make(map[demand.ModelKey]time.Time, len(answer.Expected))
+	for _, e := range answer.Expected {
+		key := demand.ModelKey{Service: e.Service, Model: e.Model}
+		c.expected[key] = now.Add(time.Duration(e.InMS) * time.Millisecond)
+	}
+}
+
+// EnsureAdapter implements relay.Adapters.
+func (c *Client) EnsureAdapter(ctx context.Context, service, model, adapter string) (string, time.Time, error) {
+	holder := c.Holder.Holder()
+	if holder == "" {
+		return "", time.Time{}, errNoOwner
+	}
+	if holder == c.Self {
+		return c.Own.EnsureAdapter(ctx, service, model, adapter)
+	}
+	var answer AdapterAnswer
+	err := c.call(ctx, holder, adapterPath, AdapterRequest{Service: service, Model: model, Adapter: adapter}, &answer)
+	return answer.Engine, time.Now().Add(time.Duration(answer.ReadyMS) * time.Millisecond), err
+}
+
+func (c *Client) call(ctx context.Context, to, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("fleet: encode: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+path, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("fleet: request: %w", err)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+		return fmt.Errorf("fleet: %s answered %d: %s", to, resp.StatusCode, bytes.TrimSpace(text))
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(answer); err != nil {
+		return fmt.Errorf("fleet: decode: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/noded/noded.go
@@ -0,0 +1,197 @@
+// Package noded wires chestnut-node: the relay of callers' requests and the
+// owner of engines in one process, before the users' platform.
+package noded
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fleet"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/opshttp"
+	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/relay"
+	"chestnutgauge/internal/supervise"
+	"chestnutgauge/platform"
+)
+
+// Shares of the process's memory.
+const (
+	memoryLimitShare = 0.6
+	garbagePercent   = 60
+)
+
+// Lease times.
+const (
+	leaseTerm  = 3 * time.Second
+	leaseRenew = 900 * time.Millisecond
+)
+
+// Times of a shutdown.
+const (
+	// balancerDelay is how long the balancer may still send callers to a node
+	// that no longer says that it is ready.
+	balancerDelay = 2500 * time.Millisecond
+	// shutdownMargin is left of the shutdown limit.
+	shutdownMargin = 500 * time.Millisecond
+)
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 10 * time.Second
+
+// maxHeaderBytes bounds a request's header.
+const maxHeaderBytes = 64 << 10
+
+// Node is one process.
+type Node struct {
+	settings  platform.Settings
+	log       *slog.Logger
+	manifests *platform.Manifests
+	endpoints *platform.Endpoints
+	inventory *inventory.Inventory
+	keeper    *lease.Keeper
+	owner     *owner.Owner
+	client    *fleet.Client
+	relay     *relay.Relay
+	book      *demand.Book
+	leaving   atomic.Bool
+}
+
+// New wires a node.
+func New(s platform.Settings, log *slog.Logger) *Node {
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitShare))
+	n := &Node{settings: s, log: log, inventory: inventory.New(), book: demand.NewBook()}
+	store := platform.NewStore(s.StoreAddress)
+	self := n.peerAddress()
+	meter := demand.NewMeter(self, time.Now())
+	n.manifests = platform.NewManifests(store, log)
+	n.endpoints = platform.NewEndpoints(store, n.inventory, log)
+	n.keeper = &lease.Keeper{
+		Self:     s.IP,
+		Peer:     self,
+		Settings: lease.Settings{Term: leaseTerm, Renew: leaseRenew, Gap: s.OwnerGap},
+		Store:    platform.NewLeaseStore(store),
+		Log:      log,
+	}
+	n.owner = owner.New(owner.Parts{
+		Catalog:   n.manifests.Current,
+		Inventory: n.inventory,
+		Engines:   platform.NewEngines(s.VM),
+		Lease:     n.keeper,
+		Demand:    n.book,
+		Log:       log,
+	})
+	n.client = &fleet.Client{
+		Self:   self,
+		Holder: n.keeper,
+		Meter:  meter,
+		Own:    n.owner,
+		Book:   n.book,
+		HTTP:   platform.NewPeerHTTP(),
+		Log:    log,
+	}
+	n.keeper.Alive = n.client.Alive
+	n.relay = relay.New(relay.Parts{
+		DataCentre: s.DataCentre,
+		Catalog:    n.manifests.Current,
+		Inventory:  n.inventory,
+		Sender:     platform.NewSender(),
+		Adapters:   n.client,
+		Loads:      n.client,
+		Demand:     meter,
+		Budget:     relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
+		Log:        log,
+	})
+	return n
+}
+
+func (n *Node) peerAddress() string {
+	return net.JoinHostPort(n.settings.IP, fmt.Sprint(n.settings.FirstPeerPort))
+}
+
+// ready tells whether the node can serve callers, and if not, why.
+func (n *Node) ready() (bool, string) {
+	switch {
+	case n.leaving.Load():
+		return false, "shutting down"
+	case n.manifests.Current() == nil:
+		return false, "no configuration yet"
+	case n.inventory.Current().Len() == 0:
+		return false, "no endpoints yet"
+	}
+	return true, ""
+}
+
+// metricsListen is the address of the metrics.
+const metricsListen = ":9464"
+
+// Run runs the node until ctx ends, then shuts it down in order.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("start", "vm", n.settings.VM, "data_centre", n.settings.DataCentre, "memory_mb", n.settings.MemoryMB)
+	tree := supervise.New("node", n.log)
+	supervise.Add(tree, "configuration", n.manifests.Run)
+	supervise.Add(tree, "endpoints", n.endpoints.Run)
+	supervise.Add(tree, "lease", n.keeper.Run)
+	supervise.Add(tree, "owner", n.owner.Run)
+	supervise.Add(tree, "demand", n.client.Run)
+	callers := &http.Server{
+		Handler:           platform.NewIngress(n.relay, n.leaving.Load),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	servers := map[string]*http.Server{
+		n.settings.CallersListen: callers,
+		n.settings.ReadyListen:   {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
+		n.peerAddress():          {Handler: fleet.Handler(n.owner, n.book, n.log)},
+		metricsListen:            {Handler: opshttp.Handler(n.ready)},
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, len(servers))
+	for address, server := range servers {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	treeDone := tree.ServeBackground(running)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	}
+	n.shutdown(callers)
+	stop()
+	<-treeDone
+	n.log.Info("stop")
+	return nil
+}
+
+// shutdown finishes what callers wait for.
+func (n *Node) shutdown(callers *http.Server) {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.log.Info("shutting down", "in_flight", n.relay.InFlight())
+	limit, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.ShutdownLimit-shutdownMargin))
+	defer cancel()
+	released, cancelRelease := context.WithTimeout(limit, time.Second)
+	n.keeper.Release(released)
+	cancelRelease()
+	time.Sleep(time.Until(began.Add(balancerDelay)))
+	if err := callers.Shutdown(limit); err != nil {
+		n.log.Warn("requests cut off by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
+	}
+}
--- a/internal/opshttp/opshttp.go
+++ b/internal/opshttp/opshttp.go
@@ -47,3 +47,16 @@
 	}
 	return err
 }
+
+// ReadyHandler answers a balancer's question at a path.
+func ReadyHandler(path string, ready Ready) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if ok, reason := ready(); !ok {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/relay/failure.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"chestnutgauge/internal/outcome"
+)
+
+// Reason tells why a request was not answered.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNotReady     Reason = "no configuration yet"
+	ReasonNoRoute      Reason = "no such route"
+	ReasonUnknownModel Reason = "no such model"
+	ReasonNoEndpoint   Reason = "no endpoint"
+	ReasonNoModel      Reason = "no engine holds the model"
+	ReasonFull         Reason = "endpoints are full"
+	ReasonTimeout      Reason = "not answered in time"
+	ReasonBroken       Reason = "answer broken off"
+	ReasonCrashes      Reason = "request crashes endpoints"
+	ReasonCallerGone   Reason = "caller gone"
+)
+
+// Failure is the end of a request without a whole answer.
+type Failure struct {
+	Reason Reason
+	// Run tells whether the request ran.
+	Run outcome.Run
+	// RetryAfter is when a repeat may succeed. 0 means that it is not known.
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Status returns the HTTP status of the failure. A request that may have run
+// never gets a status that says that it has not.
+func (f *Failure) Status(of map[Reason]int) int {
+	status, ok := of[f.Reason]
+	switch {
+	case !ok:
+		return http.StatusBadGateway
+	case f.Run == outcome.NotRun && status == http.StatusGatewayTimeout:
+		return http.StatusServiceUnavailable
+	case f.Run != outcome.NotRun && status == http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// notReadyPause is told to callers of a node that can't serve yet.
+const notReadyPause = time.Second
+
+func refuse(reason Reason, after time.Duration) *Failure {
+	return &Failure{Reason: reason, Run: outcome.NotRun, RetryAfter: after}
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,21 @@
+package relay
+
+import (
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var (
+	requestsAnswered = metrics.NewCounter(`chestnut_relay_requests_total{outcome="answered"}`)
+	sendingsTotal    = metrics.NewCounter(`chestnut_relay_sendings_total`)
+	resumesTotal     = metrics.NewCounter(`chestnut_relay_resumes_total`)
+	requestSeconds   = metrics.NewHistogram(`chestnut_relay_request_seconds`)
+	firstSeconds     = metrics.NewHistogram(`chestnut_relay_first_byte_seconds`)
+	modelWaitSeconds = metrics.NewHistogram(`chestnut_relay_model_wait_seconds`)
+)
+
+func countFailure(reason Reason) {
+	name := strings.ReplaceAll(string(reason), " ", "_")
+	metrics.GetOrCreateCounter(`chestnut_relay_requests_total{outcome="` + name + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/relay/place.go
@@ -0,0 +1,247 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/rendezvous"
+)
+
+// Waits for an endpoint.
+const (
+	// holdPoll is the time between two looks while endpoints are full or
+	// spared after failures.
+	holdPoll = 10 * time.Millisecond
+	// modelPoll is the longest time between two looks while no engine holds
+	// the model.
+	modelPoll = 50 * time.Millisecond
+	// loadRetryAfter is told to callers while no load is under way.
+	loadRetryAfter = time.Second
+)
+
+// patience is the part of its time for which a request waits for an endpoint
+// that is not foreseen.
+const patience = 0.5
+
+// place returns an endpoint that can run the request now, waiting for one if
+// that can help. Its failures say that this sending did not happen.
+func (x *exchange) place(ctx context.Context) (*inventory.Endpoint, *Failure) {
+	if _, condemned := x.relay.suspects.Condemned(x.digest(), time.Now()); condemned {
+		return nil, refuse(ReasonCrashes, 0)
+	}
+	began := time.Now()
+	waiting := false
+	defer func() {
+		if waiting {
+			x.relay.Demand.Waits(x.service.Name, x.req.Model, -1)
+			modelWaitSeconds.Update(time.Since(began).Seconds())
+		}
+	}()
+	if x.req.Model != "" && x.sendings == 0 {
+		x.relay.Demand.Arrived(x.service.Name, x.req.Model, x.req.PromptTokens)
+	}
+	for {
+		snapshot, changed := x.relay.Inventory.Watch()
+		endpoint, verdict := x.choose(snapshot)
+		if verdict == choose.Found {
+			if x.req.Adapter == "" {
+				return endpoint, nil
+			}
+			with, failure := x.withAdapter(ctx, snapshot, endpoint)
+			if with != nil || failure != nil {
+				return with, failure
+			}
+		}
+		if verdict == choose.Absent && x.req.Model != "" && !waiting {
+			waiting = true
+			x.relay.Demand.Waits(x.service.Name, x.req.Model, 1)
+		}
+		if failure := x.hopeless(verdict); failure != nil {
+			return nil, failure
+		}
+		if !waitChange(ctx, changed, pollOf(verdict)) {
+			return nil, refuse(ReasonTimeout, loadRetryAfter)
+		}
+	}
+}
+
+func pollOf(verdict choose.Verdict) time.Duration {
+	if verdict == choose.Absent {
+		return modelPoll
+	}
+	return holdPoll
+}
+
+// waitChange waits for a change or for a time, and reports whether the context
+// is still live.
+func waitChange(ctx context.Context, changed <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// hopeless refuses a request that can't be placed in time.
+func (x *exchange) hopeless(verdict choose.Verdict) *Failure {
+	now := time.Now()
+	reason := reasonOf(verdict, x.req.Model)
+	last := x.req.Arrived.Add(time.Duration(patience * float64(x.limit.Sub(x.req.Arrived))))
+	if verdict == choose.Absent && x.req.Model != "" {
+		if at, ok := x.relay.Loads.Expected(x.service.Name, x.req.Model); ok {
+			if at.After(x.limit) {
+				return refuse(reason, at.Sub(now))
+			}
+			last = x.limit
+		}
+	}
+	if now.After(last) {
+		return refuse(reason, loadRetryAfter)
+	}
+	return nil
+}
+
+func reasonOf(verdict choose.Verdict, model string) Reason {
+	switch {
+	case verdict != choose.Absent:
+		return ReasonFull
+	case model != "":
+		return ReasonNoModel
+	}
+	return ReasonNoEndpoint
+}
+
+// choose picks an endpoint that holds the model from a snapshot.
+func (x *exchange) choose(snapshot *inventory.Snapshot) (*inventory.Endpoint, choose.Verdict) {
+	now := time.Now()
+	endpoints := snapshot.Service(x.service.Name)
+	candidates := make([]choose.Candidate, 0, len(endpoints))
+	for _, e := range endpoints {
+		if x.req.Model != "" && !e.Holds(x.req.Model) {
+			continue
+		}
+		candidates = append(candidates, x.candidate(e, now))
+	}
+	x.markCached(candidates)
+	request := choose.Request{
+		Now:          now,
+		DataCentre:   x.relay.DataCentre,
+		Tokens:       max(1, x.req.MaxTokens),
+		PrefixSaving: prefixSaving(x.req.Prompt),
+		Choosers:     x.relay.Budget.Nodes(),
+	}
+	chosen, verdict := x.relay.chooser.Choose(request, candidates, newRand())
+	if verdict != choose.Found {
+		return nil, verdict
+	}
+	return snapshot.Endpoint(chosen.Name), verdict
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func (x *exchange) candidate(e *inventory.Endpoint, now time.Time) choose.Candidate {
+	view := x.relay.loads.View(e.ID, now)
+	limit := e.Slots
+	return choose.Candidate{
+		Name:            e.ID,
+		DataCentre:      e.DataCentre,
+		Leaving:         e.Leaving,
+		HeldUntil:       view.HeldUntil,
+		Tried:           slices.Contains(x.tried, e.ID),
+		InFlight:        view.InFlight,
+		Others:          view.Others,
+		Limit:           limit,
+		FirstToken:      view.FirstToken,
+		TokensPerSecond: view.TokensPerSecond,
+	}
+}
+
+// minAffinityTokens is the length of shared prompt parts from which requests
+// that share them go to the same engine.
+const minAffinityTokens = 1000
+
+// prefillTokensPerSecond is the assumed speed of reading a prompt.
+const prefillTokensPerSecond = 30000
+
+// sharedParts returns the parts of a prompt before its own, and their tokens.
+func sharedParts(prompt []PromptPart) (string, int) {
+	if len(prompt) < 2 {
+		return "", 0
+	}
+	ids := make([]string, 0, len(prompt)-1)
+	tokens := 0
+	for _, part := range prompt[:len(prompt)-1] {
+		ids = append(ids, part.ID)
+		tokens += part.Tokens
+	}
+	return strings.Join(ids, ","), tokens
+}
+
+func prefixSaving(prompt []PromptPart) time.Duration {
+	_, tokens := sharedParts(prompt)
+	return time.Duration(tokens) * time.Second / prefillTokensPerSecond
+}
+
+// markCached marks the engine that requests with these shared prompt parts go
+// to. All nodes mark the same one without telling each other.
+func (x *exchange) markCached(candidates []choose.Candidate) {
+	key, tokens := sharedParts(x.req.Prompt)
+	if tokens < minAffinityTokens {
+		return
+	}
+	names := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		if !c.Leaving {
+			names = append(names, c.Name)
+		}
+	}
+	first := rendezvous.First(x.req.Model+"/"+x.req.Adapter+"/"+key, names)
+	for i := range candidates {
+		candidates[i].Cached = candidates[i].Name == first
+	}
+}
+
+// withAdapter returns an engine that holds the request's adapter, asking for
+// it to be brought up if none is known. Both results are nil if the engines
+// should be looked at again.
+func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot, chosen *inventory.Endpoint) (*inventory.Endpoint, *Failure) {
+	if known := x.relay.adapters.engine(x.req.Model, x.req.Adapter); known != "" {
+		e := snapshot.Endpoint(known)
+		if e != nil && e.Holds(x.req.Model) && !e.Leaving && !slices.Contains(x.tried, known) {
+			return e, nil
+		}
+		x.relay.adapters.forget(x.req.Model, x.req.Adapter, known)
+	}
+	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, x.service.Name, x.req.Model, x.req.Adapter)
+	if err != nil {
+		x.relay.Log.Info("adapter not brought up", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
+		if !sleep(ctx, adapterPause) || time.Now().After(x.req.Arrived.Add(time.Duration(patience*float64(x.limit.Sub(x.req.Arrived))))) {
+			return nil, refuse(ReasonNoModel, loadRetryAfter)
+		}
+		return nil, nil
+	}
+	if !sleep(ctx, time.Until(ready)) {
+		return nil, refuse(ReasonTimeout, loadRetryAfter)
+	}
+	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
+	e := snapshot.Endpoint(id)
+	if e == nil {
+		e = x.relay.Inventory.Current().Endpoint(id)
+	}
+	return e, nil
+}
+
+// adapterPause is the time between two tries to bring an adapter up.
+const adapterPause = 100 * time.Millisecond
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,292 @@
+// Package relay takes a request whose content it does not read, chooses an
+// endpoint for it, passes the endpoint's answer on as it comes, and decides
+// what follows a failure. It knows no protocol: callers and endpoints are met
+// through the interfaces Answer and Sender.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/load"
+	"chestnutgauge/internal/retry"
+	"chestnutgauge/internal/suspect"
+)
+
+// PromptPart is a part of a prompt that other requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Request is a caller's request.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the path and query as the caller sent them, Path the decoded
+	// path that selects the route.
+	Target string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Arrived is when its header had been read, Deadline when the caller no
+	// longer wants an answer.
+	Arrived  time.Time
+	Deadline time.Time
+	// Model and Adapter are empty for plain services.
+	Model        string
+	Adapter      string
+	PromptTokens int
+	MaxTokens    int
+	Prompt       []PromptPart
+	// LastEvent is the id of the event after which a stream goes on.
+	LastEvent string
+}
+
+// Try is one sending of a request.
+type Try struct {
+	Deadline  time.Time
+	Priority  int
+	LastEvent string
+}
+
+// Load is what an endpoint says about itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Reply is the beginning of an endpoint's answer.
+type Reply struct {
+	Status int
+	Header http.Header
+	// Body must be closed.
+	Body io.ReadCloser
+	// Length is the length of the body, -1 if the endpoint did not tell it.
+	Length int64
+	// NotRun means that the endpoint says that it did not run the request.
+	NotRun bool
+	// Strange means that the endpoint is not the one that was meant, or does
+	// not hold the model.
+	Strange bool
+	Load    Load
+	HasLoad bool
+}
+
+// SendError is a sending without an answer.
+type SendError struct {
+	// Sent means that the endpoint may have received the request.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	return fmt.Sprintf("send: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error {
+	return e.Err
+}
+
+// Sender sends requests to endpoints. Its errors are of type SendError.
+type Sender interface {
+	Send(ctx context.Context, to *inventory.Endpoint, req *Request, try Try) (*Reply, error)
+}
+
+// Answer takes the answer for the caller.
+type Answer interface {
+	// Begin takes the status and header. A length below 0 is not known.
+	Begin(reply *Reply, length int)
+	Write(data []byte) error
+	Flush() error
+}
+
+// Adapters brings an adapter up at an engine that holds its model. It returns
+// the id of the engine and when the adapter can be used there.
+type Adapters interface {
+	EnsureAdapter(ctx context.Context, service, model, adapter string) (engine string, ready time.Time, err error)
+}
+
+// Loads tells what is under way for a model that no engine holds.
+type Loads interface {
+	// Expected returns when an engine is expected to hold the model. ok is
+	// false while nothing is known.
+	Expected(service, model string) (at time.Time, ok bool)
+}
+
+// Budget bounds the repeats of a service over all nodes.
+type Budget struct {
+	// Share of the requests, and Extra repeats more.
+	Share float64
+	Extra float64
+	// Nodes returns the number of nodes that share it.
+	Nodes func() int
+}
+
+// Parts are what a relay is made of.
+type Parts struct {
+	DataCentre string
+	Catalog    func() *catalog.Catalog
+	Inventory  *inventory.Inventory
+	Sender     Sender
+	Adapters   Adapters
+	Loads      Loads
+	Demand     *demand.Meter
+	Budget     Budget
+	Log        *slog.Logger
+}
+
+// Relay serves requests. Its methods are safe for concurrent use.
+type Relay struct {
+	Parts
+	chooser  choose.Chooser
+	loads    *load.Tracker
+	suspects *suspect.Table
+	adapters *adapterMemory
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// New returns a relay.
+func New(parts Parts) *Relay {
+	return &Relay{
+		Parts:    parts,
+		chooser:  choose.Default(),
+		loads:    load.NewTracker(load.DefaultSettings()),
+		suspects: suspect.NewTable(suspect.DefaultSettings()),
+		adapters: newAdapterMemory(),
+		budgets:  map[string]*retry.Budget{},
+	}
+}
+
+// defaultMaxBody bounds a request's body while no configuration is known, in
+// bytes.
+const defaultMaxBody = 4 << 20
+
+// MaxBodyBytes returns the bound of a request's body.
+func (r *Relay) MaxBodyBytes() int64 {
+	if c := r.Catalog(); c != nil && c.Limits.BodyBytes > 0 {
+		return c.Limits.BodyBytes
+	}
+	return defaultMaxBody
+}
+
+// InFlight returns the number of requests that are being served.
+func (r *Relay) InFlight() int64 {
+	return r.inFlight.Load()
+}
+
+// lateSlack is how long after a request's last moment an endpoint's own answer
+// is still waited for.
+const lateSlack = 100 * time.Millisecond
+
+// Serve serves one request. A nil result means that the caller has the whole
+// answer; a failure after the answer began means that it was cut short.
+func (r *Relay) Serve(ctx context.Context, req *Request, answer Answer) *Failure {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	x, failure := r.begin(req, answer)
+	if failure == nil {
+		limited, cancel := context.WithDeadline(ctx, x.limit.Add(lateSlack))
+		failure = x.run(limited)
+		cancel()
+	}
+	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
+		failure = &Failure{Reason: ReasonCallerGone, Run: failure.Run, Cause: failure.Cause}
+	}
+	r.logEnd(req, x, failure)
+	return failure
+}
+
+// begin finds the route and service of a request.
+func (r *Relay) begin(req *Request, answer Answer) (*exchange, *Failure) {
+	c := r.Catalog()
+	if c == nil {
+		return nil, refuse(ReasonNotReady, notReadyPause)
+	}
+	route := c.Route(req.Host, req.Path)
+	if route == nil {
+		return nil, refuse(ReasonNoRoute, 0)
+	}
+	name := route.Pick(splitPoint(req.ID))
+	service := c.Services[name]
+	if service == nil {
+		return nil, refuse(ReasonNoEndpoint, notReadyPause)
+	}
+	limit := req.Arrived.Add(route.Timeout)
+	if req.Deadline.Before(limit) {
+		limit = req.Deadline
+	}
+	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, version: c.Version, limit: limit}
+	if service.Engine != nil && req.Model != "" {
+		if _, ok := service.Engine.Models[req.Model]; !ok {
+			return x, refuse(ReasonUnknownModel, 0)
+		}
+	}
+	x.budget().Request()
+	return x, nil
+}
+
+// budget returns the budget of a service's repeats. The caller holds mu.
+func (r *Relay) budget(service string) *retry.Budget {
+	b, ok := r.budgets[service]
+	if !ok {
+		extra := r.Budget.Extra / float64(max(1, r.Budget.Nodes()))
+		made := retry.NewBudget(retry.Settings{
+			MaxTries:   maxSendings,
+			Share:      r.Budget.Share,
+			Start:      extra,
+			Most:       extra,
+			BackoffMin: backoffMin,
+			BackoffMax: backoffMax,
+		})
+		b = &made
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// Bounds of the sendings of one request.
+const (
+	maxSendings = 6
+	backoffMin  = 2 * time.Millisecond
+	backoffMax  = 60 * time.Millisecond
+)
+
+func (r *Relay) logEnd(req *Request, x *exchange, failure *Failure) {
+	took := time.Since(req.Arrived)
+	requestSeconds.Update(took.Seconds())
+	attrs := []any{"request_id", req.ID, "took_ms", took.Milliseconds()}
+	if x != nil {
+		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.version,
+			"model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.sendings)
+	}
+	if failure == nil {
+		requestsAnswered.Inc()
+		r.Log.Info("request answered", append(attrs, "status", x.status)...)
+		return
+	}
+	countFailure(failure.Reason)
+	attrs = append(attrs, "reason", string(failure.Reason), "run", string(failure.Run), "retry_after_ms", failure.RetryAfter.Milliseconds())
+	if failure.Cause != nil {
+		attrs = append(attrs, "error", failure.Cause.Error())
+	}
+	r.Log.Info("request failed", attrs...)
+}
