Count an engine's orders by the orders, not by its heartbeats

Cause: an endpoint's entry in the store and its report both have a field sequence, but the entry's counts heartbeats. The owner took the entry's number for the number of accepted orders, so that every second order was refused, and each refusal cost a report and 400 ms.

Ruled out: engines that refuse while they are busy (reports said busy=false).

Change: the inventory no longer carries that number; entries are taken over only after the answer to the order under way.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -25,9 +25,6 @@
 	// GoneAt is when a leaving endpoint ends whatever it runs; the zero time
 	// means that it finishes first.
 	GoneAt time.Time
-	// Orders is the number of orders that the endpoint had accepted when it
-	// reported.
-	Orders int64
 	// Models are what the engine holds, each with its adapters.
 	Models map[string][]string
 	// InMemory and OnDisk are models of which the engine keeps copies.
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -178,10 +178,6 @@
 		return
 	}
 	b.Pending.Answered = true
-	if order.Unload {
-		// Its memory is free once the engine says so; new work must not go to it.
-		return
-	}
 }
 
 func (b *Book) holds(order Order, now time.Time) {
@@ -235,15 +231,14 @@
 	b.Read = b.Pending == nil
 }
 
-// Seen takes over an entry of the inventory. An entry that is older than the
-// last order is left out.
-func (b *Book) Seen(accepted int64, models map[string][]string, now time.Time) {
-	if b.Pending == nil || !b.Read && !b.Pending.Answered || accepted < b.Accepted || !b.done(models) {
+// Seen takes over what the inventory says that the engine holds. What comes
+// before the answer to the order under way is left out: it is looked at again.
+func (b *Book) Seen(models map[string][]string, now time.Time) {
+	if b.Pending == nil || b.Calling || !b.Read || !b.done(models) {
 		return
 	}
 	b.apply(b.Pending.Order, now)
 	b.Pending = nil
-	b.Accepted = accepted
 }
 
 // done reports whether models show the pending order carried out.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -154,7 +154,7 @@
 			book = orders.NewBook(orders.Engine{ID: e.ID, Born: e.Born, Address: e.Address})
 			o.books[e.Key()] = book
 		}
-		book.Seen(e.Orders, e.Models, now)
+		book.Seen(e.Models, now)
 	})
 }
 
