Follow a shift of demand by what runs and waits, and weights that lie near

Three reasons in the log: the new owner knew no rates; requests that wait because engines are full did not count as waiting; engines were given loads of 6 s from the weight store although others had the weights on disk and were busy for 0.8 s only.

Ruled out: the engine's own speed (it answered 25 requests a second, as its prompt speed allows).

Change: nodes report averages, so that a new owner knows them at once; copies also follow what runs and waits; the weight store is used only for models that lie on no engine.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -3,6 +3,8 @@
 package demand
 
 import (
+	"maps"
+	"math"
 	"sync"
 	"time"
 )
@@ -17,16 +19,45 @@
 type Model struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
-	// Arrived and Tokens count requests and prompt tokens since the start of
-	// the process.
-	Arrived int64 `json:"arrived"`
-	Tokens  int64 `json:"tokens"`
-	// Waiting requests find no engine that holds the model.
+	// Rate is the number of requests a second, TokenRate that of prompt
+	// tokens, both averaged over RateTime.
+	Rate      float64 `json:"rate"`
+	TokenRate float64 `json:"token_rate"`
+	// Waiting requests find no engine that can run them now.
 	Waiting int `json:"waiting"`
 	// Running counts requests at engines, by their ids.
 	Running map[string]int `json:"running,omitempty"`
 }
 
+// RateTime is the time constant of the averages.
+const RateTime = 12 * time.Second
+
+// leastRate is the rate below which a model is left out of reports, in requests
+// a second.
+const leastRate = 0.002
+
+// meter is the demand for a model at a node.
+type meter struct {
+	rate      float64
+	tokenRate float64
+	// at is when the averages were last aged.
+	at      time.Time
+	waiting int
+	running map[string]int
+}
+
+// age lets the averages fall to now.
+func (m *meter) age(now time.Time) {
+	factor := math.Exp(-now.Sub(m.at).Seconds() / RateTime.Seconds())
+	m.rate *= factor
+	m.tokenRate *= factor
+	m.at = now
+}
+
+func (m *meter) idle() bool {
+	return m.rate < leastRate && m.waiting == 0 && len(m.running) == 0
+}
+
 // AdapterUse tells that an adapter is in use at an engine.
 type AdapterUse struct {
 	Engine  string `json:"engine"`
@@ -36,22 +67,19 @@
 
 // Report is the demand at one node.
 type Report struct {
-	// Node is the address of the node and Started its start, in Unix
-	// nanoseconds.
+	// Node is the address of the node.
 	Node     string       `json:"node"`
-	Started  int64        `json:"started"`
 	Models   []Model      `json:"models"`
 	Adapters []AdapterUse `json:"adapters"`
 }
 
 // Meter counts the demand at a node. Its methods are safe for concurrent use.
 type Meter struct {
-	node    string
-	started int64
-	kick    chan struct{}
+	node string
+	kick chan struct{}
 
 	mu       sync.Mutex
-	models   map[ModelKey]*Model
+	models   map[ModelKey]*meter
 	adapters map[AdapterUse]*adapterUse
 }
 
@@ -61,12 +89,11 @@
 }
 
 // NewMeter returns a meter of the node at an address.
-func NewMeter(node string, now time.Time) *Meter {
+func NewMeter(node string) *Meter {
 	return &Meter{
 		node:     node,
-		started:  now.UnixNano(),
 		kick:     make(chan struct{}, 1),
-		models:   map[ModelKey]*Model{},
+		models:   map[ModelKey]*meter{},
 		adapters: map[AdapterUse]*adapterUse{},
 	}
 }
@@ -76,29 +103,30 @@
 	return m.kick
 }
 
-func (m *Meter) model(service, model string) *Model {
+func (m *Meter) model(service, model string) *meter {
 	key := ModelKey{service, model}
 	entry, ok := m.models[key]
 	if !ok {
-		entry = &Model{Service: service, Model: model, Running: map[string]int{}}
+		entry = &meter{at: time.Now(), running: map[string]int{}}
 		m.models[key] = entry
 	}
 	return entry
 }
 
-// Arrived counts a request.
+// Arrived counts a request with a prompt of so many tokens.
 func (m *Meter) Arrived(service, model string, tokens int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	entry := m.model(service, model)
-	entry.Arrived++
-	entry.Tokens += int64(tokens)
+	entry.age(time.Now())
+	entry.rate += 1 / RateTime.Seconds()
+	entry.tokenRate += float64(tokens) / RateTime.Seconds()
 }
 
 // Waits adds to the requests that wait for a model.
 func (m *Meter) Waits(service, model string, n int) {
 	m.mu.Lock()
-	m.model(service, model).Waiting += n
+	m.model(service, model).waiting += n
 	m.mu.Unlock()
 	if n <= 0 {
 		return
@@ -113,7 +141,7 @@
 func (m *Meter) Begin(service, model, adapter, engine string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.model(service, model).Running[engine]++
+	m.model(service, model).running[engine]++
 	if adapter == "" {
 		return
 	}
@@ -129,9 +157,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	entry := m.model(service, model)
-	entry.Running[engine]--
-	if entry.Running[engine] <= 0 {
-		delete(entry.Running, engine)
+	entry.running[engine]--
+	if entry.running[engine] <= 0 {
+		delete(entry.running, engine)
 	}
 	if use := m.adapters[AdapterUse{engine, model, adapter}]; use != nil {
 		use.running--
@@ -146,14 +174,21 @@
 func (m *Meter) Report(now time.Time) Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	report := Report{Node: m.node, Started: m.started}
-	for _, entry := range m.models {
-		copied := *entry
-		copied.Running = make(map[string]int, len(entry.Running))
-		for engine, n := range entry.Running {
-			copied.Running[engine] = n
+	report := Report{Node: m.node}
+	for key, entry := range m.models {
+		entry.age(now)
+		if entry.idle() {
+			delete(m.models, key)
+			continue
 		}
-		report.Models = append(report.Models, copied)
+		report.Models = append(report.Models, Model{
+			Service:   key.Service,
+			Model:     key.Model,
+			Rate:      entry.rate,
+			TokenRate: entry.tokenRate,
+			Waiting:   entry.waiting,
+			Running:   maps.Clone(entry.running),
+		})
 	}
 	for use, state := range m.adapters {
 		if state.running <= 0 && now.Sub(state.last) > adapterKeep {
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -74,7 +74,7 @@
 	n := &Node{settings: s, log: log, inventory: inventory.New(), book: demand.NewBook()}
 	store := platform.NewStore(s.StoreAddress)
 	self := n.peerAddress()
-	meter := demand.NewMeter(self, time.Now())
+	meter := demand.NewMeter(self)
 	n.manifests = platform.NewManifests(store, log)
 	n.endpoints = platform.NewEndpoints(store, n.inventory, log)
 	n.keeper = &lease.Keeper{
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -194,7 +194,12 @@
 	}
 	for key, total := range totals {
 		if key.Service == service.Name {
-			state.Demand[key.Model] = swap.Demand{Rate: total.Rate, TokenRate: total.TokenRate, Waiting: total.Waiting}
+			state.Demand[key.Model] = swap.Demand{
+				Rate:      total.Rate,
+				TokenRate: total.TokenRate,
+				Waiting:   total.Waiting,
+				Running:   total.RunningSum(),
+			}
 		}
 	}
 	for _, e := range endpoints {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -57,7 +57,7 @@
 				return with, failure
 			}
 		}
-		if verdict == choose.Absent && x.req.Model != "" && !waiting {
+		if verdict != choose.Found && x.req.Model != "" && !waiting {
 			waiting = true
 			x.relay.Demand.Waits(x.service.Name, x.req.Model, 1)
 		}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -43,7 +43,10 @@
 	// Rate is the number of requests a second, TokenRate that of prompt tokens.
 	Rate      float64
 	TokenRate float64
-	Waiting   int
+	// Waiting requests find no engine that can run them now, Running ones are
+	// at engines.
+	Waiting int
+	Running int
 }
 
 // State is a snapshot of a service.
@@ -76,8 +79,10 @@
 	horizon = 10 * time.Second
 	// spareWeight scales the value of a copy beyond those wanted.
 	spareWeight = 0.1
-	// copyTokenRate is the prompt tokens a second that one copy should read.
-	copyTokenRate = 10000.0
+	// copyTokenRate is the prompt tokens a second that one copy should read,
+	// copyRunning the requests that it should run at once.
+	copyTokenRate = 8000.0
+	copyRunning   = 16
 	// Models with these requests a second have at least two and three copies,
 	// so that the loss of an engine leaves one.
 	twoCopiesRate   = 2.0
@@ -87,16 +92,20 @@
 // planner works on one snapshot.
 type planner struct {
 	State
-	copies  map[string]int
-	coming  map[string]int
-	steps   []Step
-	taken   map[string]bool
+	copies map[string]int
+	coming map[string]int
+	steps  []Step
+	taken  map[string]bool
+	// storeIn is the number of loads from the weight store that may begin.
 	storeIn int
+	// nearby models have weights on an engine, in memory or on disk, that does
+	// not hold them.
+	nearby map[string]bool
 }
 
 // Plan returns the next orders, at most one an engine.
 func Plan(state State) []Step {
-	p := &planner{State: state, copies: map[string]int{}, coming: map[string]int{}, taken: map[string]bool{}, storeIn: state.StoreLoads}
+	p := &planner{State: state, copies: map[string]int{}, coming: map[string]int{}, taken: map[string]bool{}, storeIn: state.StoreLoads, nearby: map[string]bool{}}
 	for _, e := range state.Engines {
 		p.count(e)
 	}
@@ -115,6 +124,13 @@
 	for model := range e.Copies {
 		p.copies[model]++
 	}
+	for _, models := range [][]string{e.InMemory, e.OnDisk} {
+		for _, model := range models {
+			if _, held := e.Copies[model]; !held {
+				p.nearby[model] = true
+			}
+		}
+	}
 	if e.Loading != "" {
 		p.coming[e.Loading]++
 	}
@@ -166,7 +182,7 @@
 	if d.Rate <= 0 && d.Waiting == 0 {
 		return 0
 	}
-	n := 1 + int(d.TokenRate/copyTokenRate)
+	n := 1 + max(int(d.TokenRate/copyTokenRate), (d.Running+d.Waiting)/copyRunning)
 	switch {
 	case d.Rate >= threeCopiesRate:
 		n = max(n, 3)
@@ -235,7 +251,8 @@
 		return 0, false
 	}
 	takes, fromStore := loadTime(e, model)
-	if fromStore && p.storeIn <= 0 {
+	if fromStore && (p.storeIn <= 0 || p.nearby[model.Name]) {
+		// An engine that has the weights is worth waiting for.
 		return 0, false
 	}
 	_, loss, ok := p.victims(e, model)
