Let the owner of the engines stream its inventory to the other nodes

Ruled out: waiting between reads of the feed (each node would act later on a model that was loaded, and calls still grow with nodes x engines).

Change: nodes take the inventory from the owner over one HTTP/1.1 stream of deltas; while it is silent for 1.1 s, or the owner loses the lease or the store, each node reads the store itself. An endpoint's newer entry wins.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,8 +58,9 @@
 const maxBody = 1 << 20
 
 // Handler serves the calls at a node.
-func Handler(own *owner.Owner, book *demand.Book, log *slog.Logger) http.Handler {
+func Handler(own *owner.Owner, book *demand.Book, publisher *Publisher, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("GET "+inventoryPath, publisher)
 	mux.HandleFunc("POST "+demandPath, func(w http.ResponseWriter, r *http.Request) {
 		var report demand.Report
 		if !read(w, r, &report) {
--- /dev/null
+++ b/internal/fleet/stream.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/owner"
+)
+
+// The owner of the engines streams its inventory to the other nodes, so that
+// they need not follow the store, each call of which costs.
+
+const inventoryPath = "/v1/inventory"
+
+// Times of a stream.
+const (
+	// batchTime is the least time between two messages.
+	batchTime = 20 * time.Millisecond
+	// beatTime is the longest time between two messages.
+	beatTime = 400 * time.Millisecond
+	// silentTime is how long a stream may be silent before it counts as lost.
+	silentTime = 1100 * time.Millisecond
+	// storeStale is how long the store may be away before the owner's
+	// inventory is of no use to others.
+	storeStale = 1500 * time.Millisecond
+	// streamPause is the time before a lost stream is asked for again.
+	streamPause = 100 * time.Millisecond
+)
+
+// Publisher streams an inventory to other nodes.
+type Publisher struct {
+	Inventory *inventory.Inventory
+	Own       *owner.Owner
+	// StoreAge returns how long the store has not answered, 0 if it does.
+	StoreAge func() time.Duration
+	Log      *slog.Logger
+}
+
+// useful reports whether this node's inventory is the one to follow.
+func (p *Publisher) useful() bool {
+	_, owns := p.Own.Lease.Fence()
+	return owns && p.StoreAge() < storeStale
+}
+
+// ServeHTTP implements http.Handler. It ends when the node no longer owns the
+// engines or has lost the store.
+func (p *Publisher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !p.useful() {
+		http.Error(w, owner.ErrNotOwner.Error(), http.StatusConflict)
+		return
+	}
+	control := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	var sent *inventory.Snapshot
+	for p.useful() {
+		snapshot, changed := p.Inventory.Watch()
+		_ = control.SetWriteDeadline(time.Now().Add(silentTime))
+		if err := encoder.Encode(snapshot.Since(sent)); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+		sent = snapshot
+		if !pause(r.Context(), batchTime, nil) || !pause(r.Context(), beatTime, changed) {
+			return
+		}
+	}
+}
+
+// Follower follows the owner's inventory.
+type Follower struct {
+	Self      string
+	Holder    Holder
+	Inventory *inventory.Inventory
+	HTTP      *http.Client
+	Log       *slog.Logger
+
+	// heard is the Unix nanosecond of the last message.
+	heard atomic.Int64
+}
+
+// Fresh reports whether the owner's inventory is being followed.
+func (f *Follower) Fresh() bool {
+	return time.Since(time.Unix(0, f.heard.Load())) < silentTime
+}
+
+// Run follows the owner until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		holder := f.Holder.Holder()
+		if holder != "" && holder != f.Self {
+			err := f.follow(ctx, holder)
+			f.heard.Store(0)
+			f.Log.Info("owner's inventory lost", "owner", holder, "error", err)
+		}
+		if !pause(ctx, streamPause, nil) {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+// follow reads one stream until it ends or falls silent.
+func (f *Follower) follow(ctx context.Context, holder string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(silentTime, cancel)
+	defer silent.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder+inventoryPath, nil)
+	if err != nil {
+		return fmt.Errorf("fleet: request: %w", err)
+	}
+	resp, err := f.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("fleet: %s answered %d", holder, resp.StatusCode)
+	}
+	decoder := json.NewDecoder(resp.Body)
+	for {
+		var delta inventory.Delta
+		if err := decoder.Decode(&delta); err != nil {
+			return fmt.Errorf("fleet: inventory: %w", err)
+		}
+		silent.Reset(silentTime)
+		f.heard.Store(time.Now().UnixNano())
+		if !delta.Empty() {
+			f.Inventory.Apply(delta)
+		}
+	}
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -30,6 +30,8 @@
 	// InMemory and OnDisk are models of which the engine keeps copies.
 	InMemory []string
 	OnDisk   []string
+	// Entry is the version of the store's row that says this.
+	Entry int64
 }
 
 // Key names one start of an endpoint.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -62,6 +62,7 @@
 	keeper    *lease.Keeper
 	owner     *owner.Owner
 	client    *fleet.Client
+	follower  *fleet.Follower
 	relay     *relay.Relay
 	book      *demand.Book
 	leaving   atomic.Bool
@@ -76,7 +77,6 @@
 	self := n.peerAddress()
 	meter := demand.NewMeter(self)
 	n.manifests = platform.NewManifests(store, log)
-	n.endpoints = platform.NewEndpoints(store, n.inventory, log)
 	n.keeper = &lease.Keeper{
 		Self:     s.IP,
 		Peer:     self,
@@ -84,6 +84,8 @@
 		Store:    platform.NewLeaseStore(store),
 		Log:      log,
 	}
+	n.follower = &fleet.Follower{Self: self, Holder: n.keeper, Inventory: n.inventory, HTTP: platform.NewPeerHTTP(), Log: log}
+	n.endpoints = platform.NewEndpoints(store, n.inventory, n.follower.Fresh, log)
 	n.owner = owner.New(owner.Parts{
 		Catalog:   n.manifests.Current,
 		Inventory: n.inventory,
@@ -116,6 +118,10 @@
 	return n
 }
 
+func (n *Node) publisher() *fleet.Publisher {
+	return &fleet.Publisher{Inventory: n.inventory, Own: n.owner, StoreAge: n.endpoints.StoreAge, Log: n.log}
+}
+
 func (n *Node) peerAddress() string {
 	return net.JoinHostPort(n.settings.IP, fmt.Sprint(n.settings.FirstPeerPort))
 }
@@ -145,6 +151,7 @@
 	supervise.Add(tree, "lease", n.keeper.Run)
 	supervise.Add(tree, "owner", n.owner.Run)
 	supervise.Add(tree, "demand", n.client.Run)
+	supervise.Add(tree, "inventory", n.follower.Run)
 	callers := &http.Server{
 		Handler:           platform.NewIngress(n.relay, n.leaving.Load),
 		ReadHeaderTimeout: headerTimeout,
@@ -154,7 +161,7 @@
 	servers := map[string]*http.Server{
 		n.settings.CallersListen: callers,
 		n.settings.ReadyListen:   {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
-		n.peerAddress():          {Handler: fleet.Handler(n.owner, n.book, n.log)},
+		n.peerAddress():          {Handler: fleet.Handler(n.owner, n.book, n.publisher(), n.log)},
 		metricsListen:            {Handler: opshttp.Handler(n.ready)},
 	}
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
