--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,10 @@
 	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 lint:
-	@test -z "$$(gofmt -l api cmd internal test)" || { gofmt -l api cmd internal test; exit 1; }
+	@test -z "$$(gofmt -l api cmd internal platform test)" || { gofmt -l api cmd internal platform test; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	bash scripts/check-platform-words.sh
 
 # check is what CI runs.
 check: lint test
