Send a repeat to an untried endpoint of another data centre first

Cause: the choice kept the own data centre's endpoints before it left out the tried ones.

Change: tried endpoints are left out first. Test row seen failing.

--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -135,7 +135,7 @@
 	if len(open) == 0 {
 		return Candidate{}, Full
 	}
-	return ch.pick(req, preferUntried(preferOwn(req, open)), rng), Found
+	return ch.pick(req, preferOwn(req, preferUntried(open)), rng), Found
 }
 
 func (ch Chooser) pick(req Request, candidates []Candidate, rng *rand.Rand) Candidate {
--- a/internal/choose/choose_test.go
+++ b/internal/choose/choose_test.go
@@ -46,6 +46,7 @@
 		{name: "other data centre when own is full", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.DataCentre = "other" }), with(idle("b"), func(c *Candidate) { c.InFlight = 4 })}, want: "a"},
 		{name: "other data centre when own has none", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.DataCentre = "other" })}, want: "a"},
 		{name: "not the one tried", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Tried = true }), with(idle("b"), func(c *Candidate) { c.InFlight = 3 })}, want: "b"},
+		{name: "another data centre rather than the one tried", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Tried = true }), with(idle("b"), func(c *Candidate) { c.DataCentre = "other" })}, want: "b"},
 		{name: "the one tried if no other", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Tried = true })}, want: "a"},
 		{name: "faster", candidates: []Candidate{idle("a"), with(idle("b"), func(c *Candidate) { c.TokensPerSecond, c.FirstToken = 400, 12*time.Millisecond })}, want: "b"},
 		{name: "less loaded by others", candidates: []Candidate{with(idle("a"), func(c *Candidate) { c.Others = 2.5 }), idle("b")}, want: "b"},
