Count nothing of an engine that nodes can't reach

Ruled out: too few copies wanted (the rate asked for three).

Change: nodes report engines that took no connection; if more nodes fail than succeed, what such an engine holds does not count. A send without a connection costs no budget. A load that a pass begins counts in the same pass.

--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -74,26 +74,40 @@
 	return len(b.nodes)
 }
 
-// Totals returns the demand now, and the adapters in use.
-func (b *Book) Totals(now time.Time) (map[ModelKey]Total, map[AdapterUse]bool) {
+// Totals is what all nodes together report.
+type Totals struct {
+	Models map[ModelKey]Total
+	// Used are the adapters in use.
+	Used map[AdapterUse]bool
+	// reach counts, for each engine, the nodes that reach it less those that
+	// do not.
+	reach map[string]int
+}
+
+// Unreachable reports whether more nodes fail to reach an engine than reach it.
+func (t Totals) Unreachable(engine string) bool {
+	return t.reach[engine] < 0
+}
+
+// Totals returns the demand now.
+func (b *Book) Totals(now time.Time) Totals {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	totals := map[ModelKey]Total{}
-	used := map[AdapterUse]bool{}
+	totals := Totals{Models: map[ModelKey]Total{}, Used: map[AdapterUse]bool{}, reach: map[string]int{}}
 	for name, node := range b.nodes {
 		if now.Sub(node.at) > reportKeep {
 			delete(b.nodes, name)
 			continue
 		}
-		addNode(totals, used, node.report)
+		totals.add(node.report)
 	}
-	return totals, used
+	return totals
 }
 
-func addNode(totals map[ModelKey]Total, used map[AdapterUse]bool, report Report) {
+func (t Totals) add(report Report) {
 	for _, m := range report.Models {
 		key := ModelKey{m.Service, m.Model}
-		total := totals[key]
+		total := t.Models[key]
 		if total.Running == nil {
 			total.Running = map[string]int{}
 		}
@@ -103,9 +117,15 @@
 		for engine, n := range m.Running {
 			total.Running[engine] += n
 		}
-		totals[key] = total
+		t.Models[key] = total
 	}
 	for _, use := range report.Adapters {
-		used[use] = true
+		t.Used[use] = true
+	}
+	for _, engine := range report.Reached {
+		t.reach[engine]++
+	}
+	for _, engine := range report.Unreachable {
+		t.reach[engine]--
 	}
 }
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -71,6 +71,10 @@
 	Node     string       `json:"node"`
 	Models   []Model      `json:"models"`
 	Adapters []AdapterUse `json:"adapters"`
+	// Reached and Unreachable are engines that took a connection lately, and
+	// that did not.
+	Reached     []string `json:"reached"`
+	Unreachable []string `json:"unreachable"`
 }
 
 // Meter counts the demand at a node. Its methods are safe for concurrent use.
@@ -81,6 +85,24 @@
 	mu       sync.Mutex
 	models   map[ModelKey]*meter
 	adapters map[AdapterUse]*adapterUse
+	reach    map[string]reach
+}
+
+// reach tells whether an engine took the last connection.
+type reach struct {
+	at time.Time
+	ok bool
+}
+
+// reachKeep is how long the last connection says whether an engine is
+// reachable.
+const reachKeep = 1500 * time.Millisecond
+
+// Reached notes whether an engine took a connection.
+func (m *Meter) Reached(engine string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reach[engine] = reach{at: time.Now(), ok: ok}
 }
 
 type adapterUse struct {
@@ -95,6 +117,7 @@
 		kick:     make(chan struct{}, 1),
 		models:   map[ModelKey]*meter{},
 		adapters: map[AdapterUse]*adapterUse{},
+		reach:    map[string]reach{},
 	}
 }
 
@@ -197,5 +220,15 @@
 		}
 		report.Adapters = append(report.Adapters, use)
 	}
+	for engine, r := range m.reach {
+		switch {
+		case now.Sub(r.at) > reachKeep:
+			delete(m.reach, engine)
+		case r.ok:
+			report.Reached = append(report.Reached, engine)
+		default:
+			report.Unreachable = append(report.Unreachable, engine)
+		}
+	}
 	return report
 }
--- a/internal/owner/adapters.go
+++ b/internal/owner/adapters.go
@@ -136,7 +136,7 @@
 		return adapterPlan{}, ErrNoEngine
 	}
 	now := time.Now()
-	totals, used := o.Demand.Totals(now)
+	totals := o.Demand.Totals(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	endpoints := o.Inventory.Current().Service(key.service)
@@ -147,12 +147,12 @@
 			return adapterPlan{book: book, held: true}, nil
 		}
 	}
-	running := totals[demand.ModelKey{Service: key.service, Model: key.model}].Running
+	running := totals.Models[demand.ModelKey{Service: key.service, Model: key.model}].Running
 	slices.SortStableFunc(books, func(a, b *orders.Book) int {
 		return cmp.Or(cmp.Compare(a.AdapterCount(), b.AdapterCount()), cmp.Compare(running[a.Engine.ID], running[b.Engine.ID]))
 	})
 	for _, book := range books {
-		order, ok := adapterOrder(service, book, key, used)
+		order, ok := adapterOrder(service, book, key, totals.Used)
 		if !ok || !book.Ready() {
 			continue
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -79,8 +79,10 @@
 	idleLook = 200 * time.Millisecond
 	// emptyingLimit ends the making of room for a model.
 	emptyingLimit = 3 * time.Second
-	// orderTimeout bounds one call to an engine.
-	orderTimeout = 700 * time.Millisecond
+	// orderTimeout bounds an order, which an engine answers at once; an order
+	// without an answer is given again. reportTimeout bounds a report.
+	orderTimeout  = 200 * time.Millisecond
+	reportTimeout = 700 * time.Millisecond
 )
 
 // Run owns engines until ctx ends.
@@ -109,7 +111,7 @@
 	}
 	_, usable := o.Lease.Tenure()
 	now := time.Now()
-	totals, _ := o.Demand.Totals(now)
+	totals := o.Demand.Totals(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if fence != o.fence {
@@ -159,7 +161,7 @@
 }
 
 // passService starts the next calls to the engines of one service.
-func (o *Owner) passService(ctx context.Context, service *catalog.Service, endpoints []*inventory.Endpoint, totals map[demand.ModelKey]demand.Total, usable bool, now time.Time) {
+func (o *Owner) passService(ctx context.Context, service *catalog.Service, endpoints []*inventory.Endpoint, totals demand.Totals, usable bool, now time.Time) {
 	for _, e := range endpoints {
 		book := o.books[e.Key()]
 		if book.NeedsReport(now) && !e.Leaving {
@@ -185,14 +187,14 @@
 }
 
 // state builds the planner's snapshot.
-func (o *Owner) state(service *catalog.Service, endpoints []*inventory.Endpoint, totals map[demand.ModelKey]demand.Total, now time.Time) swap.State {
+func (o *Owner) state(service *catalog.Service, endpoints []*inventory.Endpoint, totals demand.Totals, now time.Time) swap.State {
 	state := swap.State{
 		Now:        now,
 		Models:     service.Engine.Models,
 		Demand:     map[string]swap.Demand{},
 		StoreLoads: o.storeLoads(service).allowed(now, o.loadsUnderWay(service, endpoints)),
 	}
-	for key, total := range totals {
+	for key, total := range totals.Models {
 		if key.Service == service.Name {
 			state.Demand[key.Model] = swap.Demand{
 				Rate:      total.Rate,
@@ -208,7 +210,7 @@
 	return state
 }
 
-func (o *Owner) engine(service *catalog.Service, e *inventory.Endpoint, totals map[demand.ModelKey]demand.Total, now time.Time) swap.Engine {
+func (o *Owner) engine(service *catalog.Service, e *inventory.Endpoint, totals demand.Totals, now time.Time) swap.Engine {
 	key := e.Key()
 	book := o.books[key]
 	if mark, ok := o.emptied[key]; ok && now.After(mark.until) {
@@ -219,14 +221,14 @@
 		MemoryMB:   service.Engine.MemoryMB,
 		Copies:     map[string]swap.Copy{},
 		Ready:      book.Ready(),
-		Leaving:    e.Leaving,
+		Leaving:    e.Leaving || totals.Unreachable(e.ID),
 		Loading:    book.Reserved(),
 		EmptiedFor: o.emptied[key].model,
 		InMemory:   e.InMemory,
 		OnDisk:     e.OnDisk,
 	}
 	for name, held := range book.Models {
-		total := totals[demand.ModelKey{Service: service.Name, Model: name}]
+		total := totals.Models[demand.ModelKey{Service: service.Name, Model: name}]
 		engine.Copies[name] = swap.Copy{
 			Running:   total.Running[e.ID],
 			Since:     held.Since,
@@ -296,7 +298,7 @@
 // report asks an engine for its state.
 func (o *Owner) report(ctx context.Context, book *orders.Book) {
 	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := o.Engines.Report(ctx, book.Engine)
 	now := time.Now()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,6 +30,8 @@
 	limit time.Time
 
 	sendings int
+	// counted tells that the demand for the model was counted.
+	counted bool
 	// ran counts the endpoints that may have run the request.
 	ran      int
 	tried    []string
@@ -72,6 +74,9 @@
 type tryResult struct {
 	done bool
 	run  outcome.Run
+	// unsent means that no connection was made, so that the endpoint was not
+	// troubled.
+	unsent bool
 	// cut means that the answer had begun and broke off.
 	cut   bool
 	cause error
@@ -118,6 +123,7 @@
 			Deadline:   x.limit,
 			Tries:      x.sendings,
 			Run:        result.run,
+			Refused:    result.unsent,
 			Idempotent: x.route.Repeatable(),
 			Jitter:     rand.Float64(),
 		})
@@ -178,7 +184,6 @@
 // send sends the request to an endpoint and passes the answer on.
 func (x *exchange) send(ctx context.Context, endpoint *inventory.Endpoint) tryResult {
 	r := x.relay
-	x.sendings++
 	x.endpoint = endpoint.ID
 	sendingsTotal.Inc()
 	begun := time.Now()
@@ -197,6 +202,8 @@
 	if err != nil {
 		return x.sendFailed(ctx, endpoint, err)
 	}
+	x.sendings++
+	r.Demand.Reached(endpoint.ID, true)
 	defer func() { _ = reply.Body.Close() }()
 	if reply.HasLoad {
 		r.loads.Report(endpoint.ID, reply.Load.Running, reply.Load.Waiting, time.Now())
@@ -223,13 +230,17 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		run = outcome.NotRun
 	}
+	if run != outcome.NotRun {
+		x.sendings++
+	}
 	if ctx.Err() == nil {
 		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
+		x.relay.Demand.Reached(endpoint.ID, run != outcome.NotRun)
 		if run != outcome.NotRun {
 			x.relay.suspects.Crashed(endpoint.ID, x.digest(), time.Now())
 		}
 	}
-	return tryResult{run: run, cause: err}
+	return tryResult{run: run, unsent: run == outcome.NotRun, cause: err}
 }
 
 func (x *exchange) digest() suspect.Digest {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -42,7 +42,8 @@
 			modelWaitSeconds.Update(time.Since(began).Seconds())
 		}
 	}()
-	if x.req.Model != "" && x.sendings == 0 {
+	if x.req.Model != "" && !x.counted {
+		x.counted = true
 		x.relay.Demand.Arrived(x.service.Name, x.req.Model, x.req.PromptTokens)
 	}
 	for {
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -28,7 +28,7 @@
 	// Ready engines can take an order now. The others are still counted with
 	// what they hold.
 	Ready bool
-	// Leaving engines get no more models.
+	// Leaving engines get no more models, and what they hold does not count.
 	Leaving bool
 	// Loading is the model of a load under way.
 	Loading string
@@ -237,8 +237,8 @@
 			best, least = e, cost
 		}
 	}
-	if best != nil {
-		p.advance(best, model)
+	if best != nil && p.advance(best, model) {
+		p.coming[model.Name]++
 	}
 }
 
