Give an order without an answer again at once

Each stopped its engine's orders for 0.7 s of waiting and 0.4 s until a report.

Ruled out: waiting longer for the answer (the others come within 20 ms).

An order that got no connection was not sent.

--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -150,10 +150,12 @@
 	case Holds:
 		b.holds(order, now)
 	case Unknown:
-		if b.Pending != nil && order.Adapter == "" {
+		// The next order names the same number of orders: at most one of the
+		// two is carried out, and a conflict shows that it was this one.
+		if order.Adapter == "" {
 			b.lost = b.Pending
+			b.Pending = nil
 		}
-		b.reread(now.Add(ReportLag))
 	default:
 		if order.Adapter == "" {
 			b.Pending = nil
