Take the engines' lease only when it may be used

Cause: another node took a lapsed or released lease at once and then waited the gap of 3.15 s, in which nobody could order; a process that restarts within a second, or a holder that reached the store again, had lost it by then.

Ruled out: releasing at the start of a shutdown (the gap then falls into the time in which the process still runs).

Change: a node takes the lease once lapse and gap have passed. Until then the holder, also after its term, or a new process on its machine goes on at once. A process that shuts down keeps it until its last request. A renewal whose answer got lost is recognised when it is read back. Term 2 s, renewal 0.5 s.

Tests: TestTakeIn, TestGapBetweenHolders, TestHolderGoesOnAfterOutage, TestRestartTakesItsOwnLease, TestLostAnswers.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,7 +66,7 @@
 		if !read(w, r, &report) {
 			return
 		}
-		if _, ok := own.Lease.Fence(); !ok {
+		if _, ok := own.Lease.Tenure(); !ok {
 			http.Error(w, owner.ErrNotOwner.Error(), http.StatusConflict)
 			return
 		}
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -52,7 +52,7 @@
 
 // useful reports whether this node's inventory is the one to follow.
 func (p *Publisher) useful() bool {
-	_, owns := p.Own.Lease.Fence()
+	_, owns := p.Own.Lease.Tenure()
 	return owns && p.StoreAge() < storeStale
 }
 
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -67,9 +67,10 @@
 	// Of the own tenure.
 	holding    bool
 	fence      int64
-	usableFrom time.Duration
 	validUntil time.Duration
-	leaving    bool
+	// retired processes take no lease, released ones no longer act.
+	retired  bool
+	released bool
 }
 
 // Tenure is the right to act.
@@ -84,21 +85,12 @@
 	now := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.holding || k.leaving || now < k.usableFrom || now >= k.validUntil {
+	if !k.holding || k.released || now >= k.validUntil {
 		return Tenure{}, false
 	}
 	return Tenure{Fence: k.fence, Left: k.validUntil - now}, true
 }
 
-// Fence returns the fence of the tenure that the process has or is about to
-// have.
-func (k *Keeper) Fence() (int64, bool) {
-	now := k.now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.fence, k.holding && !k.leaving && now < k.validUntil
-}
-
 // Holder returns where the holder's process is reached, as far as known.
 func (k *Keeper) Holder() string {
 	k.mu.Lock()
@@ -140,15 +132,17 @@
 
 func (k *Keeper) step(ctx context.Context) time.Duration {
 	k.mu.Lock()
-	holding, leaving := k.holding, k.leaving
+	holding, retired, released := k.holding, k.retired, k.released
 	peer := k.record.Peer
 	known := k.found && !k.record.Released
 	k.mu.Unlock()
 	switch {
-	case leaving:
+	case released:
 		return lookPause
 	case holding:
 		return k.renew(ctx)
+	case retired:
+		return lookPause
 	case known && k.Alive != nil && k.Alive(peer):
 		return lookPause
 	}
@@ -167,11 +161,10 @@
 	if !ok {
 		return lookPause
 	}
-	takeover := Decide(record, row.Found, k.Self, row.NowMS, k.Settings)
-	if takeover.TakeIn > 0 {
-		return min(takeover.TakeIn+jitter(lookJitter), lookPause)
+	if in := TakeIn(record, row.Found, k.Self, row.NowMS, k.Settings); in > 0 {
+		return in + jitter(lookJitter)
 	}
-	return k.take(ctx, row, takeover)
+	return k.take(ctx, row)
 }
 
 // took keeps what a read showed.
@@ -190,7 +183,7 @@
 }
 
 // take writes a new tenure.
-func (k *Keeper) take(ctx context.Context, row Row, takeover Takeover) time.Duration {
+func (k *Keeper) take(ctx context.Context, row Row) time.Duration {
 	asked := k.now()
 	k.mu.Lock()
 	latest, _ := k.clock.LatestMS(asked)
@@ -207,10 +200,9 @@
 	k.mu.Lock()
 	k.record, k.found, k.version = record, true, written.Version
 	k.holding, k.fence = true, written.Version
-	k.usableFrom = asked + takeover.UseIn
 	k.validUntil = asked + k.Settings.Term
 	k.mu.Unlock()
-	k.Log.Info("lease taken", "fence", written.Version, "before", string(row.Value), "usable_in_ms", takeover.UseIn.Milliseconds())
+	k.Log.Info("lease taken", "fence", written.Version, "before", string(row.Value))
 	return k.Settings.Renew
 }
 
@@ -227,48 +219,54 @@
 	return Row{}, ErrConflict
 }
 
-// renew extends the tenure, or gives it up once it has ended.
+// renew extends the tenure. One whose term has ended goes on if no other node
+// has taken the lease.
 func (k *Keeper) renew(ctx context.Context) time.Duration {
 	asked := k.now()
 	k.mu.Lock()
 	record, version := k.record, k.version
 	latest, _ := k.clock.LatestMS(asked)
-	ended := asked >= k.validUntil
 	k.mu.Unlock()
-	if ended {
-		k.lose("term ended without a renewal")
-		return 0
-	}
 	record.RenewedMS = latest
 	written, err := k.write(ctx, version, record)
 	if err != nil {
-		return k.renewFailed(ctx, err, record.Tenure)
+		return k.renewFailed(ctx, err, record, asked)
 	}
+	k.renewed(record, written, asked)
+	return k.Settings.Renew
+}
+
+// renewed keeps a renewal that was sent at a time.
+func (k *Keeper) renewed(record Record, written Row, asked time.Duration) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.record, k.version = record, written.Version
 	k.clock.Answered(written.NowMS, asked)
 	k.validUntil = asked + k.Settings.Term
-	k.mu.Unlock()
-	return k.Settings.Renew
 }
 
-// renewFailed reads the lease after a renewal without success. A renewal that
-// took effect late shows as the own tenure at another version.
-func (k *Keeper) renewFailed(ctx context.Context, cause error, tenure string) time.Duration {
+// renewFailed reads the lease after a renewal that was sent at a time and got
+// no answer, or a conflict. It may have taken effect; an earlier one may have
+// taken effect late, which shows as the own tenure at another version.
+func (k *Keeper) renewFailed(ctx context.Context, cause error, sent Record, asked time.Duration) time.Duration {
 	k.Log.Info("lease not renewed", "error", cause)
 	row, err := k.read(ctx)
 	if err != nil {
 		return retryPause
 	}
-	var record Record
-	if !row.Found || json.Unmarshal(row.Value, &record) != nil || record.Tenure != tenure {
+	var found Record
+	if !row.Found || json.Unmarshal(row.Value, &found) != nil || found.Tenure != sent.Tenure {
 		k.lose("another node holds it")
 		return 0
 	}
+	if found == sent {
+		k.renewed(sent, row, asked)
+		return k.Settings.Renew
+	}
 	k.mu.Lock()
 	k.version = row.Version
 	k.mu.Unlock()
-	return retryPause / 10
+	return 0
 }
 
 func (k *Keeper) lose(reason string) {
@@ -279,12 +277,19 @@
 	k.Log.Warn("lease lost", "fence", fence, "reason", reason)
 }
 
+// Retire has the process take no lease any more. One that it holds goes on.
+func (k *Keeper) Retire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = true
+}
+
 // Release stops acting at once and tells the store so.
 func (k *Keeper) Release(ctx context.Context) {
 	now := k.now()
 	k.mu.Lock()
 	holding := k.holding
-	k.leaving = true
+	k.retired, k.released = true, true
 	record, version := k.record, k.version
 	latest, _ := k.clock.LatestMS(now)
 	k.mu.Unlock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,26 +35,21 @@
 // Margin is added to the gap, for acts that are on their way.
 const Margin = 150 * time.Millisecond
 
-// Takeover tells when a lease may be taken and used.
-type Takeover struct {
-	// TakeIn is the time until the lease may be taken, 0 if it may be now.
-	TakeIn time.Duration
-	// UseIn is the time until the new holder may act.
-	UseIn time.Duration
-}
-
-// Decide says when the node at an address may take the lease. found is false
-// if there is no lease yet; nowMS is the store's clock.
-func Decide(record Record, found bool, self string, nowMS int64, s Settings) Takeover {
+// TakeIn says after which time the node at an address may take the lease and
+// act. found is false if there is no lease yet; nowMS is the store's clock.
+//
+// Another node takes the lease only once it may act, so that until then the
+// holder, or a new process on its machine, can go on at once.
+func TakeIn(record Record, found bool, self string, nowMS int64, s Settings) time.Duration {
 	if !found || record.Holder == self {
-		return Takeover{}
+		return 0
 	}
 	ended := record.RenewedMS
 	if !record.Released {
 		ended += s.Term.Milliseconds()
 	}
 	left := time.Duration(ended-nowMS) * time.Millisecond
-	return Takeover{TakeIn: max(0, left), UseIn: max(0, left+s.Gap+Margin)}
+	return max(0, left+s.Gap+Margin)
 }
 
 // Clock estimates the store's clock from its answers, never too early.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -33,8 +33,8 @@
 
 // Lease times.
 const (
-	leaseTerm  = 3 * time.Second
-	leaseRenew = 900 * time.Millisecond
+	leaseTerm  = 2 * time.Second
+	leaseRenew = 500 * time.Millisecond
 )
 
 // Times of a shutdown.
@@ -44,6 +44,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is left of the shutdown limit.
 	shutdownMargin = 500 * time.Millisecond
+	// releaseLimit bounds the release of the lease, the last step.
+	releaseLimit = 200 * time.Millisecond
 )
 
 // headerTimeout bounds the reading of a request's header.
@@ -201,11 +203,12 @@
 	n.log.Info("shutting down", "in_flight", n.relay.InFlight())
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.ShutdownLimit-shutdownMargin))
 	defer cancel()
-	released, cancelRelease := context.WithTimeout(limit, time.Second)
-	n.keeper.Release(released)
-	cancelRelease()
+	n.keeper.Retire()
 	time.Sleep(time.Until(began.Add(balancerDelay)))
 	if err := callers.Shutdown(limit); err != nil {
 		n.log.Warn("requests cut off by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
 	}
+	released, cancelRelease := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancelRelease()
+	n.keeper.Release(released)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,9 +23,6 @@
 type Lease interface {
 	// Tenure returns the right to order now.
 	Tenure() (lease.Tenure, bool)
-	// Fence returns the fence of a tenure that has begun, also before it may
-	// be used.
-	Fence() (int64, bool)
 }
 
 // Parts are what an owner is made of.
@@ -104,18 +101,17 @@
 
 // pass looks at all engines once and starts what is needed.
 func (o *Owner) pass(ctx context.Context) time.Duration {
-	fence, has := o.Lease.Fence()
+	tenure, has := o.Lease.Tenure()
 	c := o.Catalog()
 	if !has || c == nil {
 		return idleLook
 	}
-	_, usable := o.Lease.Tenure()
 	now := time.Now()
 	totals := o.Demand.Totals(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if fence != o.fence {
-		o.reset(fence)
+	if tenure.Fence != o.fence {
+		o.reset(tenure.Fence)
 	}
 	snapshot := o.Inventory.Current()
 	o.follow(snapshot, now)
@@ -124,7 +120,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		o.passService(ctx, service, snapshot.Service(name), totals, usable, now)
+		o.passService(ctx, service, snapshot.Service(name), totals, now)
 	}
 	return resync
 }
@@ -161,7 +157,7 @@
 }
 
 // passService starts the next calls to the engines of one service.
-func (o *Owner) passService(ctx context.Context, service *catalog.Service, endpoints []*inventory.Endpoint, totals demand.Totals, usable bool, now time.Time) {
+func (o *Owner) passService(ctx context.Context, service *catalog.Service, endpoints []*inventory.Endpoint, totals demand.Totals, now time.Time) {
 	for _, e := range endpoints {
 		book := o.books[e.Key()]
 		if book.NeedsReport(now) && !e.Leaving {
@@ -170,9 +166,6 @@
 		}
 		o.expect(service, book)
 	}
-	if !usable {
-		return
-	}
 	state := o.state(service, endpoints, totals, now)
 	for _, step := range swap.Plan(state) {
 		o.start(ctx, service, endpoints, step, now)
