--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -211,7 +211,6 @@
 	}
 	engine := swap.Engine{
 		ID:         e.ID,
-		DataCentre: e.DataCentre,
 		MemoryMB:   service.Engine.MemoryMB,
 		Copies:     map[string]swap.Copy{},
 		Ready:      book.Ready(),
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -22,10 +22,9 @@
 
 // Engine is one engine in a snapshot.
 type Engine struct {
-	ID         string
-	DataCentre string
-	MemoryMB   float64
-	Copies     map[string]Copy
+	ID       string
+	MemoryMB float64
+	Copies   map[string]Copy
 	// Ready engines can take an order now. The others are still counted with
 	// what they hold.
 	Ready bool
@@ -84,13 +83,10 @@
 	// copyRunning the requests that it should run at once.
 	copyTokenRate = 8000.0
 	copyRunning   = 16
-	// Models with these requests a second have at least two copies, so that the
-	// loss of an engine leaves one, and a copy in each data centre, so that a
-	// data centre that is cut off has one.
-	twoCopiesRate  = 2.0
-	everywhereRate = 4.0
-	// sameCentreCost is added, in seconds, for a further copy in a data centre.
-	sameCentreCost = 1.0
+	// Models with these requests a second have at least two and three copies,
+	// so that the loss of an engine leaves one.
+	twoCopiesRate   = 2.0
+	threeCopiesRate = 8.0
 )
 
 // planner works on one snapshot.
@@ -105,14 +101,11 @@
 	// nearby models have weights on an engine, in memory or on disk, that does
 	// not hold them.
 	nearby map[string]bool
-	// centres counts the copies of each model in each data centre, those that
-	// are being loaded included.
-	centres map[string]map[string]int
 }
 
 // Plan returns the next orders, at most one an engine.
 func Plan(state State) []Step {
-	p := &planner{State: state, copies: map[string]int{}, coming: map[string]int{}, taken: map[string]bool{}, storeIn: state.StoreLoads, nearby: map[string]bool{}, centres: map[string]map[string]int{}}
+	p := &planner{State: state, copies: map[string]int{}, coming: map[string]int{}, taken: map[string]bool{}, storeIn: state.StoreLoads, nearby: map[string]bool{}}
 	for _, e := range state.Engines {
 		p.count(e)
 	}
@@ -128,14 +121,8 @@
 	if e.Leaving {
 		return
 	}
-	at := p.centres[e.DataCentre]
-	if at == nil {
-		at = map[string]int{}
-		p.centres[e.DataCentre] = at
-	}
 	for model := range e.Copies {
 		p.copies[model]++
-		at[model]++
 	}
 	for _, models := range [][]string{e.InMemory, e.OnDisk} {
 		for _, model := range models {
@@ -146,11 +133,9 @@
 	}
 	if e.Loading != "" {
 		p.coming[e.Loading]++
-		at[e.Loading]++
 	}
 	if e.EmptiedFor != "" && e.EmptiedFor != e.Loading {
 		p.coming[e.EmptiedFor]++
-		at[e.EmptiedFor]++
 	}
 }
 
@@ -192,16 +177,15 @@
 	p.steps = append(p.steps, step)
 }
 
-// Copies returns how many copies of a model the demand asks for, over so many
-// data centres.
-func Copies(d Demand, centres int) int {
+// Copies returns how many copies of a model the demand asks for.
+func Copies(d Demand) int {
 	if d.Rate <= 0 && d.Waiting == 0 {
 		return 0
 	}
 	n := 1 + max(int(d.TokenRate/copyTokenRate), (d.Running+d.Waiting)/copyRunning)
 	switch {
-	case d.Rate >= everywhereRate:
-		n = max(n, 2, centres)
+	case d.Rate >= threeCopiesRate:
+		n = max(n, 3)
 	case d.Rate >= twoCopiesRate:
 		n = max(n, 2)
 	}
@@ -219,7 +203,7 @@
 		}
 		have := p.copies[name] + p.coming[name]
 		waits := d.Waiting > 0 && have == 0
-		if waits || have > 0 && have < Copies(d, len(p.centres)) && d.Rate >= twoCopiesRate {
+		if waits || have > 0 && have < Copies(d) && d.Rate >= twoCopiesRate {
 			models = append(models, model)
 		}
 	}
@@ -255,7 +239,6 @@
 	}
 	if best != nil && p.advance(best, model) {
 		p.coming[model.Name]++
-		p.centres[best.DataCentre][model.Name]++
 	}
 }
 
@@ -273,11 +256,7 @@
 		return 0, false
 	}
 	_, loss, ok := p.victims(e, model)
-	cost := takes.Seconds() + loss
-	if p.centres[e.DataCentre][model.Name] > 0 {
-		cost += sameCentreCost
-	}
-	return cost, ok
+	return takes.Seconds() + loss, ok
 }
 
 // loadTime returns the time of a load and whether the weights come from the
@@ -345,7 +324,7 @@
 		return 0, false
 	}
 	value := d.Rate / float64(max(copies, 1)) * horizon.Seconds() * p.Models[name].DiskLoad.Seconds()
-	if copies > max(1, Copies(d, len(p.centres))) {
+	if copies > max(1, Copies(d)) {
 		value *= spareWeight
 	}
 	return value, true
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -95,16 +95,6 @@
 			demand:  map[string]Demand{"hot": {Rate: 10, Running: 40}},
 			want:    []Step{{Engine: "b", Model: "hot", For: "hot", Takes: 800 * time.Millisecond}},
 		},
-		{
-			name: "a busy model gets a copy in a data centre that has none",
-			engines: []Engine{
-				holding("a", "hot"),
-				onDisk(holding("b"), "hot"),
-				func() Engine { e := onDisk(holding("c"), "hot"); e.DataCentre = "other"; return e }(),
-			},
-			demand: map[string]Demand{"hot": {Rate: 10}},
-			want:   []Step{{Engine: "c", Model: "hot", For: "hot", Takes: 800 * time.Millisecond}},
-		},
 		{
 			name: "a model with running requests does not make way",
 			engines: []Engine{func() Engine {
