Answer what can't be finished before a process ends

Ruled out: a request that came too late (it had been read 2 s before).

Change: 0.3 s before the limit each request that is still served gets its final answer: not run, with Retry-After, or 502 if it may have run.

--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -44,6 +44,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is left of the shutdown limit.
 	shutdownMargin = 500 * time.Millisecond
+	// answerMargin is the time for the final answers of what can't be finished.
+	answerMargin = 300 * time.Millisecond
 	// releaseLimit bounds the release of the lease, the last step.
 	releaseLimit = 200 * time.Millisecond
 )
@@ -204,6 +206,8 @@
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.ShutdownLimit-shutdownMargin))
 	defer cancel()
 	n.keeper.Retire()
+	ended := time.AfterFunc(n.settings.ShutdownLimit-shutdownMargin-answerMargin, n.relay.End)
+	defer ended.Stop()
 	time.Sleep(time.Until(began.Add(balancerDelay)))
 	if err := callers.Shutdown(limit); err != nil {
 		n.log.Warn("requests cut off by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -155,10 +155,10 @@
 		run = outcome.Unknown
 	}
 	switch {
+	case ctx.Err() != nil:
+		return endedFailure(ctx, run, result.cause)
 	case run == outcome.NotRun:
 		return &Failure{Reason: ReasonFull, Run: run, RetryAfter: fullPause, Cause: result.cause}
-	case ctx.Err() != nil:
-		return &Failure{Reason: ReasonTimeout, Run: run, Cause: result.cause}
 	}
 	return &Failure{Reason: ReasonBroken, Run: run, Cause: result.cause}
 }
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +24,7 @@
 	ReasonBroken       Reason = "answer broken off"
 	ReasonCrashes      Reason = "request crashes endpoints"
 	ReasonCallerGone   Reason = "caller gone"
+	ReasonEnding       Reason = "node is shutting down"
 )
 
 // Failure is the end of a request without a whole answer.
@@ -52,6 +55,21 @@
 // notReadyPause is told to callers of a node that can't serve yet.
 const notReadyPause = time.Second
 
+// endedFailure is the end of a request whose context has ended.
+func endedFailure(ctx context.Context, run outcome.Run, cause error) *Failure {
+	failure := &Failure{Reason: ReasonTimeout, Run: run, Cause: cause}
+	if errors.Is(context.Cause(ctx), errEnding) {
+		failure.Reason = ReasonEnding
+	}
+	if run == outcome.NotRun {
+		failure.RetryAfter = endedRetryAfter
+	}
+	return failure
+}
+
+// endedRetryAfter is told to callers whose request was not run when it ended.
+const endedRetryAfter = 100 * time.Millisecond
+
 func refuse(reason Reason, after time.Duration) *Failure {
 	return &Failure{Reason: reason, Run: outcome.NotRun, RetryAfter: after}
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -9,6 +9,7 @@
 
 	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/rendezvous"
 )
 
@@ -66,7 +67,7 @@
 			return nil, failure
 		}
 		if !waitChange(ctx, changed, pollOf(verdict)) {
-			return nil, refuse(ReasonTimeout, loadRetryAfter)
+			return nil, endedFailure(ctx, outcome.NotRun, nil)
 		}
 	}
 }
@@ -234,7 +235,7 @@
 		return nil, nil
 	}
 	if !sleep(ctx, time.Until(ready)) {
-		return nil, refuse(ReasonTimeout, loadRetryAfter)
+		return nil, endedFailure(ctx, outcome.NotRun, nil)
 	}
 	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
 	e := snapshot.Endpoint(id)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,6 +159,9 @@
 	suspects *suspect.Table
 	adapters *adapterMemory
 	inFlight atomic.Int64
+	// ending is cancelled when the process is about to end.
+	ending context.Context
+	end    context.CancelFunc
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -166,7 +169,10 @@
 
 // New returns a relay.
 func New(parts Parts) *Relay {
+	ending, end := context.WithCancel(context.Background())
 	return &Relay{
+		ending:   ending,
+		end:      end,
 		Parts:    parts,
 		chooser:  choose.Default(),
 		loads:    load.NewTracker(load.DefaultSettings()),
@@ -193,6 +199,15 @@
 	return r.inFlight.Load()
 }
 
+// End gives each request that is still being served its final answer, because
+// the process is about to end.
+func (r *Relay) End() {
+	r.end()
+}
+
+// errEnding is the cause of a request that End ended.
+var errEnding = errors.New("relay: the process is ending")
+
 // lateSlack is how long after a request's last moment an endpoint's own answer
 // is still waited for.
 const lateSlack = 100 * time.Millisecond
@@ -204,9 +219,7 @@
 	defer r.inFlight.Add(-1)
 	x, failure := r.begin(req, answer)
 	if failure == nil {
-		limited, cancel := context.WithDeadline(ctx, x.limit.Add(lateSlack))
-		failure = x.run(limited)
-		cancel()
+		failure = r.run(ctx, x)
 	}
 	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
 		failure = &Failure{Reason: ReasonCallerGone, Run: failure.Run, Cause: failure.Cause}
@@ -215,6 +228,17 @@
 	return failure
 }
 
+// run runs an exchange within the request's time and the process's.
+func (r *Relay) run(ctx context.Context, x *exchange) *Failure {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(r.ending, func() { cancel(errEnding) })
+	defer stop()
+	limited, stopTimer := context.WithDeadline(ctx, x.limit.Add(lateSlack))
+	defer stopTimer()
+	return x.run(limited)
+}
+
 // begin finds the route and service of a request.
 func (r *Relay) begin(req *Request, answer Answer) (*exchange, *Failure) {
 	c := r.Catalog()
