Suspect a request only if its endpoint refuses connections afterwards

Lookups without a body share one digest; after two resets all of them were refused as crashing (8 in 4 s at one node).

Ruled out: leaving lookups out of the check (a request without a body may crash an endpoint, too).

Change: 50 ms after an answer broke off a connection is tried; only if nothing listens there, the requests that were on the endpoint become suspects.

Test: TestCrashingRequest, with and without a crash; the second failed before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -237,7 +237,7 @@
 		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
 		x.relay.Demand.Reached(endpoint.ID, run != outcome.NotRun)
 		if run != outcome.NotRun {
-			x.relay.suspects.Crashed(endpoint.ID, x.digest(), time.Now())
+			x.relay.brokeOff(endpoint, x.digest())
 		}
 	}
 	return tryResult{run: run, unsent: run == outcome.NotRun, cause: err}
@@ -268,6 +268,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
+			x.relay.brokeOff(endpoint, x.digest())
 		}
 		return tryResult{run: outcome.Ran, cause: err}
 	}
@@ -369,7 +370,7 @@
 	x.events.Reset()
 	if ctx.Err() == nil {
 		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
-		x.relay.suspects.Crashed(endpoint.ID, x.digest(), time.Now())
+		x.relay.brokeOff(endpoint, x.digest())
 		if x.route.Resumable {
 			resumesTotal.Inc()
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,6 +106,9 @@
 // Sender sends requests to endpoints. Its errors are of type SendError.
 type Sender interface {
 	Send(ctx context.Context, to *inventory.Endpoint, req *Request, try Try) (*Reply, error)
+	// Refuses reports whether nothing listens at the endpoint's address, as
+	// after a crash.
+	Refuses(ctx context.Context, to *inventory.Endpoint) bool
 }
 
 // Answer takes the answer for the caller.
@@ -157,6 +160,7 @@
 	chooser  choose.Chooser
 	loads    *load.Tracker
 	suspects *suspect.Table
+	crashes  crashWatch
 	adapters *adapterMemory
 	inFlight atomic.Int64
 	// ending is cancelled when the process is about to end.
@@ -177,6 +181,7 @@
 		chooser:  choose.Default(),
 		loads:    load.NewTracker(load.DefaultSettings()),
 		suspects: suspect.NewTable(suspect.DefaultSettings()),
+		crashes:  crashWatch{pending: map[string][]suspect.Digest{}},
 		adapters: newAdapterMemory(),
 		budgets:  map[string]*retry.Budget{},
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -30,6 +30,12 @@
 	next  []sending
 	tries []Try
 	at    []string
+	// refuses tells that the endpoints refuse connections afterwards.
+	refuses bool
+}
+
+func (f *fakeEndpoints) Refuses(context.Context, *inventory.Endpoint) bool {
+	return f.refuses
 }
 
 func (f *fakeEndpoints) Send(ctx context.Context, to *inventory.Endpoint, _ *Request, try Try) (*Reply, error) {
@@ -204,6 +210,32 @@
 	}
 }
 
+// TestCrashingRequest sends the same request again and again. It is refused
+// after it has crashed two endpoints, and served if their answers only broke
+// off.
+func TestCrashingRequest(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			endpoints := &fakeEndpoints{refuses: crashes}
+			r := newRelay(endpoints)
+			crashed := map[string]bool{}
+			for len(crashed) < 2 {
+				endpoints.next = []sending{noAnswer}
+				require.Equal(t, ReasonBroken, r.Serve(t.Context(), request("once", "m"), &fakeAnswer{}).Reason)
+				crashed[endpoints.at[len(endpoints.at)-1]] = true
+				time.Sleep(3 * time.Second)
+			}
+			endpoints.next = []sending{answer(200, "x")}
+			failure := r.Serve(t.Context(), request("once", "m"), &fakeAnswer{})
+			if crashes {
+				require.Equal(t, ReasonCrashes, failure.Reason)
+			} else {
+				require.Nil(t, failure)
+			}
+		})
+	}
+}
+
 // TestEnd checks that a process that is about to end answers what it still
 // serves: a request that waits was not run, one at an endpoint may have run.
 func TestEnd(t *testing.T) {
