--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,6 +140,8 @@
 	heardAt  time.Time
 	// heardFrom is the owner that answered at heardAt.
 	heardFrom string
+	// failing tells that the last report failed; only Run uses it.
+	failing bool
 }
 
 // Times of the exchange.
@@ -185,9 +187,7 @@
 // Run reports the demand until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := c.report(ctx); err != nil {
-			c.Log.Info("demand not reported", "owner", c.Holder.Holder(), "error", err)
-		}
+		c.noteReport(c.report(ctx))
 		if !pause(ctx, reportSoon, nil) || !pause(ctx, reportEvery-reportSoon, c.Meter.Urgent()) {
 			break
 		}
@@ -195,6 +195,20 @@
 	return ctx.Err()
 }
 
+// noteReport logs when reports begin to fail, and when they succeed again.
+func (c *Client) noteReport(err error) {
+	failing := err != nil
+	if failing == c.failing {
+		return
+	}
+	c.failing = failing
+	if failing {
+		c.Log.Info("demand not reported", "owner", c.Holder.Holder(), "error", err)
+		return
+	}
+	c.Log.Info("demand reported again", "owner", c.Holder.Holder())
+}
+
 func pause(ctx context.Context, d time.Duration, sooner <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -30,7 +30,7 @@
 	// inventory is of no use to others.
 	storeStale = 1500 * time.Millisecond
 	// streamPause is the time before a lost stream is asked for again.
-	streamPause = 100 * time.Millisecond
+	streamPause = 200 * time.Millisecond
 )
 
 // message is one message of a stream.
@@ -108,8 +108,9 @@
 		holder := f.Holder.Holder()
 		if holder != "" && holder != f.Self {
 			err := f.follow(ctx, holder)
-			f.heard.Store(0)
-			f.Log.Info("owner's inventory lost", "owner", holder, "error", err)
+			if f.heard.Swap(0) != 0 {
+				f.Log.Info("owner's inventory lost", "owner", holder, "error", err)
+			}
 		}
 		if !pause(ctx, streamPause, nil) {
 			break
@@ -143,7 +144,9 @@
 			return fmt.Errorf("fleet: inventory: %w", err)
 		}
 		silent.Reset(silentTime)
-		f.heard.Store(time.Now().UnixNano())
+		if f.heard.Swap(time.Now().UnixNano()) == 0 {
+			f.Log.Info("owner's inventory followed", "owner", holder)
+		}
 		f.Config(got.ConfigVersion)
 		if !got.Delta.Empty() {
 			f.Inventory.Apply(got.Delta)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -90,7 +90,7 @@
 	n.follower = &fleet.Follower{Self: self, Holder: n.keeper, Inventory: n.inventory, HTTP: platform.NewPeerHTTP(), Log: log}
 	n.manifests = platform.NewManifests(store, n.follower.Fresh, log)
 	n.follower.Config = n.manifests.Newer
-	n.endpoints = platform.NewEndpoints(store, n.inventory, n.follower.Fresh, log)
+	n.endpoints = platform.NewEndpoints(store, n.inventory, n.follower.Fresh, n.owns, log)
 	n.owner = owner.New(owner.Parts{
 		Catalog:   n.manifests.Current,
 		Inventory: n.inventory,
@@ -123,6 +123,12 @@
 	return n
 }
 
+// owns reports whether this node owns the engines.
+func (n *Node) owns() bool {
+	_, ok := n.keeper.Tenure()
+	return ok
+}
+
 func (n *Node) publisher() *fleet.Publisher {
 	return &fleet.Publisher{
 		Inventory:     n.inventory,
