--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -107,34 +107,20 @@
 	// Room filters tell whether it has room now.
 	Room    []Filter
 	Scorers []Scorer
-	// OwnFirst keeps to the own data centre while that has an endpoint with
-	// room.
-	OwnFirst bool
-	Picker   Picker
+	Picker  Picker
 }
 
 // Default returns the chooser of requests to model engines.
 func Default() Chooser {
 	return Chooser{
-		Usable:   []Filter{TakesWork{}},
-		Holds:    []Filter{NotHeld{}},
-		Room:     []Filter{HasRoom{BatchShare: defaultBatchShare}},
-		Scorers:  []Scorer{ExpectedFinish{}, Affinity{}},
-		OwnFirst: true,
-		Picker:   PowerOfTwo{},
+		Usable:  []Filter{TakesWork{}},
+		Holds:   []Filter{NotHeld{}},
+		Room:    []Filter{HasRoom{BatchShare: defaultBatchShare}},
+		Scorers: []Scorer{ExpectedFinish{}, Affinity{}},
+		Picker:  PowerOfTwo{},
 	}
 }
 
-// Near returns the chooser for data centres that are close to each other: one
-// farther away costs a fixed time and is chosen where that gains more. Each
-// request at an endpoint costs the others there some time.
-func Near(farther, each time.Duration) Chooser {
-	chooser := Default()
-	chooser.OwnFirst = false
-	chooser.Scorers = append(chooser.Scorers, Distance{Farther: farther}, Contention{Each: each})
-	return chooser
-}
-
 // Choose picks one of the candidates.
 func (ch Chooser) Choose(req Request, candidates []Candidate, rng *rand.Rand) (Candidate, Verdict) {
 	usable := keep(ch.Usable, req, candidates)
@@ -149,11 +135,7 @@
 	if len(open) == 0 {
 		return Candidate{}, Full
 	}
-	left := preferUntried(open)
-	if ch.OwnFirst {
-		left = preferOwn(req, left)
-	}
-	return ch.pick(req, left, rng), Found
+	return ch.pick(req, preferOwn(req, preferUntried(open)), rng), Found
 }
 
 func (ch Chooser) pick(req Request, candidates []Candidate, rng *rand.Rand) Candidate {
--- a/internal/choose/choose_test.go
+++ b/internal/choose/choose_test.go
@@ -79,28 +79,3 @@
 	// Of two draws out of four, half hold a given endpoint.
 	require.InDelta(t, 500, counts["a"], 60)
 }
-
-// TestNear checks that a close data centre is chosen where it gains more than
-// the way there costs.
-func TestNear(t *testing.T) {
-	away := func(c *Candidate) { c.DataCentre = "other" }
-	loaded := func(c *Candidate) { c.InFlight = 4 }
-	cases := []struct {
-		name       string
-		candidates []Candidate
-		want       string
-	}{
-		{"own when equal", []Candidate{with(idle("a"), away), idle("b")}, "b"},
-		{"other when own is loaded", []Candidate{with(idle("a"), away), with(idle("b"), loaded)}, "a"},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			for i := range tc.candidates {
-				tc.candidates[i].Limit = 8
-			}
-			got, verdict := Near(12*time.Millisecond, 6*time.Millisecond).Choose(Request{Now: now, DataCentre: "own"}, tc.candidates, rand.New(rand.NewPCG(1, 0)))
-			require.Equal(t, Found, verdict)
-			require.Equal(t, tc.want, got.Name)
-		})
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,7 +178,7 @@
 		ending:   ending,
 		end:      end,
 		Parts:    parts,
-		chooser:  choose.Near(farther, contention),
+		chooser:  choose.Default(),
 		loads:    load.NewTracker(load.DefaultSettings()),
 		suspects: suspect.NewTable(suspect.DefaultSettings()),
 		crashes:  crashWatch{pending: map[string][]suspect.Digest{}},
@@ -292,14 +292,6 @@
 	return b
 }
 
-// farther is what an endpoint of another data centre costs against one of the
-// own: the way there and back, and bytes that are paid for.
-const farther = 12 * time.Millisecond
-
-// contention is the time that each request at an endpoint costs the others
-// there: its prompt is read between their tokens.
-const contention = 6 * time.Millisecond
-
 // Bounds of the sendings of one request.
 const (
 	maxSendings = 6
