--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -18,12 +19,17 @@
 
 func (c *client) apply() *cobra.Command {
 	var dryRun bool
+	var file string
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
 		Short: "create or change a deployment from a TOML or JSON file",
-		Args:  exactArgs(1),
+		Args:  usageArgs(cobra.MaximumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			deployment, err := deployfile.Read(args[0])
+			path, err := oneFile(file, args)
+			if err != nil {
+				return err
+			}
+			deployment, err := deployfile.Read(path)
 			if err != nil {
 				return usageError{err}
 			}
@@ -46,9 +52,21 @@
 		},
 	}
 	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "only print the difference and check it")
+	cmd.Flags().StringVarP(&file, "file", "f", "", "the file, in place of the argument")
 	return cmd
 }
 
+// oneFile returns the file that is named by the flag or by the argument.
+func oneFile(flag string, args []string) (string, error) {
+	switch {
+	case flag != "" && len(args) == 0:
+		return flag, nil
+	case flag == "" && len(args) == 1:
+		return args[0], nil
+	}
+	return "", usageError{errors.New("name one file, as an argument or with -f")}
+}
+
 // applyPlan is one change. A repeat at another admin sends the same change
 // under the same operation id, so that it is made once.
 type applyPlan struct {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -176,3 +176,22 @@
 		})
 	}
 }
+
+// TestOneFile checks that a file is named once, by flag or argument.
+func TestOneFile(t *testing.T) {
+	cases := []struct {
+		flag string
+		args []string
+		want string
+	}{
+		{"", []string{"a"}, "a"},
+		{"a", nil, "a"},
+		{"a", []string{"b"}, ""},
+		{"", nil, ""},
+	}
+	for _, tc := range cases {
+		got, err := oneFile(tc.flag, tc.args)
+		require.Equal(t, tc.want, got)
+		require.Equal(t, tc.want == "", err != nil)
+	}
+}
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -126,8 +126,13 @@
 
 // exactArgs is cobra.ExactArgs with the exit code for a wrong command line.
 func exactArgs(n int) cobra.PositionalArgs {
+	return usageArgs(cobra.ExactArgs(n))
+}
+
+// usageArgs turns the error of a check of arguments into a usageError.
+func usageArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
-		if err := cobra.ExactArgs(n)(cmd, args); err != nil {
+		if err := check(cmd, args); err != nil {
 			return usageError{err}
 		}
 		return nil
