--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -156,8 +156,8 @@
 	return true, ""
 }
 
-// metricsListen is the address of the metrics.
-const metricsListen = ":9464"
+// metricsPort is the port of the metrics.
+const metricsPort = "9464"
 
 // Run runs the node until ctx ends, then shuts it down in order.
 func (n *Node) Run(ctx context.Context) error {
@@ -176,10 +176,10 @@
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	servers := map[string]*http.Server{
-		n.settings.CallersListen: callers,
-		n.settings.ReadyListen:   {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
-		n.peerAddress():          {Handler: fleet.Handler(n.owner, n.book, n.publisher(), n.log)},
-		metricsListen:            {Handler: opshttp.Handler(n.ready)},
+		n.settings.CallersListen:                     callers,
+		n.settings.ReadyListen:                       {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
+		n.peerAddress():                              {Handler: fleet.Handler(n.owner, n.book, n.publisher(), n.log)},
+		net.JoinHostPort(n.settings.IP, metricsPort): {Handler: opshttp.Handler(n.ready)},
 	}
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
