Let a stream that falls silent go on at another endpoint

Ruled out: shorter keep-alive times (whole seconds only).

Change: a stream that may go on elsewhere does so after a pause of 1.2 s, or 2.5 times the longest pause of its route. A stream that has begun waits as long as it may. Other streams are left alone.

Tests: TestSilentStream, TestBegunStreamWaits, both seen failing.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -193,12 +193,12 @@
 		r.Demand.Begin(x.service.Name, x.req.Model, x.req.Adapter, endpoint.ID)
 		defer r.Demand.End(x.service.Name, x.req.Model, x.req.Adapter, endpoint.ID)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	try := Try{Deadline: x.limit, Priority: x.route.Priority, LastEvent: x.lastEvent()}
 	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
 		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.limit).Milliseconds(), "resume_after", try.LastEvent)
-	reply, err := r.Sender.Send(ctx, endpoint, x.req, try)
+	reply, err := r.Sender.Send(sending, endpoint, x.req, try)
 	if err != nil {
 		return x.sendFailed(ctx, endpoint, err)
 	}
@@ -212,6 +212,8 @@
 	case reply.NotRun:
 		return x.notRun(endpoint, reply)
 	case x.route.Kind == catalog.Stream && reply.Status < http.StatusMultipleChoices:
+		stop := x.watchGaps(reply, cancel)
+		defer stop()
 		return x.stream(ctx, endpoint, reply, begun)
 	}
 	return x.whole(ctx, endpoint, reply, begun)
@@ -320,6 +322,53 @@
 	}
 }
 
+// Bounds of a pause between the events of a stream that can go on elsewhere.
+const (
+	minGapLimit = 1200 * time.Millisecond
+	// gapLimitFactor is the bound as a multiple of the longest pause of a stream
+	// that is on time.
+	gapLimitFactor = 2.5
+)
+
+// watchGaps ends a sending whose stream has begun and pauses for so long that
+// the caller would leave, if it can go on at another endpoint.
+func (x *exchange) watchGaps(reply *Reply, end context.CancelFunc) (stop func()) {
+	if !x.route.Resumable {
+		return func() {}
+	}
+	limit := max(minGapLimit, time.Duration(gapLimitFactor*float64(x.route.MaxGap)))
+	watched := &watchedBody{ReadCloser: reply.Body, limit: limit, end: end}
+	reply.Body = watched
+	return watched.stop
+}
+
+// watchedBody calls end when bytes have come and then none for a time.
+type watchedBody struct {
+	io.ReadCloser
+	limit time.Duration
+	end   func()
+	timer *time.Timer
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case n == 0:
+	case b.timer == nil:
+		b.timer = time.AfterFunc(b.limit, b.end)
+	default:
+		b.timer.Reset(b.limit)
+	}
+	return n, err
+}
+
+func (b *watchedBody) stop() {
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+}
+
 // passEvents passes the whole events on that end with these bytes.
 func (x *exchange) passEvents(reply *Reply, data []byte) error {
 	whole := x.events.Add(data)
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -98,7 +98,7 @@
 func (x *exchange) hopeless(verdict choose.Verdict) *Failure {
 	now := time.Now()
 	reason := reasonOf(verdict, x.req.Model)
-	last := x.req.Arrived.Add(time.Duration(patience * float64(x.limit.Sub(x.req.Arrived))))
+	last := x.lastMoment()
 	if verdict == choose.Absent && x.req.Model != "" {
 		if at, ok := x.relay.Loads.Expected(x.service.Name, x.req.Model); ok {
 			if at.After(x.limit) {
@@ -113,6 +113,15 @@
 	return nil
 }
 
+// lastMoment is until when the request waits for an endpoint that is not
+// foreseen. A stream that has begun waits as long as it may.
+func (x *exchange) lastMoment() time.Time {
+	if x.begun {
+		return x.limit
+	}
+	return x.req.Arrived.Add(time.Duration(patience * float64(x.limit.Sub(x.req.Arrived))))
+}
+
 func reasonOf(verdict choose.Verdict, model string) Reason {
 	switch {
 	case verdict != choose.Absent:
@@ -229,7 +238,7 @@
 	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, x.service.Name, x.req.Model, x.req.Adapter)
 	if err != nil {
 		x.relay.Log.Info("adapter not brought up", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
-		if !sleep(ctx, adapterPause) || time.Now().After(x.req.Arrived.Add(time.Duration(patience*float64(x.limit.Sub(x.req.Arrived))))) {
+		if !sleep(ctx, adapterPause) || time.Now().After(x.lastMoment()) {
 			return nil, refuse(ReasonNoModel, loadRetryAfter)
 		}
 		return nil, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -236,6 +236,70 @@
 	}
 }
 
+// silentBody gives some bytes and then nothing until its context ends.
+type silentBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (b silentBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		<-b.ctx.Done()
+		err = b.ctx.Err()
+	}
+	return n, err
+}
+
+func fallsSilent(body string) sending {
+	return func(ctx context.Context, _ Try) (*Reply, error) {
+		silent := silentBody{strings.NewReader(body), ctx}
+		return &Reply{Status: 200, Header: http.Header{}, Body: io.NopCloser(silent), Length: -1}, nil
+	}
+}
+
+// TestSilentStream has a stream fall silent. One that can go on elsewhere does
+// so before its caller leaves; another is left alone.
+func TestSilentStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := &fakeAnswer{}
+		endpoints := &fakeEndpoints{next: []sending{fallsSilent(eventOne), answer(200, eventTwo)}}
+		begun := time.Now()
+		require.Nil(t, newRelay(endpoints).Serve(t.Context(), request("resume", "m"), got))
+		require.Equal(t, eventOne+eventTwo, got.body.String())
+		require.Less(t, time.Since(begun), 2*time.Second)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{next: []sending{fallsSilent(eventOne)}}
+		begun := time.Now()
+		failure := newRelay(endpoints).Serve(t.Context(), request("stream", "m"), &fakeAnswer{})
+		require.Equal(t, ReasonTimeout, failure.Reason)
+		require.Greater(t, time.Since(begun), 3*time.Second)
+	})
+}
+
+// TestBegunStreamWaits has a stream break off while all endpoints are spared
+// after failures, late in its time: it waits for one of them.
+func TestBegunStreamWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := func(ctx context.Context, _ Try) (*Reply, error) {
+			time.Sleep(2500 * time.Millisecond)
+			return cut(200, eventOne)(ctx, Try{})
+		}
+		endpoints := &fakeEndpoints{next: []sending{late, answer(200, eventTwo)}}
+		r := newRelay(endpoints)
+		time.AfterFunc(2400*time.Millisecond, func() {
+			for _, id := range []string{"a", "b", "c"} {
+				r.loads.Failed(id, time.Now(), 1)
+				r.loads.Failed(id, time.Now(), 1)
+			}
+		})
+		got := &fakeAnswer{}
+		require.Nil(t, r.Serve(t.Context(), request("resume", "m"), got))
+		require.Equal(t, eventOne+eventTwo, got.body.String())
+	})
+}
+
 // TestEnd checks that a process that is about to end answers what it still
 // serves: a request that waits was not run, one at an endpoint may have run.
 func TestEnd(t *testing.T) {
