Reach the store over another node when it turns one away

The log shows store lost at 2.5 s and the next lease taken at 7.5 s, again at 16.5 and 21.5: for 10 of 34 s nobody could order a load.

Ruled out: a longer term (the successor waits longer, too); a hand-over by the old owner (the gap between two owners is 3 s in any case).

Change: a call that the store does not take is made by another node that it serves; the owner stays the owner. While the store serves no node nothing changes: a node makes calls for others only if its own were taken lately.

--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -1,6 +1,8 @@
 package demand
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -67,11 +69,11 @@
 	return out
 }
 
-// Nodes returns the number of nodes that reported lately.
-func (b *Book) Nodes() int {
+// Nodes returns the addresses of the nodes that reported lately.
+func (b *Book) Nodes() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.nodes)
+	return slices.Sorted(maps.Keys(b.nodes))
 }
 
 // Totals is what all nodes together report.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,8 +30,8 @@
 
 // DemandAnswer is the owner's answer to a report of demand.
 type DemandAnswer struct {
-	// Nodes is the number of nodes that report.
-	Nodes    int        `json:"nodes"`
+	// Peers are the nodes that report.
+	Peers    []string   `json:"peers"`
 	Expected []Expected `json:"expected"`
 }
 
@@ -58,8 +58,9 @@
 const maxBody = 1 << 20
 
 // Handler serves the calls at a node.
-func Handler(own *owner.Owner, book *demand.Book, publisher *Publisher, log *slog.Logger) http.Handler {
+func Handler(own *owner.Owner, book *demand.Book, publisher *Publisher, store Store, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("POST "+storePath, serveStore(store, func(w http.ResponseWriter, body any) { write(w, body, log) }))
 	mux.Handle("GET "+inventoryPath, publisher)
 	mux.HandleFunc("POST "+demandPath, func(w http.ResponseWriter, r *http.Request) {
 		var report demand.Report
@@ -95,7 +96,7 @@
 	if urgent {
 		own.Kick()
 	}
-	answer := DemandAnswer{Nodes: book.Nodes()}
+	answer := DemandAnswer{Peers: book.Nodes()}
 	for key, in := range own.Expected(now) {
 		answer.Expected = append(answer.Expected, Expected{Service: key.Service, Model: key.Model, InMS: in.Milliseconds()})
 	}
@@ -135,7 +136,7 @@
 	Log    *slog.Logger
 
 	mu       sync.Mutex
-	nodes    int
+	peers    []string
 	expected map[demand.ModelKey]time.Time
 	heardAt  time.Time
 	// heardFrom is the owner that answered at heardAt.
@@ -163,10 +164,10 @@
 func (c *Client) Nodes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.nodes == 0 {
+	if len(c.peers) == 0 {
 		return initialNodes
 	}
-	return c.nodes
+	return len(c.peers)
 }
 
 // Alive reports whether the owner at an address answered lately.
@@ -247,7 +248,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heardAt, c.heardFrom = now, from
-	c.nodes = max(1, answer.Nodes)
+	c.peers = answer.Peers
 	c.expected = make(map[demand.ModelKey]time.Time, len(answer.Expected))
 	for _, e := range answer.Expected {
 		key := demand.ModelKey{Service: e.Service, Model: e.Model}
@@ -269,13 +270,18 @@
 	return answer.Engine, time.Now().Add(time.Duration(answer.ReadyMS) * time.Millisecond), err
 }
 
+// call makes a call that is answered at once.
 func (c *Client) call(ctx context.Context, to, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.exchange(ctx, to, path, body, answer)
+}
+
+func (c *Client) exchange(ctx context.Context, to, path string, body, answer any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return fmt.Errorf("fleet: encode: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+path, bytes.NewReader(data))
 	if err != nil {
 		return fmt.Errorf("fleet: request: %w", err)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"chestnutgauge/internal/demand"
@@ -60,6 +61,7 @@
 type Node struct {
 	settings  platform.Settings
 	log       *slog.Logger
+	store     *platform.Store
 	manifests *platform.Manifests
 	endpoints *platform.Endpoints
 	inventory *inventory.Inventory
@@ -108,6 +110,8 @@
 		HTTP:   platform.NewPeerHTTP(),
 		Log:    log,
 	}
+	store.SetDetour(n.client)
+	n.store = store
 	n.keeper.Alive = n.client.Alive
 	n.relay = relay.New(relay.Parts{
 		DataCentre: s.DataCentre,
@@ -159,9 +163,20 @@
 // metricsPort is the port of the metrics.
 const metricsPort = "9464"
 
+// registerMetrics publishes what the process as a whole knows.
+func (n *Node) registerMetrics() {
+	metrics.GetOrCreateGauge("chestnut_lease_held", func() float64 {
+		if n.owns() {
+			return 1
+		}
+		return 0
+	})
+}
+
 // Run runs the node until ctx ends, then shuts it down in order.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("start", "vm", n.settings.VM, "data_centre", n.settings.DataCentre, "memory_mb", n.settings.MemoryMB)
+	n.registerMetrics()
 	tree := supervise.New("node", n.log)
 	supervise.Add(tree, "configuration", n.manifests.Run)
 	supervise.Add(tree, "endpoints", n.endpoints.Run)
@@ -178,7 +193,7 @@
 	servers := map[string]*http.Server{
 		n.settings.CallersListen:                     callers,
 		n.settings.ReadyListen:                       {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
-		n.peerAddress():                              {Handler: fleet.Handler(n.owner, n.book, n.publisher(), n.log)},
+		n.peerAddress():                              {Handler: fleet.Handler(n.owner, n.book, n.publisher(), n.store, n.log)},
 		net.JoinHostPort(n.settings.IP, metricsPort): {Handler: opshttp.Handler(n.ready)},
 	}
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/owner/adapters.go
+++ b/internal/owner/adapters.go
@@ -99,12 +99,9 @@
 		}
 		result, err := o.call(ctx, plan.book.Engine, plan.order, plan.book.Accepted, plan.fence)
 		now := time.Now()
-		o.mu.Lock()
-		plan.book.Answered(plan.order, result, now)
-		o.mu.Unlock()
+		o.answered(plan.book, plan.order, result, now)
 		o.Log.Info("order answered", "endpoint", plan.book.Engine.ID, "unload", plan.order.Unload, "model", plan.order.Model,
-			"adapter", plan.order.Adapter, "result", result.String(), "accepted", plan.book.Accepted, "fence", plan.fence, "error", err)
-		o.Kick()
+			"adapter", plan.order.Adapter, "result", result.String(), "fence", plan.fence, "error", err)
 		switch {
 		case result != orders.Accepted && result != orders.Holds:
 			return "", now, errOrder(result)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
@@ -268,11 +270,17 @@
 func (o *Owner) order(ctx context.Context, book *orders.Book, order orders.Order, accepted, fence int64) {
 	result, err := o.call(ctx, book.Engine, order, accepted, fence)
 	now := time.Now()
+	o.answered(book, order, result, now)
+	o.Log.Info("order answered", "endpoint", book.Engine.ID, "unload", order.Unload, "model", order.Model, "adapter", order.Adapter,
+		"result", result.String(), "accepted", accepted, "fence", fence, "error", err)
+}
+
+// answered notes the answer to an order.
+func (o *Owner) answered(book *orders.Book, order orders.Order, result orders.Result, now time.Time) {
 	o.mu.Lock()
 	book.Answered(order, result, now)
 	o.mu.Unlock()
-	o.Log.Info("order answered", "endpoint", book.Engine.ID, "unload", order.Unload, "model", order.Model, "adapter", order.Adapter,
-		"result", result.String(), "accepted", accepted, "fence", fence, "error", err)
+	metrics.GetOrCreateCounter(`chestnut_orders_total{result="` + result.String() + `"}`).Inc()
 	o.Kick()
 }
 
--- /dev/null
+++ b/test/operations_test.go
@@ -0,0 +1,75 @@
+package test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/story"
+)
+
+// sources returns the text of the program's source files.
+func sources(t *testing.T) []string {
+	var texts []string
+	for _, root := range []string{"../internal", "../platform"} {
+		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			texts = append(texts, string(text))
+			return err
+		})
+		require.NoError(t, err)
+	}
+	return texts
+}
+
+// TestOperationsPage checks that the log lines and metrics on the page are
+// those that the program writes: each message stands in a source file together
+// with each of its keys, and each metric in some source file.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	texts := sources(t)
+	lines := 0
+	for line := range strings.Lines(string(page)) {
+		entry, ok := story.Parse(line)
+		if !ok {
+			continue
+		}
+		lines++
+		require.True(t, writes(texts, entry), "nothing writes %q with these keys", entry.Message)
+	}
+	require.GreaterOrEqual(t, lines, 8)
+	all := strings.Join(texts, "\n")
+	for _, message := range regexp.MustCompile("(?m)^\\| (`[^|]*`) \\| [^|]* \\|$").FindAllStringSubmatch(string(page), -1) {
+		for _, name := range regexp.MustCompile("`([^`{]*)[^`]*`").FindAllStringSubmatch(message[1], -1) {
+			require.Contains(t, all, name[1], "the page names what nothing writes")
+		}
+	}
+}
+
+// writes reports whether a source file has a message and all its keys.
+func writes(texts []string, entry story.Entry) bool {
+	for _, text := range texts {
+		if strings.Contains(text, `"`+entry.Message+`"`) && hasKeys(text, entry) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasKeys(text string, entry story.Entry) bool {
+	for _, field := range entry.Fields {
+		if !strings.Contains(text, `"`+field.Key+`"`) {
+			return false
+		}
+	}
+	return true
+}
