Let pauses grow between tries that get no connection

Change: they count for the backoff, and still never as the last try.

Test: TestNoConnections, seen failing (over 1,000 tries).

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,6 +30,8 @@
 	limit time.Time
 
 	sendings int
+	// unsent counts the tries that got no connection.
+	unsent int
 	// counted tells that the demand for the model was counted.
 	counted bool
 	// ran counts the endpoints that may have run the request.
@@ -116,12 +118,15 @@
 		x.ran++
 	}
 	x.tried = append(x.tried, endpoint.ID)
+	if result.unsent {
+		x.unsent++
+	}
 	decision := retry.Decision{}
 	if x.mayRepeat(ctx, result) {
 		decision = x.budget().Decide(retry.Failure{
 			Now:        time.Now(),
 			Deadline:   x.limit,
-			Tries:      x.sendings,
+			Tries:      x.tries(),
 			Run:        result.run,
 			Refused:    result.unsent,
 			Idempotent: x.route.Repeatable(),
@@ -136,6 +141,12 @@
 	return x.giveUp(ctx, result), false
 }
 
+// tries returns the number of tries for the backoff. Those without a connection
+// never are the last.
+func (x *exchange) tries() int {
+	return min(x.sendings+x.unsent, max(x.sendings, maxSendings-1))
+}
+
 // mayRepeat reports whether a repeat is allowed, whatever the budget says.
 func (x *exchange) mayRepeat(ctx context.Context, result tryResult) bool {
 	if ctx.Err() != nil || x.ran >= x.route.MaxEndpoints {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -300,6 +301,39 @@
 	})
 }
 
+// TestNoConnections has no endpoint take a connection for a while: the request
+// is tried again with growing pauses, and served once one does.
+func TestNoConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		refuses := func(ctx context.Context, try Try) (*Reply, error) {
+			if time.Since(begun) < 1500*time.Millisecond {
+				return noConnection(ctx, try)
+			}
+			return answer(200, "x")(ctx, try)
+		}
+		endpoints := &fakeEndpoints{next: slices.Repeat([]sending{refuses}, 1000)}
+		r := newRelay(endpoints)
+		stop := make(chan struct{})
+		go func() {
+			// Other requests' successes end the endpoints' holds.
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+				}
+				for _, id := range []string{"a", "b", "c"} {
+					r.loads.Answered(id, time.Millisecond, 1, 0)
+				}
+			}
+		}()
+		require.Nil(t, r.Serve(t.Context(), request("once", "m"), &fakeAnswer{}))
+		close(stop)
+		require.Less(t, len(endpoints.tries), 150)
+	})
+}
+
 // TestEnd checks that a process that is about to end answers what it still
 // serves: a request that waits was not run, one at an endpoint may have run.
 func TestEnd(t *testing.T) {
