--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -8,6 +8,7 @@
 
 	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/ownership"
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/platform"
 )
 
@@ -53,7 +54,7 @@
 	version := o.row
 	o.mu.Unlock()
 	if open && !o.fenced {
-		sleep(ctx, time.Until(settled))
+		pause.For(ctx, time.Until(settled))
 	}
 	row, found, err := o.controller.readRow(ctx, o.name)
 	if err != nil {
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"chestnutgauge/internal/ownership"
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/platform"
 )
 
@@ -48,7 +49,7 @@
 				c.Log.Debug("lease not renewed", "error", err)
 			}
 		}
-		sleep(ctx, c.settings.Ownership.Renew)
+		pause.For(ctx, c.settings.Ownership.Renew)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -9,6 +9,7 @@
 
 	pb "chestnutgauge/api/chestnutgauge/v1"
 	"chestnutgauge/internal/config"
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/platform"
 	"chestnutgauge/internal/workqueue"
 )
@@ -80,7 +81,7 @@
 		if err == nil {
 			return c.Config.Await(ctx, head)
 		}
-		sleep(ctx, jitter(c.settings.Retry))
+		pause.For(ctx, jitter(c.settings.Retry))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -109,7 +110,7 @@
 			c.engineQueue.AddAfter(name, delay)
 			c.tableQueue.AddAfter(name, delay)
 		}
-		sleep(ctx, jitter(c.settings.Resync))
+		pause.For(ctx, jitter(c.settings.Resync))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -150,7 +151,7 @@
 				c.tableEvent(name)
 			}
 		}
-		sleep(ctx, lookInterval)
+		pause.For(ctx, lookInterval)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -13,6 +13,7 @@
 	"chestnutgauge/internal/engine"
 	"chestnutgauge/internal/ledger"
 	"chestnutgauge/internal/ownership"
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/peer/peerpb"
 )
 
@@ -126,20 +127,11 @@
 		}
 		o.observe(state, started, err)
 		if err != nil {
-			sleep(ctx, watchRetry)
+			pause.For(ctx, watchRetry)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (o *ownedEngine) read() engine.State {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/controller/permit.go
+++ b/internal/controller/permit.go
@@ -11,6 +11,7 @@
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/permits"
 	"chestnutgauge/internal/placement"
 	"chestnutgauge/internal/platform"
@@ -128,7 +129,7 @@
 		case time.Now().After(until) || ctx.Err() != nil:
 			return func() { go c.releasePermit(claim.ID) }
 		}
-		sleep(ctx, jitter(s.Poll))
+		pause.For(ctx, jitter(s.Poll))
 	}
 }
 
@@ -172,7 +173,7 @@
 		if !changed || !platform.IsConflict(c.writePermits(ctx, next, version)) {
 			return
 		}
-		sleep(ctx, jitter(permits.DefaultSettings().Poll/10))
+		pause.For(ctx, jitter(permits.DefaultSettings().Poll/10))
 	}
 }
 
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -11,6 +11,7 @@
 
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/pause"
 )
 
 // The owner of the engines streams its inventory to the other nodes, so that
@@ -77,7 +78,7 @@
 			return
 		}
 		sent = snapshot
-		if !pause(r.Context(), batchTime, nil) || !pause(r.Context(), beatTime, changed) {
+		if !pause.For(r.Context(), batchTime) || !pause.Until(r.Context(), changed, beatTime) {
 			return
 		}
 	}
@@ -112,7 +113,7 @@
 				f.Log.Info("owner's inventory lost", "owner", holder, "error", err)
 			}
 		}
-		if !pause(ctx, streamPause, nil) {
+		if !pause.For(ctx, streamPause) {
 			break
 		}
 	}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/uuid"
 	"golang.org/x/sys/unix"
+
+	"chestnutgauge/internal/pause"
 )
 
 // Errors of a Store.
@@ -119,13 +121,7 @@
 // Run keeps the lease until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := k.step(ctx)
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		pause.For(ctx, k.step(ctx))
 	}
 	return ctx.Err()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,19 +88,23 @@
 func (o *Owner) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		_, changed := o.Inventory.Watch()
-		pause := o.pass(ctx)
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-changed:
-		case <-o.kick:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		o.await(ctx, changed, o.pass(ctx))
 	}
 	return ctx.Err()
 }
 
+// await waits for the next pass.
+func (o *Owner) await(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-o.kick:
+	case <-ctx.Done():
+	}
+}
+
 // pass looks at all engines once and starts what is needed.
 func (o *Owner) pass(ctx context.Context) time.Duration {
 	tenure, has := o.Lease.Tenure()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"chestnutgauge/internal/pause"
 )
 
 // Errors of the platform. Adapters turn the errors of their transport into
@@ -187,7 +189,7 @@
 		default:
 			return 0, err
 		}
-		if !pause(ctx, resolvePause) {
+		if !pause.For(ctx, resolvePause) {
 			return 0, ErrUnknown
 		}
 	}
@@ -210,7 +212,7 @@
 		case err == nil && !stale:
 			return 0, conflict
 		}
-		if !pause(ctx, resolvePause) {
+		if !pause.For(ctx, resolvePause) {
 			return 0, ErrUnknown
 		}
 	}
@@ -234,14 +236,3 @@
 	}
 	return key, 0, false
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -10,6 +10,7 @@
 	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/rendezvous"
 )
 
@@ -66,7 +67,7 @@
 		if failure := x.hopeless(verdict); failure != nil {
 			return nil, failure
 		}
-		if !waitChange(ctx, changed, pollOf(verdict)) {
+		if !pause.Until(ctx, changed, pollOf(verdict)) {
 			return nil, endedFailure(ctx, outcome.NotRun, nil)
 		}
 	}
@@ -79,21 +80,6 @@
 	return holdPoll
 }
 
-// waitChange waits for a change or for a time, and reports whether the context
-// is still live.
-func waitChange(ctx context.Context, changed <-chan struct{}, most time.Duration) bool {
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // hopeless refuses a request that can't be placed in time.
 func (x *exchange) hopeless(verdict choose.Verdict) *Failure {
 	now := time.Now()
@@ -238,12 +224,12 @@
 	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, x.service.Name, x.req.Model, x.req.Adapter)
 	if err != nil {
 		x.relay.Log.Info("adapter not brought up", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
-		if !sleep(ctx, adapterPause) || time.Now().After(x.lastMoment()) {
+		if !pause.For(ctx, adapterPause) || time.Now().After(x.lastMoment()) {
 			return nil, refuse(ReasonNoModel, loadRetryAfter)
 		}
 		return nil, nil
 	}
-	if !sleep(ctx, time.Until(ready)) {
+	if !pause.For(ctx, time.Until(ready)) {
 		return nil, endedFailure(ctx, outcome.NotRun, nil)
 	}
 	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
--- a/internal/router/once.go
+++ b/internal/router/once.go
@@ -10,6 +10,7 @@
 	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/pause"
 )
 
 // Times and bounds of requests that may not be repeated.
@@ -68,7 +69,7 @@
 func (r *Router) once(ctx context.Context, c *call, job onceJob) (keyedAnswer, error) {
 	key := claim.Key(c.organisation, c.key)
 	for attempt := 0; ; attempt++ {
-		if attempt > 0 && !sleep(ctx, firstPoll) {
+		if attempt > 0 && !pause.For(ctx, firstPoll) {
 			return keyedAnswer{}, inProgress()
 		}
 		seen, err := r.Claims.Read(ctx, key)
@@ -274,18 +275,6 @@
 	return outcome.Unknown
 }
 
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // claimError turns an error of a claim into one for the caller. Earlier tries
 // under the key can't be ruled out.
 func claimError(err error) error {
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -8,6 +8,7 @@
 	"chestnutgauge/internal/claim"
 	"chestnutgauge/internal/events"
 	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/pause"
 )
 
 // Times of a repeat that waits for an earlier try.
@@ -53,7 +54,7 @@
 		if ended {
 			return answer, err
 		}
-		if !sleep(ctx, poll) {
+		if !pause.For(ctx, poll) {
 			return keyedAnswer{}, inProgress()
 		}
 		poll = min(2*poll, maxPoll)
--- a/internal/router/routerd/drain.go
+++ b/internal/router/routerd/drain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/router"
 )
 
@@ -18,7 +19,7 @@
 // before limit ends is answered with an error.
 func drain(limit context.Context, r *router.Router, server *http.Server, delay time.Duration) {
 	r.Drain()
-	wait(limit, delay)
+	pause.For(limit, delay)
 	patient := limit
 	if end, ok := limit.Deadline(); ok {
 		var cancel context.CancelFunc
@@ -31,12 +32,3 @@
 	}
 	r.Finish(limit)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/pause"
 )
 
 // Order implements engine.Engine.
@@ -87,7 +88,7 @@
 	if fault, ok := e.faults.strike(FaultCrashOnLoad, func(f Fault) bool {
 		return (f.Endpoint == "" || f.Endpoint == e.settings.Name) && (f.Model == "" || f.Model == order.Model)
 	}); ok {
-		sleep(alive, time.Duration(fault.Milliseconds)*time.Millisecond)
+		pause.For(alive, time.Duration(fault.Milliseconds)*time.Millisecond)
 		e.Crash("", order.Model)
 		return
 	}
@@ -95,7 +96,7 @@
 	if tier == engine.TierRemote {
 		fetched = e.weights.fetch(alive, order.CheckpointBytes)
 	}
-	if !sleep(alive, e.settings.LocalLoad) || (tier == engine.TierRemote && !fetched) {
+	if !pause.For(alive, e.settings.LocalLoad) || (tier == engine.TierRemote && !fetched) {
 		return
 	}
 	e.mu.Lock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/platform"
 )
 
@@ -139,7 +140,7 @@
 // enter applies the faults that strike before a call takes effect.
 func (t *Table) enter(ctx context.Context) error {
 	if d := t.faults.delay(FaultTableSlow, ""); d > 0 {
-		if !sleep(ctx, d) {
+		if !pause.For(ctx, d) {
 			return platform.ErrUnavailable
 		}
 	}
@@ -154,17 +155,6 @@
 	return down
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Objects is an in-memory platform.Objects.
 type Objects struct {
 	faults *Faults
@@ -262,7 +252,7 @@
 	for left := float64(bytes); left > 0; {
 		speed := w.speed()
 		step := min(weightStep, time.Duration(left/speed*float64(time.Second))+time.Microsecond)
-		if !sleep(ctx, step) {
+		if !pause.For(ctx, step) {
 			return false
 		}
 		left -= speed * step.Seconds()
@@ -298,7 +288,7 @@
 		w.adapters--
 		w.mu.Unlock()
 	}()
-	return sleep(ctx, d)
+	return pause.For(ctx, d)
 }
 
 // Membership is a membership list that lags behind its changes.
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chestnutgauge/internal/engine"
+	"chestnutgauge/internal/pause"
 )
 
 // defaultTokens is the length of an answer whose request sets none.
@@ -142,15 +143,15 @@
 	if _, ok := e.faults.strike(FaultCrashOnRequest, func(f Fault) bool {
 		return (f.Endpoint == "" || f.Endpoint == e.settings.Name) && f.Marker != "" && strings.Contains(r.req.Prompt, f.Marker)
 	}); ok {
-		sleep(alive, e.settings.FirstToken)
+		pause.For(alive, e.settings.FirstToken)
 		e.Crash(r.req.ID, r.req.Model)
 		return false
 	}
-	if !sleep(r.ctx, e.settings.FirstToken) {
+	if !pause.For(r.ctx, e.settings.FirstToken) {
 		return false
 	}
 	for range r.tokens {
-		if !sleep(r.ctx, e.tokenTime()) {
+		if !pause.For(r.ctx, e.tokenTime()) {
 			return false
 		}
 		r.advance(func() { r.made++ })
@@ -271,7 +272,7 @@
 	if s.done {
 		return engine.Chunk{}, io.EOF
 	}
-	if s.late > 0 && !sleep(s.ctx, s.late) {
+	if s.late > 0 && !pause.For(s.ctx, s.late) {
 		return engine.Chunk{}, engine.ErrUnknown
 	}
 	s.late = 0
