Send nodes only what they need of an engine, and let strong machines own

The owner of the engines was a machine with a link of 10 Mbit/s, and each change of an engine was sent to 83 nodes with the 11 to 18 models on its disk, which only the owner needs: its link was full.

Ruled out: slow engines (another owner got answers in 4 ms), processor time (the busiest node had 0.014 of a core, uncharged).

Change: what lies on disk and in host memory is not passed on (a node that becomes the owner reads it from the store); field names are short. A machine takes a free lease later the smaller its link and its share of a core.

Tests: TestDeltaIsSmall, seen failing; TestApply; TestStrongMachineFirst.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -12,26 +12,27 @@
 // Endpoint is one start of an engine or of an instance of a plain service. It
 // never changes after it is published.
 type Endpoint struct {
-	ID string
+	ID string `json:"id"`
 	// Born is the start of the endpoint in Unix milliseconds. An endpoint that
 	// starts again under its id has another one.
-	Born       int64
-	Service    string
-	Address    string
-	DataCentre string
-	Slots      int
+	Born       int64  `json:"born,omitempty"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dc"`
+	Slots      int    `json:"slots,omitempty"`
 	// Leaving endpoints get no new requests.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 	// GoneAt is when a leaving endpoint ends whatever it runs; the zero time
 	// means that it finishes first.
-	GoneAt time.Time
+	GoneAt time.Time `json:"gone_at,omitzero"`
 	// Models are what the engine holds, each with its adapters.
-	Models map[string][]string
-	// InMemory and OnDisk are models of which the engine keeps copies.
-	InMemory []string
-	OnDisk   []string
+	Models map[string][]string `json:"models,omitempty"`
+	// InMemory and OnDisk are models of which the engine keeps copies. Only the
+	// node that orders engines needs them, so they are not passed on.
+	InMemory []string `json:"-"`
+	OnDisk   []string `json:"-"`
 	// Entry is the version of the store's row that says this.
-	Entry int64
+	Entry int64 `json:"entry,omitempty"`
 }
 
 // Key names one start of an endpoint.
--- /dev/null
+++ b/internal/inventory/wire_test.go
@@ -0,0 +1,52 @@
+package inventory
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// engine returns an engine with a long list of copies on its disk.
+func engine(id string, entry int64, models ...string) *Endpoint {
+	e := &Endpoint{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "z", Slots: 12, Entry: entry, Models: map[string][]string{}}
+	for _, model := range models {
+		e.Models[model] = nil
+	}
+	for i := range 20 {
+		e.OnDisk = append(e.OnDisk, fmt.Sprintf("model-%d", i))
+	}
+	return e
+}
+
+// TestDeltaIsSmall answers many nodes behind one slow link: what changes at one
+// engine is sent to each of them, so it must stay well under 300 bytes.
+func TestDeltaIsSmall(t *testing.T) {
+	inv := New()
+	inv.Replace([]*Endpoint{engine("a", 1, "m"), engine("b", 2, "m")})
+	before := inv.Current()
+	inv.Change([]*Endpoint{engine("a", 3, "m", "n", "o")}, nil)
+	delta := inv.Current().Since(before)
+	data, err := json.Marshal(delta)
+	require.NoError(t, err)
+	require.Less(t, len(data), 300)
+}
+
+// TestApply checks that another node's view is taken over, and that a newer
+// entry of the own wins.
+func TestApply(t *testing.T) {
+	owner, node := New(), New()
+	owner.Replace([]*Endpoint{engine("a", 1, "m"), engine("b", 2, "m")})
+	node.Replace([]*Endpoint{engine("a", 5, "n"), engine("gone", 1)})
+	node.Apply(owner.Current().Since(nil))
+	require.True(t, node.Current().Endpoint("a").Holds("n"))
+	require.True(t, node.Current().Endpoint("b").Holds("m"))
+	require.Nil(t, node.Current().Endpoint("gone"))
+
+	before := owner.Current()
+	owner.Change([]*Endpoint{engine("a", 6, "o")}, []string{"b"})
+	node.Apply(owner.Current().Since(before))
+	require.True(t, node.Current().Endpoint("a").Holds("o"))
+	require.Nil(t, node.Current().Endpoint("b"))
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -55,6 +55,9 @@
 	Settings Settings
 	Store    Store
 	Log      *slog.Logger
+	// Handicap is how much later than others the process takes a lease that
+	// may be taken, so that a strong machine gets it.
+	Handicap time.Duration
 	// Now is a clock that never stands still; nil means BootTime.
 	Now func() time.Duration
 	// Alive reports whether the holder at a peer address answers. While it
@@ -73,6 +76,8 @@
 	// retired processes take no lease, released ones no longer act.
 	retired  bool
 	released bool
+	// looked tells that no lease was found before.
+	looked bool
 }
 
 // Tenure is the right to act.
@@ -158,11 +163,23 @@
 		return lookPause
 	}
 	if in := TakeIn(record, row.Found, k.Self, row.NowMS, k.Settings); in > 0 {
-		return in + jitter(lookJitter)
+		return in + k.Handicap + jitter(lookJitter)
+	}
+	if !row.Found && k.Handicap > 0 && k.first() {
+		return k.Handicap
 	}
 	return k.take(ctx, row)
 }
 
+// first reports whether this is the first time that no lease was found.
+func (k *Keeper) first() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	first := !k.looked
+	k.looked = true
+	return first
+}
+
 // took keeps what a read showed.
 func (k *Keeper) took(row Row, asked time.Duration) (Record, bool) {
 	var record Record
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -199,6 +199,23 @@
 	})
 }
 
+// TestStrongMachineFirst has a weak and a strong machine start together.
+func TestStrongMachineFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		var keepers []*Keeper
+		for _, handicap := range []time.Duration{time.Second, 50 * time.Millisecond} {
+			k := &Keeper{Self: handicap.String(), Settings: settings, Store: s.of("n"), Log: slog.New(slog.DiscardHandler), Handicap: handicap,
+				Now: func() time.Duration { return time.Since(s.start) }}
+			keepers = append(keepers, k)
+			go func() { _ = k.Run(t.Context()) }()
+		}
+		time.Sleep(5 * time.Second)
+		require.False(t, holds(keepers[0]))
+		require.True(t, holds(keepers[1]))
+	})
+}
+
 // TestLostAnswers has each write take effect while its answer gets lost: the
 // writer recognises its own tenure.
 func TestLostAnswers(t *testing.T) {
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -38,6 +38,20 @@
 	leaseRenew = 500 * time.Millisecond
 )
 
+// The owner of the engines talks to all nodes. A machine that takes longer over
+// it takes the lease later, up to maxHandicap.
+const (
+	ownerCoreSeconds = 0.04
+	ownerMegabits    = 10.0
+	maxHandicap      = 1500 * time.Millisecond
+)
+
+// handicap returns how much later than others a machine takes the lease.
+func handicap(cores, linkMbps float64) time.Duration {
+	seconds := ownerCoreSeconds/max(cores, 0.01) + ownerMegabits/max(linkMbps, 1)
+	return min(time.Duration(seconds*float64(time.Second)), maxHandicap)
+}
+
 // Times of a shutdown.
 const (
 	// balancerDelay is how long the balancer may still send callers to a node
@@ -85,6 +99,7 @@
 	n.keeper = &lease.Keeper{
 		Self:     s.IP,
 		Peer:     self,
+		Handicap: handicap(s.Cores, s.LinkMbps),
 		Settings: lease.Settings{Term: leaseTerm, Renew: leaseRenew, Gap: s.OwnerGap},
 		Store:    platform.NewLeaseStore(store),
 		Log:      log,
