Leave out what nothing reads

The planned end of a leaving endpoint was decoded and passed on, and no decision uses it; two functions had a parameter without use. No line of behaviour changed. Tests of the touched packages green.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -6,7 +6,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 )
 
 // Endpoint is one start of an engine or of an instance of a plain service. It
@@ -22,9 +21,6 @@
 	Slots      int    `json:"slots,omitempty"`
 	// Leaving endpoints get no new requests.
 	Leaving bool `json:"leaving,omitempty"`
-	// GoneAt is when a leaving endpoint ends whatever it runs; the zero time
-	// means that it finishes first.
-	GoneAt time.Time `json:"gone_at,omitzero"`
 	// Models are what the engine holds, each with its adapters.
 	Models map[string][]string `json:"models,omitempty"`
 	// InMemory and OnDisk are models of which the engine keeps copies. Only the
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -256,7 +256,7 @@
 			delete(o.emptied, e.Key())
 		}
 		if step.FromStore {
-			o.storeLoads(service).begin(now)
+			o.storeLoads(service).begin()
 		}
 		order := orders.Order{Unload: step.Unload, Model: step.Model}
 		book.Sent(order, now, step.Takes)
--- a/internal/owner/storeloads.go
+++ b/internal/owner/storeloads.go
@@ -44,7 +44,8 @@
 	return max(0, min(int(s.tokens), storeAtOnce-underWay))
 }
 
-func (s *storeLoads) begin(time.Time) {
+// begin counts a load that begins.
+func (s *storeLoads) begin() {
 	s.tokens--
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -55,7 +55,7 @@
 			if x.req.Adapter == "" {
 				return endpoint, nil
 			}
-			with, failure := x.withAdapter(ctx, snapshot, endpoint)
+			with, failure := x.withAdapter(ctx, snapshot)
 			if with != nil || failure != nil {
 				return with, failure
 			}
@@ -213,7 +213,7 @@
 // withAdapter returns an engine that holds the request's adapter, asking for
 // it to be brought up if none is known. Both results are nil if the engines
 // should be looked at again.
-func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot, chosen *inventory.Endpoint) (*inventory.Endpoint, *Failure) {
+func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot) (*inventory.Endpoint, *Failure) {
 	if known := x.relay.adapters.engine(x.req.Model, x.req.Adapter); known != "" {
 		e := snapshot.Endpoint(known)
 		if e != nil && e.Holds(x.req.Model) && !e.Leaving && !slices.Contains(x.tried, known) {
