Check a slot against the limit again before its model is unloaded

Traced: a controller heard of the lowered limit 0.5 ms to 10 ms before it was raised again, drained the model for 100 ms and unloaded it 90 ms after the raised limit had been committed, because the slot's check was from before the drain. It heard of the raised limit 200 to 500 ms later.

Ruled out: load on the machine (the failing runs stood alone), the configuration reverting (versions rose 2, 3, 4), a lost order.

Change: a model whose slot is over the limit is unloaded only if the slot was checked at the table within the settling time; if not, it is checked again and the unload waits for that. A controller cut off from the table keeps the model until it can check.

--- a/internal/controller/owned.go
+++ b/internal/controller/owned.go
@@ -19,11 +19,12 @@
 
 // Errors of an owned engine.
 var (
-	errNoMemory  = errors.New("controller: no memory to be had on the engine")
-	errNotBound  = errors.New("controller: no slot of the model is bound to the engine")
-	errLoadEnded = errors.New("controller: the engine dropped the load")
-	errAway      = errors.New("controller: the engine can't be reached")
-	errNoLease   = errors.New("controller: the lease has ended")
+	errNoMemory   = errors.New("controller: no memory to be had on the engine")
+	errNotBound   = errors.New("controller: no slot of the model is bound to the engine")
+	errLoadEnded  = errors.New("controller: the engine dropped the load")
+	errAway       = errors.New("controller: the engine can't be reached")
+	errNoLease    = errors.New("controller: the lease has ended")
+	errNotChecked = errors.New("controller: the slot has to be checked against the limit again")
 )
 
 // watchRetry is the pause after a failed reading of an engine.
@@ -67,9 +68,9 @@
 	generation int64
 
 	// bound maps the bound models to whether their slot may be kept, and
-	// checked to the limit by which that was decided.
+	// checked to the check that decided it.
 	bound   map[string]bool
-	checked map[string]int32
+	checked map[string]slotCheck
 	// synced counts the readings of the bindings, and asked those that are
 	// wanted; syncAt is when the next one is due anyway.
 	synced, asked int64
@@ -107,7 +108,7 @@
 		rowStands:  true,
 		generation: generation,
 		listed:     row.Listed,
-		checked:    map[string]int32{},
+		checked:    map[string]slotCheck{},
 		releasing:  map[string]bool{},
 		asked:      1,
 		draining:   map[string]time.Time{},
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -169,6 +169,9 @@
 // step sends one order and enters it in the ledger, before it is sent.
 func (o *ownedEngine) step(ctx context.Context, step plan.Step) error {
 	if step.Kind == engine.OrderUnload {
+		if err := o.stillOverLimit(step.Model); err != nil {
+			return err
+		}
 		if err := o.stillIdle(ctx, step.Model); err != nil {
 			return err
 		}
--- a/internal/controller/replicas_test.go
+++ b/internal/controller/replicas_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,16 @@
 	return len(held)
 }
 
+// published reports whether an engine's owner shows a model as loaded there.
+func (w *world) published(engine, model string) bool {
+	for _, endpoint := range w.owner(engine).Controller.Status().GetEndpoints() {
+		if endpoint.GetName() == engine {
+			return slices.Contains(endpoint.GetLoaded(), model)
+		}
+	}
+	return false
+}
+
 func (w *world) bindings(model string) int {
 	bindings, err := slots.NewStore(w.StandIn.Table, w.Store).Read(w.t.Context(), model)
 	require.NoError(w.t, err)
@@ -87,6 +98,15 @@
 			time.Sleep(10 * time.Millisecond)
 			w.Apply(w.deployment(2))
 		}},
+		{name: "raised while the model drains", held: 2, bound: 2, test: func(w *world) {
+			require.Eventually(w.t, func() bool { return w.published("e2", "m1") }, 10*time.Second, time.Millisecond)
+			w.Apply(w.deployment(1))
+			for w.published("e2", "m1") {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(controller.DefaultSettings().Settle - 10*time.Millisecond)
+			w.Apply(w.deployment(2))
+		}},
 		{name: "model removed", test: func(w *world) {
 			d := w.deployment(2)
 			d.Models = d.Models[1:]
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -150,6 +150,14 @@
 	o.controller.engineQueue.Add(o.name)
 }
 
+// slotCheck is a check of a slot against its model's limit.
+type slotCheck struct {
+	// limit is the limit by the configuration in force at the check.
+	limit int32
+	// at is when the check began.
+	at time.Time
+}
+
 // notOffered stands for the limit of a model that is not offered.
 const notOffered = -1
 
@@ -163,6 +171,7 @@
 		if offer, ok := current.Model(model); ok {
 			deployment = offer.Deployment
 		}
+		began := time.Now()
 		keep, err := o.controller.Slots.Keep(ctx, deployment, model, o.name, current.Version)
 		if err != nil {
 			return err
@@ -170,7 +179,7 @@
 		o.mu.Lock()
 		if _, bound := o.bound[model]; bound {
 			o.bound[model] = keep
-			o.checked[model] = limit
+			o.checked[model] = slotCheck{limit: limit, at: began}
 			o.touch()
 		}
 		o.mu.Unlock()
@@ -192,13 +201,32 @@
 		if offer, ok := current.Model(model); ok {
 			limit = offer.Spec.GetMaxReplicas()
 		}
-		if checked, ok := o.checked[model]; !ok || checked != limit {
+		if checked, ok := o.checked[model]; !ok || checked.limit != limit {
 			out[model] = limit
 		}
 	}
 	return out
 }
 
+// stillOverLimit returns errNotChecked if a model's slot was found over the
+// limit too long ago to unload the model for it, and has it checked again: the
+// operators may have raised the limit while the model drained.
+func (o *ownedEngine) stillOverLimit(model string) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	keep, bound := o.bound[model]
+	if !bound || keep {
+		return nil
+	}
+	checked, ok := o.checked[model]
+	if ok && time.Since(checked.at) < o.controller.settings.Settle {
+		return nil
+	}
+	delete(o.checked, model)
+	o.controller.tableQueue.Add(o.name)
+	return errNotChecked
+}
+
 // freeSlots gives back the slots of models that the engine has shown to be
 // gone. A release whose answer was lost is repeated.
 func (o *ownedEngine) freeSlots(ctx context.Context) error {
