Close idle connections at once when a server shuts down

Change: the shutdown waits only for the first requests of new connections; then idle connections are closed, as they were, while running requests end.

Before: TestShutdownClosesIdle never ends.

The line of a failed request tells what the choice was made from: how many endpoints serve the model, and how many of them are spared or leaving.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,8 +3,8 @@
 //
 // The shutdown of net/http closes connections whose request it reads after the
 // shutdown began, and those that the kernel holds for it, without an answer.
-// This one first stops listening, answers what comes over the connections that
-// are open, and closes those that stay idle.
+// This one first accepts what waits and reads the first request of each
+// connection. Idle connections are closed then, so that no more requests come.
 package httpserver
 
 import (
@@ -37,9 +37,8 @@
 
 	mu sync.Mutex
 	// fresh maps connections that have sent no request yet to when they were
-	// accepted; busy are those with a request in flight.
+	// accepted.
 	fresh map[net.Conn]time.Time
-	busy  map[net.Conn]bool
 }
 
 // New returns a server for a listener. The settings of server hold, but for
@@ -51,7 +50,6 @@
 		ended:        make(chan struct{}),
 		firstRequest: defaultFirstRequest,
 		fresh:        map[net.Conn]time.Time{},
-		busy:         map[net.Conn]bool{},
 	}
 	server.ConnState = s.note
 	return s
@@ -67,9 +65,9 @@
 	return err
 }
 
-// Shutdown stops listening, waits until every request that was sent is
-// answered, and closes the connections. It returns the error of ctx if that
-// ends first; it may be called again then.
+// Shutdown stops listening, waits for the first requests of new connections,
+// closes idle connections and waits until all requests are answered. It returns
+// the error of ctx if that ends first; it may be called again then.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.listener.Close(); err != nil {
 		return err
@@ -79,7 +77,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	for s.working(time.Now()) {
+	for s.awaitsFirst(time.Now()) {
 		pause.For(ctx, lookInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -88,28 +86,21 @@
 	return s.http.Shutdown(ctx)
 }
 
-// note keeps the state of the open connections.
+// note keeps the connections that have sent no request yet.
 func (s *Server) note(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.fresh, conn)
-	delete(s.busy, conn)
-	switch state {
-	case http.StateNew:
+	if state == http.StateNew {
 		s.fresh[conn] = time.Now()
-	case http.StateActive:
-		s.busy[conn] = true
 	}
 }
 
-// working reports whether requests are in flight, or a new connection may be
-// about to send one.
-func (s *Server) working(now time.Time) bool {
+// awaitsFirst reports whether a new connection may be about to send its first
+// request.
+func (s *Server) awaitsFirst(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.busy) > 0 {
-		return true
-	}
 	for _, accepted := range s.fresh {
 		if now.Sub(accepted) < s.firstRequest {
 			return true
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -136,6 +136,45 @@
 	require.NoError(t, server.Shutdown(t.Context()))
 }
 
+// TestShutdownClosesIdle checks that a connection is closed which has had its
+// answer, while a request still runs on another one, so that no more requests
+// come over it.
+func TestShutdownClosesIdle(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	held := make(chan struct{})
+	begun := make(chan struct{}, 1)
+	server := New(&http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/long" {
+				begun <- struct{}{}
+				<-held
+			}
+		}),
+	}, listener)
+	go func() { _ = server.Serve() }()
+	long, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(long, "GET /long HTTP/1.1\r\nHost: here\r\n\r\n")
+	require.NoError(t, err)
+	<-begun
+	idle, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(idle, "GET / HTTP/1.1\r\nHost: here\r\n\r\n")
+	require.NoError(t, err)
+	answers := bufio.NewReader(idle)
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	require.False(t, resp.Close)
+	down := make(chan error, 1)
+	go func() { down <- server.Shutdown(t.Context()) }()
+	_, err = answers.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "an idle connection stays open")
+	close(held)
+	require.NoError(t, readAnswer(long))
+	require.NoError(t, <-down)
+}
+
 // readAnswer reads an answer and closes the connection.
 func readAnswer(conn net.Conn) error {
 	defer conn.Close()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,6 +42,10 @@
 	status   int
 	begun    bool
 	events   sse.Splitter
+	// candidates is the number of endpoints at the last choice that serve the
+	// request's model; of these, spared ones had failed and leaving ones are
+	// being drained.
+	candidates, spared, leaving int
 }
 
 // splitPoint places a request among the targets of its route.
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -130,6 +130,7 @@
 		candidates = append(candidates, x.candidate(e, now))
 	}
 	x.markCached(candidates)
+	x.noteCandidates(candidates, now)
 	request := choose.Request{
 		Now:          now,
 		DataCentre:   x.relay.DataCentre,
@@ -144,6 +145,21 @@
 	return snapshot.Endpoint(chosen.Name), verdict
 }
 
+// noteCandidates keeps what the choice was made from, for the log.
+func (x *exchange) noteCandidates(candidates []choose.Candidate, now time.Time) {
+	x.candidates = len(candidates)
+	x.spared = 0
+	x.leaving = 0
+	for _, c := range candidates {
+		if c.HeldUntil.After(now) {
+			x.spared++
+		}
+		if c.Leaving {
+			x.leaving++
+		}
+	}
+}
+
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -313,6 +313,9 @@
 		return
 	}
 	countFailure(failure.Reason)
+	if x != nil {
+		attrs = append(attrs, "candidates", x.candidates, "spared", x.spared, "leaving", x.leaving)
+	}
 	attrs = append(attrs, "reason", string(failure.Reason), "run", string(failure.Run), "retry_after_ms", failure.RetryAfter.Milliseconds())
 	if failure.Cause != nil {
 		attrs = append(attrs, "error", failure.Cause.Error())
