--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -19,6 +19,9 @@
 type StoreReply struct {
 	Status int    `json:"status"`
 	Body   []byte `json:"body"`
+	// Taken tells that the store did what was asked, or said why not; it turned
+	// the node away otherwise.
+	Taken bool `json:"taken"`
 }
 
 // Store makes calls to the store for other nodes.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -110,7 +110,7 @@
 	n.follower.Config = n.manifests.Newer
 	n.endpoints = platform.NewEndpoints(store, n.inventory, n.follower.Fresh, n.owns, log)
 	n.owner = owner.New(owner.Parts{
-		Catalog:   n.manifests.Current,
+		Catalog:   n.manifests.Get,
 		Inventory: n.inventory,
 		Engines:   platform.NewEngines(s.VM),
 		Lease:     n.keeper,
@@ -131,7 +131,7 @@
 	n.keeper.Alive = n.client.Alive
 	n.relay = relay.New(relay.Parts{
 		DataCentre: s.DataCentre,
-		Catalog:    n.manifests.Current,
+		Catalog:    n.manifests.Get,
 		Inventory:  n.inventory,
 		Sender:     platform.NewSender(),
 		Adapters:   n.client,
@@ -168,7 +168,7 @@
 	switch {
 	case n.leaving.Load():
 		return false, "shutting down"
-	case n.manifests.Current() == nil:
+	case n.manifests.Get() == nil:
 		return false, "no configuration yet"
 	case n.inventory.Current().Len() == 0:
 		return false, "no endpoints yet"
