Hold callers' connections and headers to the configuration's limits

Cause: of the limits in the operators' configuration only the one of bodies was kept; a connection without a request stayed open as long as its caller liked, which ties up file descriptors.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -109,9 +109,15 @@
 	Engine *Engine
 }
 
-// Limits bound what callers may send.
+// Limits bound what callers may send, and for how long they may hold a
+// connection without a request. A bound of 0 is none.
 type Limits struct {
-	BodyBytes int64
+	BodyBytes   int64
+	HeaderBytes int
+	// HeaderTime is for the header of a connection's first request, IdleTime
+	// from an answer to the next header.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
 }
 
 // Catalog is one version of the configuration.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,10 +25,20 @@
 	lookInterval = 5 * time.Millisecond
 )
 
+// Limits bound how long callers may hold a connection without a request. A
+// bound of 0 is none. They may change while the server runs.
+type Limits struct {
+	// Header is for the header of a connection's first request.
+	Header time.Duration
+	// Idle is from an answer to the end of the next request's header.
+	Idle time.Duration
+}
+
 // Server is an HTTP server on one listener.
 type Server struct {
 	http     *http.Server
 	listener *Listener
+	limits   func() Limits
 	// ended is closed when no more connections are accepted.
 	ended chan struct{}
 	// firstRequest is how long a new connection may take to send its request
@@ -37,19 +47,22 @@
 
 	mu sync.Mutex
 	// fresh maps connections that have sent no request yet to when they were
-	// accepted.
+	// accepted, idle those that had an answer to when it ended.
 	fresh map[net.Conn]time.Time
+	idle  map[net.Conn]time.Time
 }
 
 // New returns a server for a listener. The settings of server hold, but for
-// its ConnState.
-func New(server *http.Server, listener *Listener) *Server {
+// its ConnState. limits may be nil.
+func New(server *http.Server, listener *Listener, limits func() Limits) *Server {
 	s := &Server{
 		http:         server,
 		listener:     listener,
+		limits:       limits,
 		ended:        make(chan struct{}),
 		firstRequest: defaultFirstRequest,
 		fresh:        map[net.Conn]time.Time{},
+		idle:         map[net.Conn]time.Time{},
 	}
 	server.ConnState = s.note
 	return s
@@ -58,6 +71,9 @@
 // Serve accepts connections until Shutdown, and returns nil then.
 func (s *Server) Serve() error {
 	defer close(s.ended)
+	if s.limits != nil {
+		go s.keepLimits()
+	}
 	err := s.http.Serve(s.listener)
 	if s.listener.closed() {
 		return nil
@@ -86,13 +102,52 @@
 	return s.http.Shutdown(ctx)
 }
 
-// note keeps the connections that have sent no request yet.
+// limitsInterval is the time between two looks at connections that are held
+// without a request.
+const limitsInterval = 500 * time.Millisecond
+
+// keepLimits closes the connections that are held too long, until the server
+// accepts no more.
+func (s *Server) keepLimits() {
+	ticker := time.NewTicker(limitsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			limits := s.limits()
+			s.closeHeld(s.fresh, limits.Header, now)
+			s.closeHeld(s.idle, limits.Idle, now)
+		case <-s.ended:
+			return
+		}
+	}
+}
+
+func (s *Server) closeHeld(held map[net.Conn]time.Time, limit time.Duration, now time.Time) {
+	if limit <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, since := range held {
+		if now.Sub(since) > limit {
+			delete(held, conn)
+			_ = conn.Close()
+		}
+	}
+}
+
+// note keeps the connections that have no request in flight.
 func (s *Server) note(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.fresh, conn)
-	if state == http.StateNew {
+	delete(s.idle, conn)
+	switch state {
+	case http.StateNew:
 		s.fresh[conn] = time.Now()
+	case http.StateIdle:
+		s.idle[conn] = time.Now()
 	}
 }
 
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,7 +67,7 @@
 			hold.Do(func() { <-held })
 			return ctx
 		},
-	}, listener)
+	}, listener, nil)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	answers := make(chan error, waiters)
@@ -95,7 +96,7 @@
 	require.NoError(t, err)
 	server := New(&http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }),
-	}, listener)
+	}, listener, nil)
 	server.firstRequest = time.Minute
 	go func() { _ = server.Serve() }()
 	conns := make([]net.Conn, waiters)
@@ -122,7 +123,7 @@
 	held := make(chan struct{})
 	server := New(&http.Server{
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-held }),
-	}, listener)
+	}, listener, nil)
 	go func() { _ = server.Serve() }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
@@ -151,7 +152,7 @@
 				<-held
 			}
 		}),
-	}, listener)
+	}, listener, nil)
 	go func() { _ = server.Serve() }()
 	long, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
@@ -175,6 +176,49 @@
 	require.NoError(t, <-down)
 }
 
+// TestLimits holds connections without a request, before the first and after
+// an answer: they are closed, and one with a request in flight is not.
+func TestLimits(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	held := make(chan struct{})
+	begun := make(chan struct{}, 1)
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{})
+	server := New(&http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/long" {
+				begun <- struct{}{}
+				<-held
+			}
+		}),
+	}, listener, func() Limits { return *limits.Load() })
+	go func() { _ = server.Serve() }()
+	dial := func(path string) net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		if path != "" {
+			_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: here\r\n\r\n")
+			require.NoError(t, err)
+		}
+		return conn
+	}
+	long := dial("/long")
+	<-begun
+	limits.Store(&Limits{Header: time.Second, Idle: 10 * time.Millisecond})
+	fresh, idle := dial(""), dial("/")
+	_, err = io.ReadAll(fresh)
+	require.NoError(t, err)
+	answers := bufio.NewReader(idle)
+	_, err = http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	_, err = answers.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "an idle connection stays open")
+	close(held)
+	require.NoError(t, readAnswer(long))
+	require.NoError(t, server.Shutdown(t.Context()))
+}
+
 // readAnswer reads an answer and closes the connection.
 func readAnswer(conn net.Conn) error {
 	defer conn.Close()
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -215,7 +215,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}, listener)
+	}, listener, n.limits)
 	servers := map[string]*http.Server{
 		s.ReadyListen:                       {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
 		n.peerAddress():                     {Handler: fleet.Handler(n.owner, n.book, n.publisher(), n.store, n.log)},
@@ -245,6 +245,16 @@
 	return nil
 }
 
+// limits returns the limits of callers' connections by the configuration in
+// force.
+func (n *Node) limits() httpserver.Limits {
+	c := n.manifests.Get()
+	if c == nil {
+		return httpserver.Limits{}
+	}
+	return httpserver.Limits{Header: c.Limits.HeaderTime, Idle: c.Limits.IdleTime}
+}
+
 // shutdown finishes what callers wait for.
 func (n *Node) shutdown(callers *httpserver.Server) {
 	began := time.Now()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -233,7 +233,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := httpserver.New(&http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}, listener)
+	server := httpserver.New(&http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}, listener, nil)
 	go func() {
 		if err := server.Serve(); err != nil {
 			p.Log.Error("server ended", "server", name, "error", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,12 +191,17 @@
 // bytes.
 const defaultMaxBody = 4 << 20
 
-// MaxBodyBytes returns the bound of a request's body.
-func (r *Relay) MaxBodyBytes() int64 {
-	if c := r.Catalog(); c != nil && c.Limits.BodyBytes > 0 {
-		return c.Limits.BodyBytes
+// Limits returns the bounds of what callers may send. The body is always
+// bounded.
+func (r *Relay) Limits() catalog.Limits {
+	limits := catalog.Limits{}
+	if c := r.Catalog(); c != nil {
+		limits = c.Limits
 	}
-	return defaultMaxBody
+	if limits.BodyBytes <= 0 {
+		limits.BodyBytes = defaultMaxBody
+	}
+	return limits
 }
 
 // InFlight returns the number of requests that are being served.
