Refuse requests at once that a line before full engines can't serve

Pattern: demand shifts to models that few engines hold; more requests come than these can serve until other engines have loaded them (10 s).

Ruled out: engines spared after failures (0 to 1 of the candidates), connections refused by engines that are gone (many, but they end in a millisecond).

Change: internal/line keeps those that wait for the same model in order: the more urgent first, among them those that can still be answered on time, then the earlier. From the pace at which the line moved in the last two seconds it foretells the wait; a request whose wait would exceed what it may wait is refused at once, with that time as Retry-After. A request may wait for three tenths of its time, not for half. Requests that have failed somewhere hold up nobody. Each one that goes wakes the next.

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -24,11 +24,14 @@
 	modelPoll = 50 * time.Millisecond
 	// loadRetryAfter is told to callers while no load is under way.
 	loadRetryAfter = time.Second
+	// maxRetryAfter bounds what is told to a caller who would have had to wait
+	// in a long line.
+	maxRetryAfter = 5 * time.Second
 )
 
 // patience is the part of its time for which a request waits for an endpoint
 // that is not foreseen.
-const patience = 0.5
+const patience = 0.3
 
 // place returns an endpoint that can run the request now, waiting for one if
 // that can help. Its failures say that this sending did not happen.
@@ -36,21 +39,24 @@
 	if _, condemned := x.relay.suspects.Condemned(x.digest(), time.Now()); condemned {
 		return nil, refuse(ReasonCrashes, 0)
 	}
-	began := time.Now()
-	waiting := false
-	defer func() {
-		if waiting {
-			x.relay.Demand.Waits(x.service.Name, x.req.Model, -1)
-			modelWaitSeconds.Update(time.Since(began).Seconds())
-		}
-	}()
 	if x.req.Model != "" && !x.counted {
 		x.counted = true
 		x.relay.Demand.Arrived(x.service.Name, x.req.Model, x.req.PromptTokens)
 	}
+	w := x.newWait()
+	endpoint, failure := x.await(ctx, w)
+	w.end(endpoint != nil)
+	return endpoint, failure
+}
+
+// await looks for an endpoint until there is one or no hope is left.
+func (x *exchange) await(ctx context.Context, w *wait) (*inventory.Endpoint, *Failure) {
 	for {
 		snapshot, changed := x.relay.Inventory.Watch()
 		endpoint, verdict := x.choose(snapshot)
+		if verdict == choose.Found && !w.turn() {
+			verdict = choose.Full
+		}
 		if verdict == choose.Found {
 			if x.req.Adapter == "" {
 				return endpoint, nil
@@ -60,14 +66,13 @@
 				return with, failure
 			}
 		}
-		if verdict != choose.Found && x.req.Model != "" && !waiting {
-			waiting = true
-			x.relay.Demand.Waits(x.service.Name, x.req.Model, 1)
+		if verdict != choose.Found {
+			w.begin(verdict)
 		}
-		if failure := x.hopeless(verdict); failure != nil {
+		if failure := x.hopeless(verdict, w); failure != nil {
 			return nil, failure
 		}
-		if !pause.Until(ctx, changed, pollOf(verdict)) {
+		if !pause.Either(ctx, changed, w.next(), pollOf(verdict)) {
 			return nil, endedFailure(ctx, outcome.NotRun, nil)
 		}
 	}
@@ -81,7 +86,7 @@
 }
 
 // hopeless refuses a request that can't be placed in time.
-func (x *exchange) hopeless(verdict choose.Verdict) *Failure {
+func (x *exchange) hopeless(verdict choose.Verdict, w *wait) *Failure {
 	now := time.Now()
 	reason := reasonOf(verdict, x.req.Model)
 	last := x.lastMoment()
@@ -96,6 +101,13 @@
 	if now.After(last) {
 		return refuse(reason, loadRetryAfter)
 	}
+	foretold := w.foretold(now)
+	if verdict == choose.Absent || foretold == 0 {
+		return nil
+	}
+	if now.Add(foretold).After(last) {
+		return refuse(reason, min(foretold, maxRetryAfter))
+	}
 	return nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/line"
 	"chestnutgauge/internal/load"
 	"chestnutgauge/internal/retry"
 	"chestnutgauge/internal/suspect"
@@ -162,6 +163,7 @@
 	suspects *suspect.Table
 	crashes  crashWatch
 	adapters *adapterMemory
+	lines    *line.Lines
 	inFlight atomic.Int64
 	// ending is cancelled when the process is about to end.
 	ending context.Context
@@ -183,6 +185,7 @@
 		suspects: suspect.NewTable(suspect.DefaultSettings()),
 		crashes:  crashWatch{pending: map[string][]suspect.Digest{}},
 		adapters: newAdapterMemory(),
+		lines:    line.New(),
 		budgets:  map[string]*retry.Budget{},
 	}
 }
