--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -19,6 +19,7 @@
 	ReasonUnknownModel Reason = "no such model"
 	ReasonNoEndpoint   Reason = "no endpoint"
 	ReasonNoModel      Reason = "no engine holds the model"
+	ReasonNoAdapter    Reason = "adapter not brought up"
 	ReasonFull         Reason = "endpoints are full"
 	ReasonTimeout      Reason = "not answered in time"
 	ReasonBroken       Reason = "answer broken off"
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -102,7 +102,7 @@
 		return refuse(reason, loadRetryAfter)
 	}
 	foretold := w.foretold(now)
-	if verdict == choose.Absent || foretold == 0 {
+	if verdict == choose.Absent || foretold == 0 || x.begun {
 		return nil
 	}
 	if now.Add(foretold).After(last) {
@@ -253,7 +253,7 @@
 	if err != nil {
 		x.relay.Log.Info("adapter not brought up", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
 		if !pause.For(ctx, adapterPause) || time.Now().After(x.lastMoment()) {
-			return nil, refuse(ReasonNoModel, loadRetryAfter)
+			return nil, refuse(ReasonNoAdapter, loadRetryAfter)
 		}
 		return nil, nil
 	}
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -126,3 +126,27 @@
 		require.Equal(t, "urgent", sender.ids[busy])
 	})
 }
+
+// TestBegunStreamStaysInLine has a stream break off while all places are taken by
+// others that go on for long: it waits as long as it may, since its caller has
+// nothing to gain from a refusal.
+func TestBegunStreamStaysInLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelay(&slowEndpoints{takes: time.Hour})
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		for range 12 {
+			callers.Go(func() { _ = r.Serve(context.Background(), request("once", "m"), &fakeAnswer{}) })
+		}
+		synctest.Wait()
+		x, failure := r.begin(request("resume", "m"), &fakeAnswer{})
+		require.Nil(t, failure)
+		x.begun = true
+		began := time.Now()
+		ctx, cancel := context.WithDeadline(context.Background(), x.limit.Add(lateSlack))
+		defer cancel()
+		_, failure = x.place(ctx)
+		require.NotNil(t, failure)
+		require.GreaterOrEqual(t, time.Since(began), x.limit.Sub(began))
+	})
+}
