Let a node that lost the lease look for the new holder

A holder that lost the lease to another kept its own record of it. It reported its demand to itself, took its own answer for a sign that the holder lives, and never read the lease again: adapters failed there and its demand was not seen, until it was restarted.

Ruled out: orders that keep memory reserved (13 s; no orders were open), the store (its feed was followed).

Change: the loser keeps the record that it read, and a node's own address is no sign that the holder lives.

Before: TestLoserKnowsTheHolder fails, the loser names itself. After: it passes.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -144,7 +144,7 @@
 		return k.renew(ctx)
 	case retired:
 		return lookPause
-	case known && k.Alive != nil && k.Alive(peer):
+	case known && peer != k.Peer && k.Alive != nil && k.Alive(peer):
 		return lookPause
 	}
 	return k.look(ctx)
@@ -158,10 +158,7 @@
 		k.Log.Info("lease not read", "error", err)
 		return lookPause
 	}
-	record, ok := k.took(row, asked)
-	if !ok {
-		return lookPause
-	}
+	record := k.took(row, asked)
 	if in := TakeIn(record, row.Found, k.Self, row.NowMS, k.Settings); in > 0 {
 		return in + k.Handicap + jitter(lookJitter)
 	}
@@ -181,7 +178,7 @@
 }
 
 // took keeps what a read showed.
-func (k *Keeper) took(row Row, asked time.Duration) (Record, bool) {
+func (k *Keeper) took(row Row, asked time.Duration) Record {
 	var record Record
 	if row.Found {
 		if err := json.Unmarshal(row.Value, &record); err != nil {
@@ -192,7 +189,7 @@
 	defer k.mu.Unlock()
 	k.clock.Answered(row.NowMS, asked)
 	k.record, k.found, k.version = record, row.Found, row.Version
-	return record, true
+	return record
 }
 
 // take writes a new tenure.
@@ -270,6 +267,7 @@
 	var found Record
 	if !row.Found || json.Unmarshal(row.Value, &found) != nil || found.Tenure != sent.Tenure {
 		k.lose("another node holds it")
+		k.took(row, asked)
 		return 0
 	}
 	if found == sent {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -95,9 +95,9 @@
 	of[node] = value
 }
 
-// keeperOf starts a keeper that runs until the test ends.
-func keeperOf(t *testing.T, s *fakeStore, node string) *Keeper {
-	k := &Keeper{
+// newKeeper returns a keeper that does not run yet.
+func newKeeper(s *fakeStore, node string) *Keeper {
+	return &Keeper{
 		Self:     node,
 		Peer:     node,
 		Settings: settings,
@@ -105,6 +105,11 @@
 		Log:      slog.New(slog.DiscardHandler),
 		Now:      func() time.Duration { return time.Since(s.start) },
 	}
+}
+
+// keeperOf starts a keeper that runs until the test ends.
+func keeperOf(t *testing.T, s *fakeStore, node string) *Keeper {
+	k := newKeeper(s, node)
 	go func() { _ = k.Run(t.Context()) }()
 	return k
 }
@@ -151,6 +156,28 @@
 	})
 }
 
+// TestLoserKnowsTheHolder has a holder lose the lease while it is cut off from
+// the store. Nodes take it from the holder's answers that it lives; the loser
+// answers its own reports until it knows of the other, and must not take
+// itself for the holder by that.
+func TestLoserKnowsTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		a := newKeeper(s, "a")
+		a.Alive = func(peer string) bool { return peer == "a" }
+		go func() { _ = a.Run(t.Context()) }()
+		time.Sleep(time.Second)
+		b := keeperOf(t, s, "b")
+		s.set(s.away, "a", true)
+		time.Sleep(10 * time.Second)
+		require.True(t, holds(b))
+		s.set(s.away, "a", false)
+		time.Sleep(2 * time.Second)
+		require.False(t, holds(a))
+		require.Equal(t, "b", a.Holder())
+	})
+}
+
 // TestHolderGoesOnAfterOutage has the store away for everybody, for longer than
 // the term: the holder goes on with its fence as soon as the store is back.
 func TestHolderGoesOnAfterOutage(t *testing.T) {
