A fault soak of nodes as processes of their own

Three nodes run as programs between callers, a store and four endpoints, with a loopback proxy before the store of each node and before each endpoint. Three series of faults overlap: programs killed, shut down, stopped, told to read their settings; connections delayed, silenced, cut one way, reset; the store away, losing answers, forgetting; endpoints that refuse, lose answers and break off; new configurations. Checked from what callers and endpoints see: a request that may run once runs at most once; 'not run' is true; what looks whole is whole; no two holders share a token and none orders after its successor; each kind is served at each node again afterwards.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EXAMPLE ?= demo
 export PORT_OFFSET EXAMPLE
 
-.PHONY: all build test lint check bench soak demo up down generate setup clean
+.PHONY: all build test lint check bench soak soak-node demo up down generate setup clean
 
 all: build
 
@@ -44,6 +44,12 @@
 soak: build
 	$(BIN)/chestnut-bench soak --seed $(SEED) --duration $(DURATION)
 
+# soak-node runs nodes of the platform under faults. It takes SEED, SEEDS and
+# DURATION.
+SEEDS ?= 1
+soak-node: build
+	$(GO) test -count=1 -timeout 0 -run TestSoak -v ./platform -args -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.time=$(DURATION)
+
 demo: build
 	@bash scripts/demo.sh
 
