Wait for half of the time for a model that no engine holds

Change: three tenths for endpoints that have no room, as foretold by the line; half for a model or adapter that is not there.

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -29,9 +29,14 @@
 	maxRetryAfter = 5 * time.Second
 )
 
-// patience is the part of its time for which a request waits for an endpoint
-// that is not foreseen.
-const patience = 0.3
+// Parts of its time for which a request waits for an endpoint.
+const (
+	// loadPatience is for a model that no endpoint serves, while it is not
+	// known when one will.
+	loadPatience = 0.5
+	// linePatience is for endpoints that have no room.
+	linePatience = 0.3
+)
 
 // place returns an endpoint that can run the request now, waiting for one if
 // that can help. Its failures say that this sending did not happen.
@@ -89,7 +94,10 @@
 func (x *exchange) hopeless(verdict choose.Verdict, w *wait) *Failure {
 	now := time.Now()
 	reason := reasonOf(verdict, x.req.Model)
-	last := x.lastMoment()
+	last := x.lastMoment(linePatience)
+	if verdict == choose.Absent {
+		last = x.lastMoment(loadPatience)
+	}
 	if verdict == choose.Absent && x.req.Model != "" {
 		if at, ok := x.relay.Loads.Expected(x.service.Name, x.req.Model); ok {
 			if at.After(x.limit) {
@@ -111,9 +119,9 @@
 	return nil
 }
 
-// lastMoment is until when the request waits for an endpoint that is not
-// foreseen. A stream that has begun waits as long as it may.
-func (x *exchange) lastMoment() time.Time {
+// lastMoment is until when a request waits that waits for a part of its time. A
+// stream that has begun waits as long as it may.
+func (x *exchange) lastMoment(patience float64) time.Time {
 	if x.begun {
 		return x.limit
 	}
@@ -252,7 +260,7 @@
 	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, x.service.Name, x.req.Model, x.req.Adapter)
 	if err != nil {
 		x.relay.Log.Info("adapter not brought up", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
-		if !pause.For(ctx, adapterPause) || time.Now().After(x.lastMoment()) {
+		if !pause.For(ctx, adapterPause) || time.Now().After(x.lastMoment(loadPatience)) {
 			return nil, refuse(ReasonNoAdapter, loadRetryAfter)
 		}
 		return nil, nil
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -72,7 +72,7 @@
 			perSecond = 48
 		)
 		r := newRelay(&slowEndpoints{takes: takes})
-		const most = time.Duration(patience * float64(4*time.Second))
+		const most = time.Duration(linePatience * float64(4*time.Second))
 		answered, refused := 0, 0
 		var waited time.Duration
 		for _, e := range crowd(r, 4*perSecond*int(long/time.Second), time.Second/(4*perSecond)) {
