--- a/internal/reload/reload_test.go
+++ b/internal/reload/reload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -15,7 +16,13 @@
 // for a file that looks the same.
 func TestWatch(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings")
-	require.NoError(t, os.WriteFile(file, []byte("a=1"), 0o600))
+	// A file that is written in place may be read half written.
+	write := func(text string) {
+		next := file + ".next"
+		require.NoError(t, os.WriteFile(next, []byte(text), 0o600))
+		require.NoError(t, os.Rename(next, file))
+	}
+	write("a=1")
 	reads := make(chan string, 8)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -32,14 +39,14 @@
 	first := time.NewTicker(10 * time.Millisecond)
 	defer first.Stop()
 	for n := 0; ; n++ {
-		require.NoError(t, os.WriteFile(file, append([]byte("a=2"), make([]byte, n)...), 0o600))
+		write("a=2" + strings.Repeat(" ", n))
 		<-first.C
 		if len(reads) > 0 {
 			break
 		}
 	}
 	require.Equal(t, "a=2", (<-reads)[:3])
-	require.NoError(t, os.WriteFile(file, []byte("a=33"), 0o600))
+	write("a=33")
 	for last := ""; last != "a=33"; {
 		last = <-reads
 	}
