Let requests whose adapter can't be brought up hold up nobody

Cause: found in reading. A request with an adapter that stood first in a line had it held up for half of its time while its adapter could not be brought up; those behind it, who need none, were refused. The refusal of one whose adapter failed named full endpoints.

Change: a request with an adapter needs a certain engine, so it is one that may be passed. An engine that was found but lacks the adapter is a reason of its own, with the patience for loads.

Before: TestAdapterHoldsUpNobody fails, the one behind is refused.

--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -57,8 +57,8 @@
 	Arrived  time.Time
 	// Due is until when an answer is on time. The zero time means always.
 	Due time.Time
-	// Choosy requests can't take every endpoint, because some failed them. They
-	// hold up nobody.
+	// Choosy requests can't take every endpoint, because some failed them or
+	// because they need an adapter. They hold up nobody.
 	Choosy bool
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -90,13 +90,15 @@
 	return holdPoll
 }
 
-// hopeless refuses a request that can't be placed in time.
+// hopeless refuses a request that can't be placed in time. An endpoint that was
+// found lacks the adapter.
 func (x *exchange) hopeless(verdict choose.Verdict, w *wait) *Failure {
 	now := time.Now()
 	reason := reasonOf(verdict, x.req.Model)
-	last := x.lastMoment(linePatience)
-	if verdict == choose.Absent {
-		last = x.lastMoment(loadPatience)
+	inLine := verdict == choose.Full || verdict == choose.Held
+	last := x.lastMoment(loadPatience)
+	if inLine {
+		last = x.lastMoment(linePatience)
 	}
 	if verdict == choose.Absent && x.req.Model != "" {
 		if at, ok := x.relay.Loads.Expected(x.service.Name, x.req.Model); ok {
@@ -110,7 +112,7 @@
 		return refuse(reason, loadRetryAfter)
 	}
 	foretold := w.foretold(now)
-	if verdict == choose.Absent || foretold == 0 || x.begun {
+	if !inLine || foretold == 0 || x.begun {
 		return nil
 	}
 	if now.Add(foretold).After(last) {
@@ -130,6 +132,8 @@
 
 func reasonOf(verdict choose.Verdict, model string) Reason {
 	switch {
+	case verdict == choose.Found:
+		return ReasonNoAdapter
 	case verdict != choose.Absent:
 		return ReasonFull
 	case model != "":
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -33,7 +33,11 @@
 const resumedPriority = -1
 
 func (w *wait) request() line.Request {
-	req := line.Request{Priority: w.x.route.Priority, Arrived: w.x.req.Arrived, Choosy: len(w.x.tried) > 0}
+	req := line.Request{
+		Priority: w.x.route.Priority,
+		Arrived:  w.x.req.Arrived,
+		Choosy:   len(w.x.tried) > 0 || w.x.req.Adapter != "",
+	}
 	if w.x.begun {
 		req.Priority = resumedPriority
 	}
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -137,8 +137,9 @@
 		defer callers.Wait()
 		for range 12 {
 			callers.Go(func() { _ = r.Serve(context.Background(), request("once", "m"), &fakeAnswer{}) })
+			// Requests that choose at the same time may meet at one endpoint.
+			synctest.Wait()
 		}
-		synctest.Wait()
 		x, failure := r.begin(request("resume", "m"), &fakeAnswer{})
 		require.Nil(t, failure)
 		x.begun = true
@@ -150,3 +151,34 @@
 		require.GreaterOrEqual(t, time.Since(began), x.limit.Sub(began))
 	})
 }
+
+// TestAdapterHoldsUpNobody has a request at the head of a line whose adapter
+// can't be brought up. Those behind it, who need no adapter, go on.
+func TestAdapterHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelay(&slowEndpoints{takes: 300 * time.Millisecond})
+		var callers sync.WaitGroup
+		ask := func(adapter string) chan ended {
+			out := make(chan ended, 1)
+			callers.Go(func() {
+				began := time.Now()
+				req := request("repeat", "m")
+				req.Adapter = adapter
+				failure := r.Serve(context.Background(), req, &fakeAnswer{})
+				out <- ended{time.Since(began), failure}
+			})
+			synctest.Wait()
+			return out
+		}
+		for range 12 {
+			ask("")
+		}
+		first := ask("a")
+		behind := ask("")
+		callers.Wait()
+		got := <-behind
+		require.Nil(t, got.failure)
+		require.Less(t, got.after, time.Second)
+		require.Equal(t, ReasonNoAdapter, (<-first).failure.Reason)
+	})
+}
