Leave only translation of configuration, entries and connections in platform/

Cause: platform/ still held who follows which table, which row of an endpoint counts, when the configuration is read anew, and how connections notice a silent peer: decisions of the product.

Change: catalog.Follower and inventory.Entries follow tables that the store's client offers, with decoders given to them; httpclient makes the connections; fleet makes its own client.

--- a/platform/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,4 +1,6 @@
-package platform
+// Package httpclient makes HTTP connections that notice a peer which went silent
+// and that deliver nothing after their call was given up.
+package httpclient
 
 import (
 	"context"
@@ -20,9 +22,10 @@
 	maxIdlePerHost    = 16
 )
 
-// newTransport returns an HTTP transport whose connections notice a peer that
-// went silent within about the user timeout.
-func newTransport(connect, user time.Duration) *http.Transport {
+// NewTransport returns an HTTP transport whose connections notice a peer that
+// went silent within about the user timeout. connect bounds the making of a
+// connection.
+func NewTransport(connect, user time.Duration) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: connect,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -75,14 +78,3 @@
 	}
 	return failed
 }
-
-// Bounds of connections between nodes.
-const (
-	peerConnectTimeout = 300 * time.Millisecond
-	peerUserTimeout    = 700 * time.Millisecond
-)
-
-// NewPeerHTTP returns the HTTP client for calls between nodes.
-func NewPeerHTTP() *http.Client {
-	return &http.Client{Transport: newTransport(peerConnectTimeout, peerUserTimeout)}
-}
--- a/platform/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -1,4 +1,4 @@
-package platform
+package httpclient
 
 import (
 	"net"
@@ -26,7 +26,7 @@
 		_, err = conn.Read(make([]byte, 1))
 		ended <- err
 	}()
-	transport := newTransport(time.Second, time.Second)
+	transport := NewTransport(time.Second, time.Second)
 	conn, err := transport.DialContext(t.Context(), "tcp", listener.Addr().String())
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/fleet"
 	"chestnutgauge/internal/httpserver"
@@ -79,8 +80,8 @@
 	settings  atomic.Pointer[platform.Settings]
 	log       *slog.Logger
 	store     *platform.Store
-	manifests *platform.Manifests
-	endpoints *platform.Endpoints
+	config    *catalog.Follower
+	entries   *inventory.Entries
 	inventory *inventory.Inventory
 	keeper    *lease.Keeper
 	owner     *owner.Owner
@@ -108,12 +109,12 @@
 		Store:    platform.NewLeaseStore(store),
 		Log:      log,
 	}
-	n.follower = &fleet.Follower{Self: self, Holder: n.keeper, Inventory: n.inventory, HTTP: platform.NewPeerHTTP(), Log: log}
-	n.manifests = platform.NewManifests(store, n.follower.Fresh, log)
-	n.follower.Config = n.manifests.Newer
-	n.endpoints = platform.NewEndpoints(store, n.inventory, n.follower.Fresh, n.owns, log)
+	n.follower = &fleet.Follower{Self: self, Holder: n.keeper, Inventory: n.inventory, HTTP: fleet.NewHTTP(), Log: log}
+	n.config = catalog.NewFollower(store.Configuration(), platform.DecodeConfiguration, n.follower.Fresh, log)
+	n.follower.Config = n.config.Newer
+	n.entries = inventory.NewEntries(store.Endpoints(), platform.DecodeEndpoint, n.inventory, n.follower.Fresh, n.owns, log)
 	n.owner = owner.New(owner.Parts{
-		Catalog:   n.manifests.Get,
+		Catalog:   n.config.Get,
 		Inventory: n.inventory,
 		Engines:   platform.NewEngines(s.VM),
 		Lease:     n.keeper,
@@ -126,7 +127,7 @@
 		Meter:  meter,
 		Own:    n.owner,
 		Book:   n.book,
-		HTTP:   platform.NewPeerHTTP(),
+		HTTP:   fleet.NewHTTP(),
 		Log:    log,
 	}
 	store.SetDetour(n.client)
@@ -134,7 +135,7 @@
 	n.keeper.Alive = n.client.Alive
 	n.relay = relay.New(relay.Parts{
 		DataCentre: s.DataCentre,
-		Catalog:    n.manifests.Get,
+		Catalog:    n.config.Get,
 		Inventory:  n.inventory,
 		Sender:     platform.NewSender(),
 		Adapters:   n.client,
@@ -156,8 +157,8 @@
 	return &fleet.Publisher{
 		Inventory:     n.inventory,
 		Own:           n.owner,
-		ConfigVersion: n.manifests.Version,
-		StoreAge:      n.endpoints.StoreAge,
+		ConfigVersion: n.config.Version,
+		StoreAge:      n.entries.StoreAge,
 		Log:           n.log,
 	}
 }
@@ -172,7 +173,7 @@
 	switch {
 	case n.leaving.Load():
 		return false, "shutting down"
-	case n.manifests.Get() == nil:
+	case n.config.Get() == nil:
 		return false, "no configuration yet"
 	case n.inventory.Current().Len() == 0:
 		return false, "no endpoints yet"
@@ -199,8 +200,8 @@
 	n.log.Info("start", "vm", s.VM, "data_centre", s.DataCentre, "memory_mb", s.MemoryMB)
 	n.registerMetrics()
 	tree := supervise.New("node", n.log)
-	supervise.Add(tree, "configuration", n.manifests.Run)
-	supervise.Add(tree, "endpoints", n.endpoints.Run)
+	supervise.Add(tree, "configuration", n.config.Run)
+	supervise.Add(tree, "endpoints", n.entries.Run)
 	supervise.Add(tree, "lease", n.keeper.Run)
 	supervise.Add(tree, "owner", n.owner.Run)
 	supervise.Add(tree, "demand", n.client.Run)
@@ -248,7 +249,7 @@
 // limits returns the limits of callers' connections by the configuration in
 // force.
 func (n *Node) limits() httpserver.Limits {
-	c := n.manifests.Get()
+	c := n.config.Get()
 	if c == nil {
 		return httpserver.Limits{}
 	}
