Bound callers' requests in one place, and say things once

Cause, found in reading the whole change: the limits of callers were kept in three places (relay, ingress, server); a request that net/http must not repeat was built twice, an answer of another node checked twice, a settings file written out twice in tests; the store's client had two calls that nothing used; Way, Reach and Detour, and Stands, needed explaining.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -178,9 +178,8 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxBody))
-		return fmt.Errorf("fleet: %s answered %d: %s", to, resp.StatusCode, bytes.TrimSpace(text))
+	if err := checkStatus(resp, to); err != nil {
+		return err
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(answer); err != nil {
 		return fmt.Errorf("fleet: decode: %w", err)
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -135,8 +135,8 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("fleet: %s answered %d", holder, resp.StatusCode)
+	if err := checkStatus(resp, holder); err != nil {
+		return err
 	}
 	decoder := json.NewDecoder(resp.Body)
 	for {
--- /dev/null
+++ b/internal/httpserver/request.go
@@ -0,0 +1,60 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// bodyTimeout bounds the reading of a request's body.
+const bodyTimeout = 10 * time.Second
+
+// ReadBody reads a request's body within limits. If the request exceeds them,
+// it answers the caller itself and returns false.
+func ReadBody(w http.ResponseWriter, r *http.Request, limits Limits) ([]byte, bool) {
+	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+		refuse(w, "header too large", http.StatusRequestHeaderFieldsTooLarge)
+		return nil, false
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	from := io.Reader(r.Body)
+	if limits.BodyBytes > 0 {
+		from = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	}
+	body, err := io.ReadAll(from)
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
+	default:
+		refuse(w, "body not read in time", http.StatusRequestTimeout)
+	}
+	return nil, false
+}
+
+// refuse answers a request whose rest is not read.
+func refuse(w http.ResponseWriter, reason string, status int) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, reason, status)
+}
+
+// headerBytes returns the size of a request's line and header.
+func headerBytes(r *http.Request) int {
+	const (
+		lineExtra  = len("  HTTP/1.1\r\n")
+		fieldExtra = len(": \r\n")
+	)
+	n := len(r.Method) + len(r.RequestURI) + lineExtra
+	n += len("Host") + len(r.Host) + fieldExtra
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + fieldExtra
+		}
+	}
+	return n
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,9 +25,12 @@
 	lookInterval = 5 * time.Millisecond
 )
 
-// Limits bound how long callers may hold a connection without a request. A
-// bound of 0 is none. They may change while the server runs.
+// Limits bound what callers may send, and how long they may hold a connection
+// without a request. A bound of 0 is none. They may change while the server
+// runs.
 type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
 	// Header is for the header of a connection's first request.
 	Header time.Duration
 	// Idle is from an answer to the end of the next request's header.
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -74,9 +74,9 @@
 	turn chan struct{}
 }
 
-// Stands reports whether requests wait for a key that go before one that comes
+// HasBefore reports whether requests wait for a key that go before one that comes
 // now.
-func (l *Lines) Stands(key Key, req Request, now time.Time) bool {
+func (l *Lines) HasBefore(key Key, req Request, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q, ok := l.lines[key]
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -24,7 +24,7 @@
 	req := func(priority int, arrived, due time.Duration) Request {
 		return Request{Priority: priority, Arrived: at(arrived), Due: at(due)}
 	}
-	require.False(t, lines.Stands(key, req(0, 0, 0), now))
+	require.False(t, lines.HasBefore(key, req(0, 0, 0), now))
 	// In the order in which they are to go.
 	want := []Request{
 		req(-1, 0, 0),
@@ -43,8 +43,8 @@
 		require.Equal(t, i == 0, places[i].First(now), "%d", i)
 		require.Equal(t, r, q.places[i].Request, "%d", i)
 	}
-	require.False(t, lines.Stands(key, req(-2, 0, 0), now))
-	require.False(t, lines.Stands(Key{Service: "other"}, want[5], now))
+	require.False(t, lines.HasBefore(key, req(-2, 0, 0), now))
+	require.False(t, lines.HasBefore(Key{Service: "other"}, want[5], now))
 	places[0].Leave(now, true)
 	require.True(t, places[1].First(now))
 	require.Len(t, places[1].Turn(), 1, "the next was not told")
@@ -79,7 +79,7 @@
 		for range 2 {
 			lines.Join(key, Request{Arrived: at(now), Due: at(now + due)}, at(now))
 		}
-		require.True(t, lines.Stands(key, Request{Arrived: at(now + each), Due: at(now + each)}, at(now)))
+		require.True(t, lines.HasBefore(key, Request{Arrived: at(now + each), Due: at(now + each)}, at(now)))
 		p := lines.lines[key].places[0]
 		gone++
 		if !p.late(at(now)) {
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -130,7 +130,7 @@
 		HTTP:   fleet.NewHTTP(),
 		Log:    log,
 	}
-	store.SetDetour(n.client)
+	store.SetFallback(n.client)
 	n.store = store
 	n.keeper.Alive = n.client.Alive
 	n.relay = relay.New(relay.Parts{
@@ -212,7 +212,7 @@
 		return eris.Wrap(err, "listen")
 	}
 	callers := httpserver.New(&http.Server{
-		Handler:           platform.NewIngress(n.relay, n.leaving.Load),
+		Handler:           platform.NewIngress(n.relay, n.limits, n.leaving.Load),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
@@ -246,14 +246,24 @@
 	return nil
 }
 
-// limits returns the limits of callers' connections by the configuration in
-// force.
+// defaultMaxBody bounds a request's body while no configuration does, in bytes.
+const defaultMaxBody = 4 << 20
+
+// limits returns the limits of callers by the configuration in force. The body
+// is always bounded.
 func (n *Node) limits() httpserver.Limits {
+	limits := httpserver.Limits{BodyBytes: defaultMaxBody}
 	c := n.config.Get()
 	if c == nil {
-		return httpserver.Limits{}
+		return limits
+	}
+	if c.Limits.BodyBytes > 0 {
+		limits.BodyBytes = c.Limits.BodyBytes
 	}
-	return httpserver.Limits{Header: c.Limits.HeaderTime, Idle: c.Limits.IdleTime}
+	limits.HeaderBytes = c.Limits.HeaderBytes
+	limits.Header = c.Limits.HeaderTime
+	limits.Idle = c.Limits.IdleTime
+	return limits
 }
 
 // shutdown finishes what callers wait for.
--- a/internal/noded/settings_test.go
+++ b/internal/noded/settings_test.go
@@ -11,49 +11,33 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chestnutgauge/internal/catalog"
 	"chestnutgauge/platform"
 )
 
-const settingsText = `nodeName=n1
-ip=127.0.0.1
-zone=z
-listen.front=127.0.0.1:1
-listen.ready=127.0.0.1:2
-internalPorts=3,4
-platform.address=127.0.0.1:5
-limits.memoryMb=200
-limits.cpuShare=0.4
-limits.linkMbps=1000
-limits.fileDescriptors=1000
-bounds.graceS=8
-bounds.leaseMs=300
-bounds.retryBudgetRatio=0.2
-bounds.extraRetries=50
-bounds.budgetWindowS=10
-bounds.loadCeilingFactor=1.1
-bounds.ceilingWindowS=5
-`
-
 // TestReadSettings changes the settings file of a node: what can change takes
 // effect, a wrong file changes nothing, and what holds from the start is named.
 func TestReadSettings(t *testing.T) {
+	data, err := os.ReadFile("../../platform/testdata/settings.conf")
+	require.NoError(t, err)
+	text := string(data)
 	file := filepath.Join(t.TempDir(), "settings")
-	write := func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
-	write(settingsText)
+	write := func(content string) { require.NoError(t, os.WriteFile(file, []byte(content), 0o600)) }
+	write(text)
 	settings, err := platform.LoadSettings(file)
 	require.NoError(t, err)
 	var out bytes.Buffer
 	n := New(settings, slog.New(slog.NewTextHandler(&out, nil)))
-	read := func(text string) string {
-		write(text)
+	read := func(content string) string {
+		write(content)
 		out.Reset()
 		n.readSettings()
 		return out.String()
 	}
 
-	require.Contains(t, read(settingsText), "changed=false")
+	require.Contains(t, read(text), "changed=false")
 
-	changed := strings.NewReplacer("graceS=8", "graceS=6", "extraRetries=50", "extraRetries=70").Replace(settingsText)
+	changed := strings.NewReplacer("graceS=8", "graceS=6", "extraRetries=52", "extraRetries=70").Replace(text)
 	require.Contains(t, read(changed), "changed=true restart_needed=false")
 	require.Equal(t, 6*time.Second, n.settings.Load().ShutdownLimit)
 	require.InDelta(t, 70, n.relay.Budget.Extra, 0)
@@ -61,6 +45,22 @@
 	require.Contains(t, read("nodeName=n1"), "level=ERROR")
 	require.Equal(t, 6*time.Second, n.settings.Load().ShutdownLimit)
 
-	moved := strings.Replace(changed, "127.0.0.1:1\n", "127.0.0.1:9\n", 1)
+	moved := strings.Replace(changed, "10.0.0.1:80\n", "10.0.0.1:83\n", 1)
 	require.Contains(t, read(moved), "restart_needed=true")
 }
+
+// TestLimits checks that a request's body is bounded also while there is no
+// configuration.
+func TestLimits(t *testing.T) {
+	settings, err := platform.LoadSettings("../../platform/testdata/settings.conf")
+	require.NoError(t, err)
+	n := New(settings, slog.New(slog.DiscardHandler))
+	require.EqualValues(t, defaultMaxBody, n.limits().BodyBytes)
+	n.config.Offer(catalog.New(1, nil, nil, catalog.Limits{HeaderBytes: 100, IdleTime: time.Second}))
+	require.EqualValues(t, defaultMaxBody, n.limits().BodyBytes)
+	require.Equal(t, 100, n.limits().HeaderBytes)
+	require.Equal(t, time.Second, n.limits().Idle)
+	n.config.Offer(catalog.New(2, nil, nil, catalog.Limits{BodyBytes: 10}))
+	require.EqualValues(t, 10, n.limits().BodyBytes)
+	require.Zero(t, n.limits().Idle)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,23 +70,6 @@
 	}
 }
 
-// defaultMaxBody bounds a request's body while no configuration is known, in
-// bytes.
-const defaultMaxBody = 4 << 20
-
-// Limits returns the bounds of what callers may send. The body is always
-// bounded.
-func (r *Relay) Limits() catalog.Limits {
-	limits := catalog.Limits{}
-	if c := r.Catalog(); c != nil {
-		limits = c.Limits
-	}
-	if limits.BodyBytes <= 0 {
-		limits.BodyBytes = defaultMaxBody
-	}
-	return limits
-}
-
 // InFlight returns the number of requests that are being served.
 func (r *Relay) InFlight() int64 {
 	return r.inFlight.Load()
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -23,7 +23,7 @@
 // those that wait for the same, if they go before it.
 func (x *exchange) newWait() *wait {
 	w := &wait{x: x, key: line.Key{Service: x.service.Name, Model: x.req.Model}, began: time.Now()}
-	if x.relay.lines.Stands(w.key, w.request(), w.began) {
+	if x.relay.lines.HasBefore(w.key, w.request(), w.began) {
 		w.join()
 	}
 	return w
