Don't lose changes of the inventory when several writers change it

Cause: Change copied the endpoints and published the copy under two separate locks, and the end of the grace period read and removed under two more. In a node the feed and that timer may meet: a change made in between was lost, or an entry written in between was removed.

Change: both happen under one lock; RemoveUnchanged removes only what is still published as given.

Seen failing first: TestConcurrentChanges, 1170 of 2000 endpoints published; 2000 of 2000 now.

--- a/internal/inventory/grace.go
+++ b/internal/inventory/grace.go
@@ -72,26 +72,17 @@
 // been replaced by then.
 func (g *Grace) removeLater(ids []string) {
 	snapshot := g.target.Current()
-	before := map[string]*Endpoint{}
+	var before []*Endpoint
 	for _, id := range ids {
 		if endpoint := snapshot.Endpoint(id); endpoint != nil {
-			before[id] = endpoint
+			before = append(before, endpoint)
 		}
 	}
 	time.AfterFunc(gracePeriod-g.sinceRecovery(), func() { g.removeUnchanged(before) })
 }
 
-func (g *Grace) removeUnchanged(before map[string]*Endpoint) {
-	current := g.target.Current()
-	var drop []string
-	for id, endpoint := range before {
-		if current.Endpoint(id) == endpoint {
-			drop = append(drop, id)
-		}
-	}
-	if len(drop) == 0 {
-		return
+func (g *Grace) removeUnchanged(before []*Endpoint) {
+	if removed := g.target.RemoveUnchanged(before); len(removed) > 0 {
+		g.log.Info("endpoints still missing after the store recovered", "endpoints", removed)
 	}
-	g.log.Info("endpoints still missing after the store recovered", "endpoints", drop)
-	g.target.Change(nil, drop)
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -4,6 +4,7 @@
 package inventory
 
 import (
+	"maps"
 	"slices"
 	"sync"
 )
@@ -112,17 +113,16 @@
 	for _, e := range endpoints {
 		byID[e.ID] = e
 	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.publish(byID)
 }
 
 // Change publishes new or changed endpoints and removes others.
 func (i *Inventory) Change(put []*Endpoint, drop []string) {
 	i.mu.Lock()
-	byID := make(map[string]*Endpoint, len(i.current.byID)+len(put))
-	for id, e := range i.current.byID {
-		byID[id] = e
-	}
-	i.mu.Unlock()
+	defer i.mu.Unlock()
+	byID := maps.Clone(i.current.byID)
 	for _, id := range drop {
 		delete(byID, id)
 	}
@@ -132,9 +132,27 @@
 	i.publish(byID)
 }
 
-func (i *Inventory) publish(byID map[string]*Endpoint) {
+// RemoveUnchanged removes the endpoints that are still published as given, and
+// returns their ids.
+func (i *Inventory) RemoveUnchanged(endpoints []*Endpoint) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	byID := maps.Clone(i.current.byID)
+	var removed []string
+	for _, e := range endpoints {
+		if byID[e.ID] == e {
+			delete(byID, e.ID)
+			removed = append(removed, e.ID)
+		}
+	}
+	if len(removed) > 0 {
+		i.publish(byID)
+	}
+	return removed
+}
+
+// publish publishes a snapshot of the endpoints. The caller holds mu.
+func (i *Inventory) publish(byID map[string]*Endpoint) {
 	i.current = build(i.current.Version+1, byID)
 	close(i.changed)
 	i.changed = make(chan struct{})
