--- a/cmd/chestnut-node/main.go
+++ b/cmd/chestnut-node/main.go
@@ -13,6 +13,7 @@
 	"chestnutgauge/internal/logs"
 	"chestnutgauge/internal/noded"
 	"chestnutgauge/internal/process"
+	"chestnutgauge/internal/reload"
 	"chestnutgauge/internal/version"
 	"chestnutgauge/platform"
 )
@@ -40,11 +41,13 @@
 	if file == "" {
 		return eris.New("no settings file: set " + platform.SettingsVariable + " or --settings")
 	}
+	watcher := reload.NewWatcher(file)
+	defer watcher.Stop()
 	settings, err := platform.LoadSettings(file)
 	if err != nil || check {
 		return err
 	}
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
-	return noded.New(settings, logs.New(out, slog.LevelInfo).With("vm", settings.VM)).Run(ctx)
+	return noded.New(settings, watcher, logs.New(out, slog.LevelInfo).With("vm", settings.VM)).Run(ctx)
 }
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -83,6 +83,7 @@
 type Node struct {
 	// settings are the active settings.
 	settings     atomic.Pointer[platform.Settings]
+	watcher      *reload.Watcher
 	log          *slog.Logger
 	store        *platform.Store
 	config       *catalog.Follower
@@ -97,10 +98,10 @@
 	shuttingDown atomic.Bool
 }
 
-// New wires a node.
-func New(s platform.Settings, log *slog.Logger) *Node {
+// New wires a node. watcher watches the settings file.
+func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, inventory: inventory.New(), aggregator: demand.NewAggregator()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress)
@@ -212,7 +213,7 @@
 	supervise.Add(tree, "owner", n.owner.Run)
 	supervise.Add(tree, "demand", n.client.Run)
 	supervise.Add(tree, "inventory", n.follower.Run)
-	supervise.Add(tree, "settings", func(ctx context.Context) error { return reload.Watch(ctx, s.File, n.readSettings) })
+	supervise.Add(tree, "settings", func(ctx context.Context) error { return n.watcher.Run(ctx, n.readSettings) })
 	listener, err := httpserver.Listen(s.CallersListen)
 	if err != nil {
 		return eris.Wrap(err, "listen")
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -20,6 +20,9 @@
 
 	"chestnutgauge/internal/config"
 	"chestnutgauge/internal/events"
+	// Programs that reload their settings on SIGHUP ask for the signal; the others
+	// ignore it.
+	_ "chestnutgauge/internal/hangup"
 	"chestnutgauge/internal/heartbeat"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/membership"
@@ -61,8 +64,6 @@
 // Main runs a command until it ends. SIGTERM or SIGINT starts a graceful
 // shutdown. A second signal ends the process immediately.
 func Main(cmd *cobra.Command) {
-	// Programs that reload their settings on SIGHUP install their own handler.
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	context.AfterFunc(ctx, stop)
 	if err := cmd.ExecuteContext(ctx); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -153,14 +153,16 @@
 	defer r.mu.Unlock()
 	r.Budget.Share = share
 	r.Budget.Extra = extra
-	clear(r.budgets)
 }
 
-// budget returns the retry budget of a service. The caller holds mu.
+// budget returns the retry budget of a service under the limits in force and
+// this node's part of the additional retries. The caller holds mu.
 func (r *Relay) budget(service string) *retry.Budget {
+	extra := r.Budget.Extra / float64(max(1, r.Budget.Nodes()))
 	b, ok := r.budgets[service]
-	if !ok {
-		extra := r.Budget.Extra / float64(max(1, r.Budget.Nodes()))
+	if ok {
+		b.SetLimits(r.Budget.Share, extra)
+	} else {
 		created := retry.NewBudget(retry.Settings{
 			MaxAttempts:   attemptLimit,
 			Share:         r.Budget.Share,
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -57,6 +57,14 @@
 	return Budget{settings: settings, left: settings.InitialBudget}
 }
 
+// SetLimits changes the number of retries that each request adds and the maximum
+// of the budget. What is left of the budget remains, up to the maximum.
+func (b *Budget) SetLimits(share, maxBudget float64) {
+	b.settings.Share = share
+	b.settings.MaxBudget = maxBudget
+	b.left = min(b.left, maxBudget)
+}
+
 // Request counts a request, which adds its share to the budget.
 func (b *Budget) Request() {
 	b.left = min(b.left+b.settings.Share, b.settings.MaxBudget)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -88,3 +88,24 @@
 		})
 	}
 }
+
+// TestSetLimits checks that a change of the limits neither refills a spent
+// budget nor leaves more in it than the new maximum.
+func TestSetLimits(t *testing.T) {
+	failure := Failure{Now: now, Deadline: now.Add(time.Minute), Attempts: 1, Run: outcome.NotRun}
+	retries := func(b *Budget) (n int) {
+		for b.Decide(failure).Retry {
+			n++
+		}
+		return n
+	}
+	budget := NewBudget(DefaultSettings())
+	require.Equal(t, 4, retries(&budget))
+	budget.SetLimits(0.5, 100)
+	require.Zero(t, retries(&budget), "the change refilled the budget")
+	for range 6 {
+		budget.Request()
+	}
+	budget.SetLimits(0.5, 2)
+	require.Equal(t, 2, retries(&budget))
+}
