Compare times on a clock that doesn't jump, and read the store with cause

Cause: the age of the owner's stream, outages of the store and the closing of a listener were kept as time of day. A jump ahead made a fresh stream stale, so that every node read the store at once; a jump back made a dead one fresh. The lease fell back to the time of day. Routers sent each other expiries as time of day; heartbeats took their sequence from it. Apart from that, each node polled the store for the configuration although the owner announces new versions, and nodes that started together read in the same instant.

Change: internal/monotime; ages and remaining times between processes; no lease without a clock that counts suspension. First reads are spread over 0.2 s, of the lease over 0.08 s.

--- a/internal/catalog/current.go
+++ b/internal/catalog/current.go
@@ -1,36 +1,54 @@
 package catalog
 
-import "sync/atomic"
+import "sync"
 
 // Current holds the active configuration. Its methods are safe for concurrent
-// use.
+// use. The zero value holds none.
 type Current struct {
-	catalog atomic.Pointer[Catalog]
+	mu      sync.Mutex
+	catalog *Catalog
+	changed chan struct{}
 }
 
 // Get returns the active configuration, or nil if there is none yet.
 func (c *Current) Get() *Catalog {
-	return c.catalog.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.catalog
 }
 
 // Version returns the active version, or 0 if there is none yet.
 func (c *Current) Version() int64 {
-	if active := c.Get(); active != nil {
-		return active.Version
+	version, _ := c.Watch()
+	return version
+}
+
+// Watch returns the active version, or 0 if there is none yet, and a channel
+// that is closed at the next change.
+func (c *Current) Watch() (version int64, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
 	}
-	return 0
+	if c.catalog != nil {
+		version = c.catalog.Version
+	}
+	return version, c.changed
 }
 
 // Update activates a configuration if it is newer than the active one, and
 // reports whether it did.
 func (c *Current) Update(next *Catalog) bool {
-	for {
-		active := c.catalog.Load()
-		if active != nil && next.Version <= active.Version {
-			return false
-		}
-		if c.catalog.CompareAndSwap(active, next) {
-			return true
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.catalog != nil && next.Version <= c.catalog.Version {
+		return false
+	}
+	c.catalog = next
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
 	}
+	return true
 }
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -21,10 +21,11 @@
 
 // NewFollower returns a follower of the configuration in source. notified
 // reports whether new versions are currently announced through NotifyVersion.
+// While they are, the source is read only after an announcement.
 func NewFollower(source feed.Source, decode Decode, notified func() bool, log *slog.Logger) *Follower {
 	f := &Follower{decode: decode, log: log}
 	f.feed = feed.New(source, "configuration", f.apply, f.apply, log)
-	f.feed.Notified = notified
+	f.feed.Idle = func() bool { return f.Get() != nil && notified() }
 	return f
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,9 +7,10 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync/atomic"
+	"math/rand/v2"
 	"time"
 
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/pause"
 )
 
@@ -47,14 +48,14 @@
 const (
 	// changesWait is the wait of one call of Changes. It is short, because
 	// after the store has dropped its history a call may see no changes until
-	// its wait ends. changesWaitNotified replaces it while Notified returns
-	// true.
-	changesWait         = time.Second
-	changesWaitNotified = 20 * time.Second
+	// its wait ends.
+	changesWait = time.Second
 	// changesSlack is the time that a call of Changes may take beyond its wait.
 	changesSlack = 2 * time.Second
 	// readTimeout bounds a read of the whole table.
 	readTimeout = 1500 * time.Millisecond
+	// maxStartDelay is the default of Follower.MaxStartDelay.
+	maxStartDelay = 200 * time.Millisecond
 	// backoffMin is the delay after the first failure. It doubles with each
 	// further one, up to backoffMax.
 	backoffMin = 100 * time.Millisecond
@@ -77,49 +78,55 @@
 	// Replace receives all rows, Update the changed ones.
 	Replace func(rows []Row)
 	Update  func(rows []Row)
-	// Idle reports whether another source is used, so that the table is not
-	// read.
+	// Idle reports whether another source is used, so that the table is read
+	// only when Notify is called.
 	Idle func() bool
-	// Notified reports whether another node notifies this one of changes
-	// immediately, so that calls of Changes may wait longer.
-	Notified func() bool
+	// MaxStartDelay is the maximum of the random delay before the first read, so
+	// that processes that start together don't read the store in the same
+	// instant.
+	MaxStartDelay time.Duration
 	// IsOwner reports whether this node acts on the changes.
 	IsOwner func() bool
 
 	// notify requests a read of the whole table.
 	notify chan struct{}
-	// lost is set while the store is unavailable. lostSince is the start of the
-	// outage and recoveredAt the end of the last one, both in Unix nanoseconds,
-	// or 0 for none.
+	// clock measures outages.
+	clock monotime.Clock
+	// lost is set while the store is unavailable. lostAt is the start of the
+	// outage, recoveredAt the end of the last one.
 	lost        bool
-	lostSince   atomic.Int64
-	recoveredAt atomic.Int64
+	lostAt      monotime.Mark
+	recoveredAt monotime.Mark
 }
 
 // New returns a follower of a table that passes all rows to replace and changed
 // rows to update.
 func New(source Source, name string, replace, update func(rows []Row), log *slog.Logger) *Follower {
-	return &Follower{Source: source, Name: name, Replace: replace, Update: update, Log: log, notify: make(chan struct{}, 1)}
+	return &Follower{
+		Source:  source,
+		Name:    name,
+		Replace: replace,
+		Update:  update,
+		Log:     log,
+		notify:  make(chan struct{}, 1),
+		clock:   monotime.Now,
+
+		MaxStartDelay: maxStartDelay,
+	}
 }
 
 // OutageDuration returns how long the store has been unavailable, or 0 if it is
 // available.
 func (f *Follower) OutageDuration() time.Duration {
-	return since(&f.lostSince)
+	duration, _ := f.lostAt.Age(f.clock())
+	return duration
 }
 
 // SinceRecovery returns the time since the store last recovered from an outage,
 // or 0 if it has had none.
 func (f *Follower) SinceRecovery() time.Duration {
-	return since(&f.recoveredAt)
-}
-
-func since(nanoseconds *atomic.Int64) time.Duration {
-	at := nanoseconds.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, at))
+	age, _ := f.recoveredAt.Age(f.clock())
+	return age
 }
 
 // Notify requests an immediate read of the whole table.
@@ -136,13 +143,17 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.MaxStartDelay > 0 {
+		pause.For(ctx, rand.N(f.MaxStartDelay))
+	}
 	version := int64(-1)
 	backoff := backoffMin
 	for ctx.Err() == nil {
 		if isTrue(f.Idle) {
 			version = -1
-			pause.For(ctx, idlePollInterval)
-			continue
+			if !f.awaitNotify(ctx) {
+				continue
+			}
 		}
 		next, err := f.step(ctx, version)
 		switch {
@@ -162,12 +173,26 @@
 	return ctx.Err()
 }
 
+// awaitNotify waits for a call of Notify, for at most idlePollInterval, and
+// reports whether there was one.
+func (f *Follower) awaitNotify(ctx context.Context) bool {
+	timer := time.NewTimer(idlePollInterval)
+	defer timer.Stop()
+	select {
+	case <-f.notify:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (f *Follower) recordLost(err error) {
 	if f.lost {
 		return
 	}
 	f.lost = true
-	f.lostSince.Store(time.Now().UnixNano())
+	f.lostAt.Set(f.clock())
 	f.Log.Warn("store lost", "table", f.Name, "error", err)
 }
 
@@ -176,7 +201,7 @@
 		return
 	}
 	f.lost = false
-	f.lostSince.Store(0)
+	f.lostAt.Clear()
 	f.Log.Info("store regained", "table", f.Name)
 }
 
@@ -186,14 +211,10 @@
 	if version < 0 || f.lost {
 		return f.readAll(ctx)
 	}
-	wait := changesWait
-	if isTrue(f.Notified) {
-		wait = changesWaitNotified
-	}
-	limited, cancel := context.WithTimeout(ctx, wait+changesSlack)
+	limited, cancel := context.WithTimeout(ctx, changesWait+changesSlack)
 	defer cancel()
 	notified := f.cancelOnNotify(limited, cancel)
-	rows, err := f.Source.Changes(limited, version, wait)
+	rows, err := f.Source.Changes(limited, version, changesWait)
 	if notified() {
 		return f.readAll(ctx)
 	}
@@ -242,7 +263,7 @@
 		return 0, err
 	}
 	if f.lost {
-		f.recoveredAt.Store(time.Now().UnixNano())
+		f.recoveredAt.Set(f.clock())
 	}
 	f.Replace(rows.Rows)
 	return rows.Version, nil
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/pause"
 )
@@ -45,8 +45,9 @@
 type Publisher struct {
 	Inventory *inventory.Inventory
 	Owner     *owner.Owner
-	// ConfigVersion returns the version of the active configuration.
-	ConfigVersion func() int64
+	// Config returns the version of the active configuration and a channel that
+	// is closed when that changes.
+	Config func() (version int64, changed <-chan struct{})
 	// StoreOutage returns how long the store has been unreachable, 0 if it is
 	// reachable.
 	StoreOutage func() time.Duration
@@ -72,8 +73,9 @@
 	var sent *inventory.Snapshot
 	for p.authoritative() {
 		snapshot, changed := p.Inventory.Watch()
+		config, configChanged := p.Config()
 		_ = control.SetWriteDeadline(time.Now().Add(streamTimeout))
-		message := message{ConfigVersion: p.ConfigVersion(), Delta: snapshot.Since(sent)}
+		message := message{ConfigVersion: config, Delta: snapshot.Since(sent)}
 		if err := encoder.Encode(message); err != nil {
 			return
 		}
@@ -81,7 +83,7 @@
 			return
 		}
 		sent = snapshot
-		if !pause.For(r.Context(), minMessageInterval) || !pause.Until(r.Context(), changed, heartbeatInterval) {
+		if !pause.For(r.Context(), minMessageInterval) || !pause.Either(r.Context(), changed, configChanged, heartbeatInterval) {
 			return
 		}
 	}
@@ -98,14 +100,14 @@
 	OnConfigVersion func(version int64)
 	Log             *slog.Logger
 
-	// lastMessage is the time of the last message in Unix nanoseconds, 0 if no
-	// stream is open.
-	lastMessage atomic.Int64
+	// lastMessage is the time of the last message if a stream is open.
+	lastMessage monotime.Mark
 }
 
 // Fresh reports whether a message was received within streamTimeout.
 func (f *Follower) Fresh() bool {
-	return time.Since(time.Unix(0, f.lastMessage.Load())) < streamTimeout
+	age, ok := f.lastMessage.Age(monotime.Now())
+	return ok && age < streamTimeout
 }
 
 // Run follows the owner's inventory until ctx ends.
@@ -114,7 +116,7 @@
 		holder := f.Holder.Holder()
 		if holder != "" && holder != f.Self {
 			err := f.follow(ctx, holder)
-			if f.lastMessage.Swap(0) != 0 {
+			if f.lastMessage.Clear() {
 				f.Log.Info("owner's inventory lost", "owner", holder, "error", err)
 			}
 		}
@@ -151,7 +153,7 @@
 			return fmt.Errorf("fleet: inventory: %w", err)
 		}
 		timeout.Reset(streamTimeout)
-		if f.lastMessage.Swap(time.Now().UnixNano()) == 0 {
+		if f.lastMessage.Set(monotime.Now()) {
 			f.Log.Info("owner's inventory followed", "owner", holder)
 		}
 		f.OnConfigVersion(update.ConfigVersion)
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// sequenceOrigin is the start of the process. A process that starts again on the
+// same VM thus continues with higher sequences.
+var sequenceOrigin = time.Now()
+
+// sequence returns the sequence of a heartbeat sent at a time. It increases with
+// the monotonic clock, also when the time of day jumps back.
+func sequence(sentAt time.Time) int64 {
+	return sequenceOrigin.UnixMicro() + sentAt.Sub(sequenceOrigin).Microseconds()
+}
+
 // Send sends one heartbeat and records the response.
 func (x *Exchange) Send(ctx context.Context, member membership.Member) {
 	sentAt := time.Now()
@@ -167,7 +177,7 @@
 	x.Members.Observe(membership.Evidence{
 		Member:   member.Name(),
 		Reporter: x.Self.Name(),
-		Sequence: sentAt.UnixMicro(),
+		Sequence: sequence(sentAt),
 		At:       sentAt,
 		Answered: err == nil,
 	})
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -4,10 +4,11 @@
 	"errors"
 	"net"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chestnutgauge/internal/monotime"
 )
 
 const (
@@ -27,8 +28,8 @@
 // is closed.
 type Listener struct {
 	*net.TCPListener
-	// closing is when Close was called, in Unix nanoseconds, or 0 if it was not.
-	closing atomic.Int64
+	// closing is when Close was first called.
+	closing monotime.Mark
 }
 
 // Listen listens on a TCP address, "host:port".
@@ -61,7 +62,7 @@
 // pending reports whether connections are pending and closeTimeout has not
 // passed since Close.
 func (l *Listener) pending() bool {
-	if time.Since(time.Unix(0, l.closing.Load())) > closeTimeout {
+	if age, ok := l.closing.Age(monotime.Now()); !ok || age > closeTimeout {
 		return false
 	}
 	raw, err := l.SyscallConn()
@@ -78,7 +79,7 @@
 // Close makes Accept return the pending connections and then net.ErrClosed.
 // Later calls do nothing.
 func (l *Listener) Close() error {
-	if !l.closing.CompareAndSwap(0, time.Now().UnixNano()) {
+	if !l.closing.SetFirst(monotime.Now()) {
 		return nil
 	}
 	return l.SetDeadline(time.Now().Add(acceptTimeout))
@@ -86,5 +87,6 @@
 
 // closed reports whether Close was called.
 func (l *Listener) closed() bool {
-	return l.closing.Load() != 0
+	_, closing := l.closing.Age(monotime.Now())
+	return closing
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sys/unix"
 
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/pause"
 )
 
@@ -39,16 +39,6 @@
 	Write(ctx context.Context, version int64, value []byte) (Row, error)
 }
 
-// BootTime returns the time since boot, including time during which the machine
-// was suspended.
-func BootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(ts.Nano())
-}
-
 // Keeper acquires and renews the lease for one process.
 type Keeper struct {
 	// Self is the address of this machine, Peer the address of this process for
@@ -61,8 +51,10 @@
 	// AcquireDelay is the delay before the process acquires a free lease. A
 	// machine with more capacity has a shorter delay and thus gets the lease.
 	AcquireDelay time.Duration
-	// Now is a monotonic clock that continues during suspend; nil means BootTime.
-	Now func() time.Duration
+	// Now is a monotonic clock that continues during suspend; nil means
+	// monotime.SinceBoot. If it returns an error, the process neither acquires
+	// the lease nor acts on it.
+	Now func() (time.Duration, error)
 	// Alive reports whether the holder at a peer address responds. While it does,
 	// the lease is not polled. Alive may be nil.
 	Alive func(peer string) bool
@@ -83,6 +75,8 @@
 	released bool
 	// seenMissing reports that an earlier read found no lease in the store.
 	seenMissing bool
+	// loggedNoClock reports that logNoClock was called.
+	loggedNoClock bool
 }
 
 // Grant is the right of the lease's holder to act.
@@ -95,10 +89,10 @@
 
 // Grant returns the current grant, or false if this process must not act.
 func (k *Keeper) Grant() (Grant, bool) {
-	now := k.now()
+	now, err := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.holding || k.released || now >= k.validUntil {
+	if err != nil || !k.holding || k.released || now >= k.validUntil {
 		return Grant{}, false
 	}
 	return Grant{Fence: k.fence, Left: k.validUntil - now}, true
@@ -115,11 +109,11 @@
 	return ""
 }
 
-func (k *Keeper) now() time.Duration {
+func (k *Keeper) now() (time.Duration, error) {
 	if k.Now != nil {
 		return k.Now()
 	}
-	return BootTime()
+	return monotime.SinceBoot()
 }
 
 // Intervals and timeouts of the control loop.
@@ -128,10 +122,14 @@
 	retryInterval = 150 * time.Millisecond
 	pollInterval  = 500 * time.Millisecond
 	pollJitter    = 200 * time.Millisecond
+	startJitter   = 80 * time.Millisecond
 )
 
-// Run acquires and renews the lease until ctx is done and returns its error.
+// Run acquires and renews the lease until ctx is done and returns its error. It
+// starts after a random delay, so that processes that start together don't read
+// the lease in the same instant.
 func (k *Keeper) Run(ctx context.Context) error {
+	pause.For(ctx, jitter(startJitter))
 	for ctx.Err() == nil {
 		pause.For(ctx, k.step(ctx))
 	}
@@ -161,13 +159,17 @@
 // poll reads the lease and acquires it if the rules allow that. It returns the
 // time until the next step.
 func (k *Keeper) poll(ctx context.Context) time.Duration {
-	sentAt := k.now()
+	sentAt, clockErr := k.now()
 	row, err := k.read(ctx)
 	if err != nil {
 		k.Log.Info("lease not read", "error", err)
 		return pollInterval
 	}
 	record := k.recordRead(row, sentAt)
+	if clockErr != nil {
+		k.logNoClock(clockErr)
+		return pollInterval
+	}
 	if delay := TakeoverDelay(record, row.Found, k.Self, row.NowMS, k.Settings); delay > 0 {
 		return delay + k.AcquireDelay + jitter(pollJitter)
 	}
@@ -177,6 +179,18 @@
 	return k.acquire(ctx, row)
 }
 
+// logNoClock logs, once, that the process does not acquire the lease because it
+// could not tell when the lease expires.
+func (k *Keeper) logNoClock(cause error) {
+	k.mu.Lock()
+	logged := k.loggedNoClock
+	k.loggedNoClock = true
+	k.mu.Unlock()
+	if !logged {
+		k.Log.Error("lease not acquired: no clock to time it", "error", cause)
+	}
+}
+
 // firstMissing records that the store has no lease, and reports whether that
 // was observed for the first time.
 func (k *Keeper) firstMissing() bool {
@@ -206,7 +220,11 @@
 // acquire writes a record that grants the lease to this process. It returns the
 // time until the next step.
 func (k *Keeper) acquire(ctx context.Context, row Row) time.Duration {
-	sentAt := k.now()
+	sentAt, err := k.now()
+	if err != nil {
+		k.logNoClock(err)
+		return pollInterval
+	}
 	k.mu.Lock()
 	latest, _ := k.clock.LatestMS(sentAt)
 	k.mu.Unlock()
@@ -245,7 +263,11 @@
 // renew extends the grant and returns the time until the next step. A grant
 // that has expired continues if no other node has acquired the lease since.
 func (k *Keeper) renew(ctx context.Context) time.Duration {
-	sentAt := k.now()
+	sentAt, err := k.now()
+	if err != nil {
+		k.markLost("no clock to time it")
+		return pollInterval
+	}
 	k.mu.Lock()
 	record, version := k.record, k.version
 	latest, _ := k.clock.LatestMS(sentAt)
@@ -313,7 +335,7 @@
 
 // Release ends the right to act at once and records the release in the store.
 func (k *Keeper) Release(ctx context.Context) {
-	now := k.now()
+	now, clockErr := k.now()
 	k.mu.Lock()
 	holding := k.holding
 	k.retired, k.released = true, true
@@ -323,6 +345,10 @@
 	if !holding {
 		return
 	}
+	if clockErr != nil {
+		k.Log.Error("lease not released: no clock to time it", "error", clockErr)
+		return
+	}
 	record.Released, record.RenewedMS = true, latest
 	_, err := k.write(ctx, version, record)
 	k.Log.Info("lease released", "error", err)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -161,11 +161,11 @@
 
 func (n *Node) publisher() *fleet.Publisher {
 	return &fleet.Publisher{
-		Inventory:     n.inventory,
-		Owner:         n.owner,
-		ConfigVersion: n.config.Version,
-		StoreOutage:   n.entries.StoreOutage,
-		Log:           n.log,
+		Inventory:   n.inventory,
+		Owner:       n.owner,
+		Config:      n.config.Watch,
+		StoreOutage: n.entries.StoreOutage,
+		Log:         n.log,
 	}
 }
 
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"fmt"
 	"io"
 	"regexp"
@@ -106,7 +105,7 @@
 			out = append(out, e)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Entry) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	slices.SortStableFunc(out, func(a, b Entry) int { return a.Time.Compare(b.Time) })
 	return out
 }
 
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -78,7 +78,7 @@
 		return func() {}, nil
 	}
 	endReservation, err := r.suspects.Reserve(ctx, endpoint, func(ctx context.Context, endpoint string) bool {
-		return r.requestGrants(ctx, &peerpb.OccupyRequest{Endpoint: endpoint, Router: r.VM, ExpiresUnixMs: c.deadline.UnixMilli()})
+		return r.requestGrants(ctx, &peerpb.OccupyRequest{Endpoint: endpoint, Router: r.VM, RemainingMs: time.Until(c.deadline).Milliseconds()})
 	})
 	if err != nil {
 		return nil, err
@@ -127,15 +127,23 @@
 		r.suspects.PeerReleased(req.GetEndpoint(), req.GetRouter())
 		return true
 	}
-	return r.suspects.Grant(req.GetEndpoint(), r.VM, req.GetRouter(), time.UnixMilli(req.GetExpiresUnixMs()), time.Now())
+	now := time.Now()
+	return r.suspects.Grant(req.GetEndpoint(), r.VM, req.GetRouter(), expiry(req.GetRemainingMs(), now), now)
+}
+
+// expiry returns the time at which something expires whose remaining time a peer
+// sent. Peers send remaining times, because the time of day differs between VMs
+// and may jump.
+func expiry(remainingMS int64, now time.Time) time.Time {
+	return now.Add(time.Duration(remainingMS) * time.Millisecond)
 }
 
 // shareSuspect notifies the other routers of a suspect.
 func (r *Router) shareSuspect(mark suspect.Mark) {
 	req := &peerpb.ShareSuspectsRequest{Suspects: []*peerpb.Suspect{{
-		Digest:        binary.BigEndian.AppendUint64(nil, uint64(mark.Digest)),
-		Crashed:       mark.Crashed,
-		ExpiresUnixMs: mark.Expires.UnixMilli(),
+		Digest:      binary.BigEndian.AppendUint64(nil, uint64(mark.Digest)),
+		Crashed:     mark.Crashed,
+		RemainingMs: time.Until(mark.Expires).Milliseconds(),
 	}}}
 	for _, member := range r.Members.Alive(membership.RoleRouter, "") {
 		if member.VM == r.VM {
@@ -165,7 +173,7 @@
 		r.suspects.Merge(suspect.Mark{
 			Digest:  suspect.Digest(binary.BigEndian.Uint64(shared.GetDigest())),
 			Crashed: shared.GetCrashed(),
-			Expires: time.UnixMilli(shared.GetExpiresUnixMs()),
+			Expires: expiry(shared.GetRemainingMs(), now),
 		}, now)
 	}
 }
