Avoid engines whose streams pause, and give their models more copies

Nearly all ran at a few engines that are slow, or that read long prompts for a slow model: 90 of 146 streams at one engine, 104 of 141 of one model at another. The relay preferred any engine of its own data centre with room, whatever its speed, and the planner knew rates only, so a slow model had one copy.

Ruled out: too few places (64 an engine, none refused for that); processor time of the nodes (the same without it).

Change: choose.Fastest weighs all data centres by expected finish, with a cost for another one and for engines whose streams pause (load.Pause, a decaying average); nodes report requests that a slow engine made late, and a model with a fifth of these gets another copy, at most two. The log tells for each request what it waited for, its first byte and its longest pause.

--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -39,6 +39,8 @@
 	FirstToken time.Duration
 	// TokensPerSecond is the expected output rate of one request.
 	TokensPerSecond float64
+	// Pause is the expected longest pause between two events of a stream.
+	Pause time.Duration
 	// Cached reports that the endpoint has the prompt's prefix in its cache.
 	Cached bool
 }
@@ -58,6 +60,9 @@
 	// PrefixSaving is the time saved at an endpoint that has the prompt's prefix
 	// cached.
 	PrefixSaving time.Duration
+	// MaxPause is the longest pause between two events with which a stream is on
+	// time, or 0 if there is no limit.
+	MaxPause time.Duration
 	// Choosers is the number of choosers that share the endpoints.
 	Choosers int
 	// Batch requests may use only a share of each endpoint's capacity.
@@ -113,6 +118,23 @@
 	Room    []Filter
 	Scorers []Scorer
 	Picker  Picker
+	// OwnFirst restricts the choice to the chooser's own data centre if that has
+	// endpoints with room.
+	OwnFirst bool
+}
+
+// otherDataCentreCost is the cost of an endpoint in another data centre for
+// Fastest.
+const otherDataCentreCost = 30 * time.Millisecond
+
+// Fastest returns the chooser for requests to model engines that may be served
+// in any data centre: data centres are close to each other compared with the
+// differences between engines, so a slow engine of the own one is not preferred.
+func Fastest() Chooser {
+	ch := Default()
+	ch.OwnFirst = false
+	ch.Scorers = append(ch.Scorers, Distance{Extra: otherDataCentreCost}, SteadyStream{})
+	return ch
 }
 
 // Default returns the chooser for requests to model engines.
@@ -123,6 +145,8 @@
 		Room:    []Filter{HasRoom{BatchShare: defaultBatchShare}},
 		Scorers: []Scorer{ExpectedFinish{}, Affinity{}},
 		Picker:  PowerOfTwo{},
+
+		OwnFirst: true,
 	}
 }
 
@@ -141,7 +165,11 @@
 	if len(available) == 0 {
 		return Candidate{}, Full
 	}
-	return ch.pick(req, preferOwn(req, preferUntried(available)), rng), Found
+	available = preferUntried(available)
+	if ch.OwnFirst {
+		available = preferOwn(req, available)
+	}
+	return ch.pick(req, available, rng), Found
 }
 
 // pick scores the candidates and selects one of them.
--- a/internal/demand/aggregator.go
+++ b/internal/demand/aggregator.go
@@ -12,6 +12,8 @@
 	// Rate is in requests per second, TokenRate in prompt tokens per second.
 	Rate      float64
 	TokenRate float64
+	// LateRate is the rate of requests that a slow engine made late.
+	LateRate float64
 	// Waiting is the number of requests that no engine can run now.
 	Waiting int
 	// Running is the number of running requests by engine id.
@@ -122,6 +124,7 @@
 		}
 		total.Rate += m.Rate
 		total.TokenRate += m.TokenRate
+		total.LateRate += m.LateRate
 		total.Waiting += m.Waiting
 		for engine, n := range m.Running {
 			total.Running[engine] += n
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -23,6 +23,9 @@
 	// are exponential averages with the time constant RateTime.
 	Rate      float64 `json:"rate"`
 	TokenRate float64 `json:"token_rate"`
+	// LateRate is the rate of requests that were late because the engine was
+	// slow, not because they waited for one. It is averaged like Rate.
+	LateRate float64 `json:"late_rate,omitempty"`
 	// Waiting is the number of requests that no engine can run now.
 	Waiting int `json:"waiting"`
 	// Running is the number of running requests by engine id.
@@ -40,6 +43,7 @@
 type meter struct {
 	rate      float64
 	tokenRate float64
+	lateRate  float64
 	// updatedAt is when the averages were last updated.
 	updatedAt time.Time
 	waiting   int
@@ -51,6 +55,7 @@
 	factor := math.Exp(-now.Sub(m.updatedAt).Seconds() / RateTime.Seconds())
 	m.rate *= factor
 	m.tokenRate *= factor
+	m.lateRate *= factor
 	m.updatedAt = now
 }
 
@@ -151,6 +156,15 @@
 	entry.tokenRate += float64(tokens) / RateTime.Seconds()
 }
 
+// Late counts a request that was late because its engine was slow.
+func (m *Meter) Late(service, model string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entry := m.model(service, model)
+	entry.decay(time.Now())
+	entry.lateRate += 1 / RateTime.Seconds()
+}
+
 // AddWaiting adds n, which may be negative, to the number of requests that wait
 // for a model.
 func (m *Meter) AddWaiting(service, model string, n int) {
@@ -216,6 +230,7 @@
 			Model:     key.Model,
 			Rate:      entry.rate,
 			TokenRate: entry.tokenRate,
+			LateRate:  entry.lateRate,
 			Waiting:   entry.waiting,
 			Running:   maps.Clone(entry.running),
 		})
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,6 +19,9 @@
 	// before jitter. It doubles with each consecutive failure up to MaxEjection.
 	MinEjection time.Duration
 	MaxEjection time.Duration
+	// PauseTime is the time constant with which the measured pause of an endpoint
+	// decays, so that an endpoint that is avoided for its pauses is tried again.
+	PauseTime time.Duration
 	// BusyEjection is the time for which an endpoint that refused a request as
 	// busy is ejected.
 	BusyEjection time.Duration
@@ -31,6 +34,7 @@
 		MeanTime:     10 * time.Second,
 		MinEjection:  100 * time.Millisecond,
 		MaxEjection:  2 * time.Second,
+		PauseTime:    5 * time.Second,
 		BusyEjection: 50 * time.Millisecond,
 	}
 }
@@ -68,6 +72,10 @@
 	firstToken float64
 	speed      float64
 	duration   float64
+	// pause is the average longest pause between two events of a stream, in
+	// seconds, as of pausedAt.
+	pause    float64
+	pausedAt time.Time
 	// failures is the number of consecutive failures.
 	failures     int
 	ejectedUntil time.Time
@@ -85,6 +93,8 @@
 	// FirstToken and TokensPerSecond are 0 until they are measured.
 	FirstToken      time.Duration
 	TokensPerSecond float64
+	// Pause is the expected longest pause between two events of a stream.
+	Pause time.Duration
 	// EjectedUntil is the time until which the endpoint is ejected, or zero.
 	EjectedUntil time.Time
 }
@@ -191,6 +201,28 @@
 	}
 }
 
+// pauseWeight is the weight of a new sample in the average pause.
+const pauseWeight = 0.3
+
+// Paused records the longest pause between two events of a stream that was
+// received from an endpoint.
+func (t *Tracker) Paused(name string, longest time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.get(name)
+	decayed := e.decayedPause(now, t.settings.PauseTime)
+	e.pause = decayed + pauseWeight*(longest.Seconds()-decayed)
+	e.pausedAt = now
+}
+
+// decayedPause returns the average pause at a time, in seconds.
+func (e *endpoint) decayedPause(now time.Time, constant time.Duration) float64 {
+	if e.pause == 0 {
+		return 0
+	}
+	return e.pause * math.Exp(-now.Sub(e.pausedAt).Seconds()/constant.Seconds())
+}
+
 // average adds a sample to a moving average.
 func (t *Tracker) average(old, sample float64) float64 {
 	if old == 0 {
@@ -245,6 +277,7 @@
 		Limit:           e.limit,
 		FirstToken:      time.Duration(e.firstToken * float64(time.Second)),
 		TokensPerSecond: e.speed,
+		Pause:           time.Duration(e.decayedPause(now, t.settings.PauseTime) * float64(time.Second)),
 		EjectedUntil:    e.ejectedUntil,
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -209,6 +209,7 @@
 			state.Demand[key.Model] = swap.Demand{
 				Rate:      total.Rate,
 				TokenRate: total.TokenRate,
+				LateRate:  total.LateRate,
 				Waiting:   total.Waiting,
 				Running:   total.RunningSum(),
 			}
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -68,7 +68,7 @@
 			if x.req.Adapter == "" {
 				return endpoint, nil
 			}
-			adapterEndpoint, failure := x.withAdapter(ctx, snapshot)
+			adapterEndpoint, failure := x.withAdapter(ctx, snapshot, w)
 			if adapterEndpoint != nil || failure != nil {
 				return adapterEndpoint, failure
 			}
@@ -164,6 +164,7 @@
 		DataCentre:   x.relay.DataCentre,
 		Tokens:       max(1, x.req.MaxTokens),
 		PrefixSaving: prefixSaving(x.req.Prompt),
+		MaxPause:     x.route.MaxGap,
 		Choosers:     x.relay.Budget.Nodes(),
 	}
 	chosen, verdict := x.relay.chooser.Choose(request, candidates, newRand())
@@ -206,6 +207,7 @@
 		Limit:           limit,
 		FirstToken:      view.FirstToken,
 		TokensPerSecond: view.TokensPerSecond,
+		Pause:           view.Pause,
 	}
 }
 
@@ -258,7 +260,7 @@
 // withAdapter returns an engine that holds the request's adapter, and requests
 // the adapter's load if no engine is known to hold it. Both results are nil if
 // the caller should choose an endpoint again.
-func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot) (*inventory.Endpoint, *Failure) {
+func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, *Failure) {
 	if known := x.relay.adapters.engine(x.req.Model, x.req.Adapter); known != "" {
 		e := snapshot.Endpoint(known)
 		if e != nil && e.Holds(x.req.Model) && !e.Leaving && !slices.Contains(x.tried, known) {
@@ -266,6 +268,7 @@
 		}
 		x.relay.adapters.remove(x.req.Model, x.req.Adapter, known)
 	}
+	w.reason = waitReasons[choose.Found]
 	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, x.service.Name, x.req.Model, x.req.Adapter)
 	if err != nil {
 		x.relay.Log.Info("adapter load failed", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -48,6 +48,7 @@
 	// when one was last chosen; of these, ejected is the number that were
 	// ejected after failures and leaving the number that were being drained.
 	candidates, ejected, leaving int
+	progress                     progress
 }
 
 // splitPoint maps a request id to a point in [0, 1) that selects among the
@@ -193,6 +194,7 @@
 	x.started = true
 	x.status = reply.Status
 	x.answer.Begin(&reply.Reply, len(reply.body))
+	x.progress.bytesSent(time.Now())
 	if err := x.answer.Write(reply.body); err != nil {
 		x.relay.Log.Info("caller disconnected while an error response was forwarded", "request_id", x.req.ID, "error", err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,7 +61,7 @@
 		shutdown:      shutdown,
 		startShutdown: startShutdown,
 		Dependencies:  deps,
-		chooser:       choose.Default(),
+		chooser:       choose.Fastest(),
 		loads:         load.NewTracker(load.DefaultSettings()),
 		suspects:      suspect.NewTable(suspect.DefaultSettings()),
 		crashes:       crashDetector{pending: map[string][]suspect.Digest{}},
@@ -191,6 +191,7 @@
 	if x != nil {
 		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.version,
 			"model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
+		attrs = append(attrs, x.progress.attrs(req.Arrived)...)
 	}
 	if failure == nil {
 		requestsAnswered.Inc()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -111,6 +111,7 @@
 		firstSeconds.Update(time.Since(x.req.Arrived).Seconds())
 		x.answer.Begin(reply, -1)
 	}
+	x.progress.bytesSent(time.Now())
 	if err := x.answer.Write(data); err != nil {
 		return err
 	}
@@ -131,10 +132,20 @@
 	if !times.first.IsZero() {
 		x.relay.loads.Answered(endpoint.ID, times.first.Sub(times.started), times.events, time.Since(times.first))
 	}
+	if x.slowEngine(times) {
+		x.relay.Demand.Late(x.service.Name, x.req.Model)
+	}
+	x.relay.loads.Paused(endpoint.ID, x.progress.longestPause, time.Now())
 	x.relay.suspects.Answered(x.digest())
 	return attemptResult{done: true}
 }
 
+// slowEngine reports whether a complete stream was late because of its engine.
+func (x *exchange) slowEngine(times streamTimings) bool {
+	slowStart := x.route.TargetLatency > 0 && times.first.Sub(times.started) > x.route.TargetLatency
+	return slowStart || x.route.MaxGap > 0 && x.progress.longestPause > x.route.MaxGap
+}
+
 // streamInterrupted handles a stream whose connection was lost.
 func (x *exchange) streamInterrupted(ctx context.Context, endpoint *inventory.Endpoint, err error) attemptResult {
 	x.events.Reset()
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -15,6 +15,9 @@
 	// counted reports whether the demand for the model includes the request as
 	// a waiting one.
 	counted bool
+	// reason says what the request last waited for, or is empty if it did not
+	// wait.
+	reason string
 	// waiter is nil while the request is not in a queue.
 	waiter *waitqueue.Waiter
 }
@@ -70,6 +73,7 @@
 // blocked records that there is no endpoint now. The request is enqueued if
 // endpoints serve the model but have no room.
 func (w *wait) blocked(verdict choose.Verdict) {
+	w.reason = waitReasons[verdict]
 	if !w.counted && w.key.Model != "" {
 		w.counted = true
 		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, 1)
@@ -97,4 +101,8 @@
 		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, -1)
 		modelWaitSeconds.Update(time.Since(w.startTime).Seconds())
 	}
+	if w.reason != "" {
+		w.x.progress.waited += time.Since(w.startTime)
+		w.x.progress.waitedFor = w.reason
+	}
 }
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -47,6 +48,9 @@
 	// Rate is in requests per second, TokenRate in prompt tokens per second.
 	Rate      float64
 	TokenRate float64
+	// LateRate is the rate of requests that were late because their engine was
+	// slow, per second.
+	LateRate float64
 	// Waiting is the number of requests that no engine can run now, Running the
 	// number of requests that engines are running.
 	Waiting int
@@ -96,6 +100,12 @@
 	// when an engine is lost.
 	twoCopiesRate   = 2.0
 	threeCopiesRate = 8.0
+	// lateSharePerCopy is the share of late requests for which a model gets
+	// another copy, minLateRate the rate of late requests per second from which
+	// that share is used, and maxLateCopies the maximum of such copies.
+	lateSharePerCopy = 0.2
+	minLateRate      = 0.15
+	maxLateCopies    = 2
 )
 
 // planner builds the plan for one snapshot.
@@ -207,7 +217,16 @@
 	case d.Rate >= twoCopiesRate:
 		n = max(n, 2)
 	}
-	return n
+	return n + lateCopies(d)
+}
+
+// lateCopies returns the number of additional copies for a model whose engines
+// are too slow for it.
+func lateCopies(d Demand) int {
+	if d.LateRate < minLateRate || d.Rate <= 0 {
+		return 0
+	}
+	return min(int(math.Ceil(d.LateRate/d.Rate/lateSharePerCopy)), maxLateCopies)
 }
 
 // modelsToLoad returns the models that need another copy: first those with the
@@ -222,7 +241,7 @@
 		}
 		have := p.copies[name] + p.pending[name]
 		unserved := d.Waiting > 0 && have == 0
-		if unserved || have > 0 && have < RequiredCopies(d) && d.Rate >= twoCopiesRate {
+		if unserved || have > 0 && have < RequiredCopies(d) && (d.Rate >= twoCopiesRate || lateCopies(d) > 0) {
 			models = append(models, model)
 		}
 	}
