Let a new owner evict models at once

Cause: a new owner took every model in an engine's first report for one that had just been loaded, and a model stays for 1.5 s.

Change: models of a first report count as loaded long ago. Without known demand the last copy of a model is the last to be evicted (unknownRate).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -55,7 +55,7 @@
 	// readTimeout bounds a read of the whole table.
 	readTimeout = 1500 * time.Millisecond
 	// maxStartDelay is the default of Follower.MaxStartDelay.
-	maxStartDelay = 200 * time.Millisecond
+	maxStartDelay = 100 * time.Millisecond
 	// backoffMin is the delay after the first failure. It doubles with each
 	// further one, up to backoffMax.
 	backoffMin = 100 * time.Millisecond
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -78,6 +78,8 @@
 
 // LoadedModel is a model loaded on an engine.
 type LoadedModel struct {
+	// Since is when the model was first seen after it was not loaded; zero if it
+	// was loaded in the first report.
 	Since time.Time
 	// Adapters maps the model's adapters to the time of their last use.
 	Adapters map[string]time.Time
@@ -114,6 +116,8 @@
 	Pending *Pending
 	// StateKnown reports that the engine's state is known.
 	StateKnown bool
+	// reported is set by the first report.
+	reported bool
 	// CallInFlight reports that a call to the engine is in flight.
 	CallInFlight bool
 	// NextReport is the earliest time of the next report request.
@@ -241,7 +245,12 @@
 		return
 	}
 	t.Accepted = report.Accepted
-	t.setModels(report.Models, now)
+	loadedSince := now
+	if !t.reported {
+		loadedSince = time.Time{}
+	}
+	t.reported = true
+	t.setModels(report.Models, loadedSince)
 	if fresh || t.Pending != nil && t.done(report.Models) {
 		t.Pending = nil
 	}
@@ -269,8 +278,9 @@
 }
 
 // setModels replaces the loaded models and keeps the load time of models and
-// the last use of adapters that were known before.
-func (t *Tracker) setModels(models map[string][]string, now time.Time) {
+// the last use of adapters that were known before. Other models count as loaded
+// since the given time.
+func (t *Tracker) setModels(models map[string][]string, since time.Time) {
 	for name := range t.Models {
 		if _, ok := models[name]; !ok {
 			delete(t.Models, name)
@@ -279,7 +289,7 @@
 	for name, adapters := range models {
 		loaded := t.Models[name]
 		if loaded == nil {
-			loaded = &LoadedModel{Since: now, Adapters: map[string]time.Time{}}
+			loaded = &LoadedModel{Since: since, Adapters: map[string]time.Time{}}
 			t.Models[name] = loaded
 		}
 		lastUsed := loaded.Adapters
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -88,6 +88,9 @@
 	minResidency = 1500 * time.Millisecond
 	// horizon is the period over which the cost of evicting a copy is estimated.
 	horizon = 10 * time.Second
+	// unknownRate is the assumed minimum request rate of a model, per second. It
+	// makes the last copy of a model without known demand the last to be evicted.
+	unknownRate = 0.01
 	// spareWeight scales the value of a copy in excess of those that the demand
 	// requires.
 	spareWeight = 0.1
@@ -368,7 +371,7 @@
 	if d.Waiting > 0 && copies <= 1 {
 		return 0, false
 	}
-	value := d.Rate / float64(max(copies, 1)) * horizon.Seconds() * p.Models[name].DiskLoad.Seconds()
+	value := max(d.Rate, unknownRate) / float64(max(copies, 1)) * horizon.Seconds() * p.Models[name].DiskLoad.Seconds()
 	if copies > max(1, RequiredCopies(d)) {
 		value *= spareWeight
 	}
