Ask for no new connections while the data centre is cut off

The load balancer uses other data centres if none of a data centre's nodes is ready, but the nodes said that they were.

Change: internal/isolation. A node is isolated when neither the owner nor the store nor any endpoint of another data centre responds; an outage of the store alone is none. It then isn't ready and closes its callers' connections after a response, goes on serving what it can, and refuses at once, with a Retry-After, what needs a load.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -111,6 +111,18 @@
 	m.reach[engine] = reach{updatedAt: time.Now(), ok: ok}
 }
 
+// EachReached calls visit for each engine to which a connection was made within
+// reachTTL, with the result of the last one.
+func (m *Meter) EachReached(now time.Time, visit func(engine string, ok bool)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for engine, r := range m.reach {
+		if now.Sub(r.updatedAt) <= reachTTL {
+			visit(engine, r.ok)
+		}
+	}
+}
+
 // adapterUse is the use of one adapter on one engine.
 type adapterUse struct {
 	running  int
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -20,6 +20,7 @@
 	"chestnutgauge/internal/fleet"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
 	"chestnutgauge/internal/opshttp"
 	"chestnutgauge/internal/owner"
@@ -95,6 +96,8 @@
 	follower     *fleet.Follower
 	relay        *relay.Relay
 	aggregator   *demand.Aggregator
+	meter        *demand.Meter
+	isolation    isolation.Detector
 	shuttingDown atomic.Bool
 }
 
@@ -106,7 +109,7 @@
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress)
 	self := n.peerAddress()
-	meter := demand.NewMeter(self)
+	n.meter = demand.NewMeter(self)
 	n.keeper = &lease.Keeper{
 		Self:         s.IP,
 		Peer:         self,
@@ -130,7 +133,7 @@
 	n.client = &fleet.Client{
 		Self:       self,
 		Holder:     n.keeper,
-		Meter:      meter,
+		Meter:      n.meter,
 		Owner:      n.owner,
 		Aggregator: n.aggregator,
 		HTTP:       fleet.NewHTTP(),
@@ -146,7 +149,8 @@
 		Sender:     platform.NewSender(),
 		Adapters:   n.client,
 		Loads:      n.client,
-		Demand:     meter,
+		Demand:     n.meter,
+		Isolated:   n.isolation.Isolated,
 		Budget:     relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:        log,
 	})
@@ -184,10 +188,18 @@
 		return false, "no configuration yet"
 	case n.inventory.Current().Len() == 0:
 		return false, "no endpoints yet"
+	case n.isolation.Isolated():
+		return false, "data centre cut off"
 	}
 	return true, ""
 }
 
+// closeConnections reports whether callers should make their next request on a
+// new connection, which reaches another node.
+func (n *Node) closeConnections() bool {
+	return n.shuttingDown.Load() || n.isolation.Isolated()
+}
+
 // metricsPort is the port of the metrics endpoint.
 const metricsPort = "9464"
 
@@ -213,13 +225,14 @@
 	supervise.Add(tree, "owner", n.owner.Run)
 	supervise.Add(tree, "demand", n.client.Run)
 	supervise.Add(tree, "inventory", n.follower.Run)
+	supervise.Add(tree, "isolation", n.watchIsolation)
 	supervise.Add(tree, "settings", func(ctx context.Context) error { return n.watcher.Run(ctx, n.readSettings) })
 	listener, err := httpserver.Listen(s.CallersListen)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
 	callers := httpserver.New(&http.Server{
-		Handler:           platform.NewIngress(n.relay, n.limits, n.shuttingDown.Load),
+		Handler:           platform.NewIngress(n.relay, n.limits, n.closeConnections),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -25,6 +25,9 @@
 	// loadRetryAfter is the retry delay sent to callers while no load is in
 	// progress.
 	loadRetryAfter = time.Second
+	// isolatedRetryAfter is the retry delay while the data centre is cut off:
+	// the time after which the load balancer uses other data centres.
+	isolatedRetryAfter = 2 * time.Second
 	// maxRetryAfter bounds the retry delay sent to a caller whose predicted
 	// wait in a queue is too long.
 	maxRetryAfter = 5 * time.Second
@@ -114,6 +117,9 @@
 	if now.After(latest) {
 		return refuse(reason, loadRetryAfter)
 	}
+	if verdict == choose.Absent && x.req.Model != "" && !x.started && x.relay.Isolated() {
+		return refuse(reason, isolatedRetryAfter)
+	}
 	predictedWait := w.predictedWait(now)
 	if !queued || predictedWait == 0 || x.started {
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,10 @@
 	Loads      Loads
 	Demand     *demand.Meter
 	Budget     Budget
-	Log        *slog.Logger
+	// Isolated reports whether the node's data centre is cut off from the
+	// others, so that no load can be ordered.
+	Isolated func() bool
+	Log      *slog.Logger
 }
 
 // Relay serves requests. Its methods are safe for concurrent use.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -144,6 +144,7 @@
 		Loads:     noLoads{},
 		Demand:    demand.NewMeter("n"),
 		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
+		Isolated:  func() bool { return false },
 		Log:       slog.New(slog.DiscardHandler),
 	})
 }
