Don't take a request without a response for a reachable endpoint

Cause: an attempt whose connection timed out after it was sent was reported as having reached its endpoint. In a zone cut this ended the isolation of a node after 0.8 s, and hid from the owner that an engine can't be reached. The owner's own node was never isolated.

--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -7,8 +7,8 @@
 
 // View is what a node knows of its connections at one point in time.
 type View struct {
-	// OwnerFollowed reports that the owner of the engines streams its inventory
-	// to the node, or is the node itself.
+	// OwnerFollowed reports that another node, the owner of the engines, streams
+	// its inventory to this one.
 	OwnerFollowed bool
 	// StoreUnavailable reports that the node's last call to the store failed.
 	StoreUnavailable bool
--- a/internal/noded/isolation.go
+++ b/internal/noded/isolation.go
@@ -29,7 +29,7 @@
 // connections returns what the node knows of its connections.
 func (n *Node) connections(now time.Time) isolation.View {
 	view := isolation.View{
-		OwnerFollowed:    n.owns() || n.follower.Fresh(),
+		OwnerFollowed:    n.follower.Fresh(),
 		StoreUnavailable: n.entries.StoreOutage() > 0,
 	}
 	own := n.settings.Load().DataCentre
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -262,8 +262,9 @@
 	}
 	if ctx.Err() == nil {
 		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
-		x.relay.Demand.Reached(endpoint.ID, run != outcome.NotRun)
-		if run != outcome.NotRun {
+		if run == outcome.NotRun {
+			x.relay.Demand.Reached(endpoint.ID, false)
+		} else {
 			x.relay.connectionLost(endpoint, x.digest())
 		}
 	}
