Cut a stream only when another endpoint can still go on with it

Change: a stream counts as stalled after half of the pause after which its caller gives up (Route.Patience), and never at the last endpoint on which the request may run.

Ruled out: a lost connection, which probes find in any case.

Seen failing first: TestSlowStream, both rows.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,6 +56,21 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Callers abandon a stream after a pause that is the longest of minPatience,
+// patienceTargets times the target latency and patienceGaps times the maximum
+// gap.
+const (
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+)
+
+// Patience returns the pause between two events of a stream after which callers
+// abandon it.
+func (r *Route) Patience() time.Duration {
+	return max(minPatience, patienceTargets*r.TargetLatency, patienceGaps*r.MaxGap)
+}
+
 // Pick returns the service for a request, by the weights of the targets. point
 // is at least 0 and below 1; the same point always gives the same service.
 func (r *Route) Pick(point float64) string {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/pause"
 )
 
 // behaviour is what a fake endpoint does with one attempt.
@@ -282,6 +283,52 @@
 	})
 }
 
+// pausing responds with a stream that pauses between its events.
+func pausing(interval time.Duration, events ...string) behaviour {
+	return func(ctx context.Context, _ Attempt) (*Reply, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			for i, event := range events {
+				if i > 0 && !pause.For(ctx, interval) {
+					break
+				}
+				_, _ = io.WriteString(writer, event)
+			}
+			_ = writer.Close()
+		}()
+		return &Reply{Status: 200, Header: http.Header{}, Body: reader, Length: -1}, nil
+	}
+}
+
+// TestSlowStream checks that a stream that pauses for less than its caller
+// accepts is not interrupted, and neither is one that pauses for longer at the
+// last endpoint on which the request may run: the caller would get nothing
+// more.
+func TestSlowStream(t *testing.T) {
+	const eventThree = "id: 3\ndata: c\n\n"
+	cases := []struct {
+		name string
+		gap  time.Duration
+		next []behaviour
+	}{
+		{"within the caller's patience", 500 * time.Millisecond, []behaviour{pausing(1900*time.Millisecond, eventOne, eventTwo, eventThree)}},
+		{"at the last endpoint", 0, []behaviour{truncated(200, eventOne), truncated(200, eventTwo), pausing(1900*time.Millisecond, "id: 3\n", "data: c\n\n")}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endpoints := &fakeEndpoints{next: tc.next}
+				r := newRelay(endpoints)
+				r.Catalog().Route("h", "/resume/x").MaxGap = tc.gap
+				got := &fakeAnswer{}
+				require.Nil(t, r.Serve(t.Context(), request("resume", "m"), got))
+				require.Equal(t, eventOne+eventTwo+eventThree, got.body.String())
+				require.Len(t, endpoints.endpointIDs, len(tc.next))
+			})
+		})
+	}
+}
+
 // TestStartedStreamWaits interrupts a stream late in its time while all
 // endpoints are ejected after failures: the request waits for one of them.
 func TestStartedStreamWaits(t *testing.T) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
 )
@@ -41,23 +42,25 @@
 	}
 }
 
-// Limits on the time between the events of a resumable stream.
-const (
-	minStallTimeout = 1200 * time.Millisecond
-	// stallTimeoutFactor is the limit as a multiple of the route's maximum gap
-	// between events.
-	stallTimeoutFactor = 2.5
-)
+// stallShare is the share of a caller's patience after which a stream counts as
+// stalled.
+const stallShare = 0.5
+
+// stallTimeout returns how long a stream of a route may pause before it counts
+// as stalled.
+func stallTimeout(route *catalog.Route) time.Duration {
+	return time.Duration(stallShare * float64(route.Patience()))
+}
 
 // detectStalls cancels an attempt whose resumable stream has begun and then
-// stalls, so that it is resumed at another endpoint before the caller times
-// out.
+// stalls, so that it is resumed at another endpoint before the caller gives up.
+// At the last endpoint on which the request may run, the stream is left to go
+// on.
 func (x *exchange) detectStalls(reply *Reply, cancel context.CancelFunc) (stop func()) {
-	if !x.route.Resumable {
+	if !x.route.Resumable || x.possibleRuns+1 >= x.route.MaxEndpoints {
 		return func() {}
 	}
-	timeout := max(minStallTimeout, time.Duration(stallTimeoutFactor*float64(x.route.MaxGap)))
-	detector := &stallDetector{ReadCloser: reply.Body, timeout: timeout, cancel: cancel}
+	detector := &stallDetector{ReadCloser: reply.Body, timeout: stallTimeout(x.route), cancel: cancel}
 	reply.Body = detector
 	return detector.stop
 }
