Bring an adapter to another engine than one that pauses, and find it without an owner

Change: the owner is asked for another engine; if no owner can be asked, the engine whose entry lists the adapter is used. Functions on adapters and affinity leave acquire.go.

--- a/internal/choose/choose_test.go
+++ b/internal/choose/choose_test.go
@@ -79,3 +79,34 @@
 	// Half of the samples of two out of four endpoints include a given one.
 	require.InDelta(t, 500, counts["a"], 60)
 }
+
+// TestFastest checks what the chooser for nearby data centres prefers. The
+// expected endpoint must be chosen with every random seed.
+func TestFastest(t *testing.T) {
+	const maxPause = 400 * time.Millisecond
+	other := func(c *Candidate) { c.DataCentre = "other" }
+	slow := func(c *Candidate) { c.FirstToken = 300 * time.Millisecond }
+	pausing := func(c *Candidate) { c.Pause = 700 * time.Millisecond }
+	cases := []struct {
+		name       string
+		maxPause   time.Duration
+		candidates []Candidate
+		want       string
+	}{
+		{"equal engines: the own data centre", maxPause, []Candidate{idle("a"), with(idle("b"), other)}, "a"},
+		{"slow engine in the own data centre", maxPause, []Candidate{with(idle("a"), slow), with(idle("b"), other)}, "b"},
+		{"streams pause in the own data centre", maxPause, []Candidate{with(idle("a"), pausing), with(idle("b"), other)}, "b"},
+		{"pauses are allowed", 0, []Candidate{with(idle("a"), pausing), with(idle("b"), other)}, "a"},
+		{"own data centre full", maxPause, []Candidate{with(idle("a"), func(c *Candidate) { c.InFlight = 4 }), with(idle("b"), other)}, "b"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(100) {
+				req := Request{Now: now, DataCentre: "own", MaxPause: tc.maxPause, Choosers: 10}
+				got, verdict := Fastest().Choose(req, tc.candidates, rand.New(rand.NewPCG(seed, 0)))
+				require.Equal(t, Found, verdict)
+				require.Equal(t, tc.want, got.Name)
+			}
+		})
+	}
+}
--- a/internal/choose/steadystream.go
+++ b/internal/choose/steadystream.go
@@ -13,8 +13,20 @@
 
 // Cost implements Scorer.
 func (SteadyStream) Cost(req Request, c Candidate) time.Duration {
-	if req.MaxPause <= 0 {
+	if !Pauses(req, c) {
 		return 0
 	}
-	return max(0, c.Pause-time.Duration(pauseShare*float64(req.MaxPause)))
+	return c.Pause - allowedPause(req)
+}
+
+// Pauses reports whether an endpoint's streams pause for longer than a request
+// allows.
+func Pauses(req Request, c Candidate) bool {
+	return req.MaxPause > 0 && c.Pause > allowedPause(req)
+}
+
+// allowedPause returns the pause up to which an endpoint's streams count as
+// steady.
+func allowedPause(req Request) time.Duration {
+	return time.Duration(pauseShare * float64(req.MaxPause))
 }
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -71,6 +71,16 @@
 	Adapter string `json:"adapter"`
 }
 
+// AdapterNeed is an adapter that a request needs on an engine.
+type AdapterNeed struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	// Avoid is the id of an engine that is used only if no other one holds the
+	// model, or empty.
+	Avoid string `json:"avoid,omitempty"`
+}
+
 // Report is the demand at one node.
 type Report struct {
 	// Node is the address of the node.
--- /dev/null
+++ b/internal/demand/demand_test.go
@@ -0,0 +1,53 @@
+package demand
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLateRate checks that the late requests of all nodes are added up, and
+// that a rate decays.
+func TestLateRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		aggregator := NewAggregator()
+		meters := []*Meter{NewMeter("a"), NewMeter("b")}
+		total := func() Total {
+			now := time.Now()
+			for _, m := range meters {
+				aggregator.Add(m.Report(now), now)
+			}
+			return aggregator.Totals(now).Models[ModelKey{"s", "m"}]
+		}
+		for _, m := range meters {
+			m.Arrived("s", "m", 100)
+			m.Late("s", "m")
+		}
+		got := total()
+		require.InDelta(t, 2/RateTime.Seconds(), got.LateRate, 1e-9)
+		require.InDelta(t, got.Rate, got.LateRate, 1e-9)
+		time.Sleep(10 * RateTime)
+		require.Less(t, total().LateRate, 0.0001)
+	})
+}
+
+// TestEachReached checks that the results of connections expire.
+func TestEachReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMeter("a")
+		reached := func() map[string]bool {
+			out := map[string]bool{}
+			m.EachReached(time.Now(), func(engine string, ok bool) { out[engine] = ok })
+			return out
+		}
+		m.Reached("e1", true)
+		time.Sleep(reachTTL)
+		m.Reached("e2", true)
+		m.Reached("e2", false)
+		require.Equal(t, map[string]bool{"e1": true, "e2": false}, reached())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, map[string]bool{"e2": false}, reached())
+	})
+}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -147,16 +147,16 @@
 }
 
 // EnsureAdapter implements relay.Adapters.
-func (c *Client) EnsureAdapter(ctx context.Context, service, model, adapter string) (string, time.Time, error) {
+func (c *Client) EnsureAdapter(ctx context.Context, need demand.AdapterNeed) (string, time.Time, error) {
 	holder := c.Holder.Holder()
 	if holder == "" {
 		return "", time.Time{}, errNoOwner
 	}
 	if holder == c.Self {
-		return c.Owner.EnsureAdapter(ctx, service, model, adapter)
+		return c.Owner.EnsureAdapter(ctx, need)
 	}
 	var response AdapterResponse
-	err := c.call(ctx, holder, adapterPath, AdapterRequest{Service: service, Model: model, Adapter: adapter}, &response)
+	err := c.call(ctx, holder, adapterPath, need, &response)
 	return response.Engine, time.Now().Add(time.Duration(response.ReadyMS) * time.Millisecond), err
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,13 +32,6 @@
 	Expected []Expected `json:"expected"`
 }
 
-// AdapterRequest asks the owner to load an adapter.
-type AdapterRequest struct {
-	Service string `json:"service"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter"`
-}
-
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
 // until the adapter is usable there, in milliseconds.
 type AdapterResponse struct {
@@ -73,11 +66,11 @@
 		writeJSON(w, response, log)
 	})
 	mux.HandleFunc("POST "+adapterPath, func(w http.ResponseWriter, r *http.Request) {
-		var req AdapterRequest
-		if !decodeBody(w, r, &req) {
+		var need demand.AdapterNeed
+		if !decodeBody(w, r, &need) {
 			return
 		}
-		engine, ready, err := engineOwner.EnsureAdapter(r.Context(), req.Service, req.Model, req.Adapter)
+		engine, ready, err := engineOwner.EnsureAdapter(r.Context(), need)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -86,3 +87,18 @@
 	tracker.Prune(func(name string) bool { return name == "new" })
 	require.Equal(t, 2, tracker.Len())
 }
+
+// TestPause checks that the expected pause follows the measured ones and decays,
+// so that an endpoint that was avoided for its pauses is tried again.
+func TestPause(t *testing.T) {
+	settings := DefaultSettings()
+	tracker := NewTracker(settings)
+	require.Zero(t, tracker.View("e", at(0)).Pause)
+	for range 20 {
+		tracker.Paused("e", time.Second, at(0))
+	}
+	require.InDelta(t, time.Second, tracker.View("e", at(0)).Pause, float64(5*time.Millisecond))
+	later := at(0).Add(settings.PauseTime)
+	require.InDelta(t, time.Second.Seconds()/math.E, tracker.View("e", later).Pause.Seconds(), 0.005)
+	require.Less(t, tracker.View("e", later.Add(time.Minute)).Pause, time.Millisecond)
+}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -84,3 +84,16 @@
 	require.True(t, tracker.Ready())
 	require.EqualValues(t, 7, tracker.Accepted)
 }
+
+// TestLoadedBefore checks that models in an engine's first report count as
+// loaded long ago, since a new owner can't know when they were loaded, and that
+// a model in a later report counts as loaded then.
+func TestLoadedBefore(t *testing.T) {
+	tracker := trackerOf(3, "m")
+	require.Zero(t, tracker.Models["m"].Since)
+	later := start.Add(2 * ReportLag)
+	tracker.CallInFlight = true
+	tracker.Reported(Report{StartedAtMS: 1, Accepted: 4, Models: map[string][]string{"m": nil, "n": nil}}, later, later)
+	require.Zero(t, tracker.Models["m"].Since)
+	require.Equal(t, later, tracker.Models["n"].Since)
+}
--- a/internal/owner/adapters.go
+++ b/internal/owner/adapters.go
@@ -21,10 +21,6 @@
 	ErrNoEngine = errors.New("owner: no engine can take the adapter")
 )
 
-type adapterKey struct {
-	service, model, adapter string
-}
-
 // adapterLoad is a load of an adapter, shared by all callers that wait for it.
 // The other fields are set before done is closed.
 type adapterLoad struct {
@@ -38,23 +34,22 @@
 const adapterLoadTime = 14 * time.Millisecond
 
 // EnsureAdapter loads an adapter on an engine that has its model loaded, unless
-// one has it already. It returns the engine's id and when the adapter can be
+// one other than the avoided engine has it already. It returns the engine's id and when the adapter can be
 // used.
-func (o *Owner) EnsureAdapter(ctx context.Context, service, model, adapter string) (string, time.Time, error) {
+func (o *Owner) EnsureAdapter(ctx context.Context, need demand.AdapterNeed) (string, time.Time, error) {
 	if _, ok := o.Lease.Grant(); !ok {
 		return "", time.Time{}, ErrNotOwner
 	}
-	key := adapterKey{service, model, adapter}
 	o.mu.Lock()
 	if o.adapterLoads == nil {
 		o.mu.Unlock()
 		return "", time.Time{}, ErrNotOwner
 	}
-	load, running := o.adapterLoads[key]
+	load, running := o.adapterLoads[need]
 	if !running {
 		load = &adapterLoad{done: make(chan struct{})}
-		o.adapterLoads[key] = load
-		go o.loadAdapter(context.WithoutCancel(ctx), key, load)
+		o.adapterLoads[need] = load
+		go o.loadAdapter(context.WithoutCancel(ctx), need, load)
 	}
 	o.mu.Unlock()
 	select {
@@ -70,17 +65,17 @@
 const adapterAttempts = 3
 
 // loadAdapter loads an adapter and then wakes the callers that wait for it.
-func (o *Owner) loadAdapter(ctx context.Context, key adapterKey, load *adapterLoad) {
+func (o *Owner) loadAdapter(ctx context.Context, need demand.AdapterNeed, load *adapterLoad) {
 	load.err = ErrNoEngine
 	for range adapterAttempts {
-		load.engine, load.ready, load.err = o.tryLoadAdapter(ctx, key)
+		load.engine, load.ready, load.err = o.tryLoadAdapter(ctx, need)
 		if load.err == nil || errors.Is(load.err, ErrNoEngine) {
 			break
 		}
 	}
 	o.mu.Lock()
-	if o.adapterLoads[key] == load {
-		delete(o.adapterLoads, key)
+	if o.adapterLoads[need] == load {
+		delete(o.adapterLoads, need)
 	}
 	o.mu.Unlock()
 	close(load.done)
@@ -97,9 +92,9 @@
 }
 
 // tryLoadAdapter sends orders until the adapter is loaded or an order fails.
-func (o *Owner) tryLoadAdapter(ctx context.Context, key adapterKey) (string, time.Time, error) {
+func (o *Owner) tryLoadAdapter(ctx context.Context, need demand.AdapterNeed) (string, time.Time, error) {
 	for {
-		plan, err := o.planAdapter(key)
+		plan, err := o.planAdapter(need)
 		if err != nil || plan.loaded {
 			return planEngine(plan), time.Now(), err
 		}
@@ -135,9 +130,9 @@
 
 // planAdapter selects an engine and the next order for it, and records the
 // order as sent in the engine's tracker.
-func (o *Owner) planAdapter(key adapterKey) (adapterPlan, error) {
+func (o *Owner) planAdapter(need demand.AdapterNeed) (adapterPlan, error) {
 	c := o.Catalog()
-	service := c.Services[key.service]
+	service := c.Services[need.Service]
 	if service == nil || service.Engine == nil {
 		return adapterPlan{}, ErrNoEngine
 	}
@@ -145,20 +140,20 @@
 	totals := o.Demand.Totals(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	endpoints := o.Inventory.Current().Service(key.service)
-	trackers := o.enginesWithModel(endpoints, key.model)
+	endpoints := o.Inventory.Current().Service(need.Service)
+	trackers := avoidEngine(o.enginesWithModel(endpoints, need.Model), need.Avoid)
 	for _, tracker := range trackers {
-		if _, ok := tracker.Models[key.model].Adapters[key.adapter]; ok {
-			tracker.Models[key.model].Adapters[key.adapter] = now
+		if _, ok := tracker.Models[need.Model].Adapters[need.Adapter]; ok {
+			tracker.Models[need.Model].Adapters[need.Adapter] = now
 			return adapterPlan{tracker: tracker, loaded: true}, nil
 		}
 	}
-	running := totals.Models[demand.ModelKey{Service: key.service, Model: key.model}].Running
+	running := totals.Models[demand.ModelKey{Service: need.Service, Model: need.Model}].Running
 	slices.SortStableFunc(trackers, func(a, b *orders.Tracker) int {
 		return cmp.Or(cmp.Compare(a.AdapterCount(), b.AdapterCount()), cmp.Compare(running[a.Engine.ID], running[b.Engine.ID]))
 	})
 	for _, tracker := range trackers {
-		order, ok := adapterOrder(service, tracker, key, totals.Used)
+		order, ok := adapterOrder(service, tracker, need, totals.Used)
 		if !ok || !tracker.Ready() {
 			continue
 		}
@@ -168,6 +163,21 @@
 	return adapterPlan{}, ErrNoEngine
 }
 
+// avoidEngine returns the trackers without that of an engine, or all if there is
+// no other.
+func avoidEngine(trackers []*orders.Tracker, engine string) []*orders.Tracker {
+	var others []*orders.Tracker
+	for _, tracker := range trackers {
+		if tracker.Engine.ID != engine {
+			others = append(others, tracker)
+		}
+	}
+	if len(others) == 0 {
+		return trackers
+	}
+	return others
+}
+
 // enginesWithModel returns the trackers of engines that have a model loaded,
 // are not leaving and are not unloading it.
 func (o *Owner) enginesWithModel(endpoints []*inventory.Endpoint, model string) []*orders.Tracker {
@@ -188,7 +198,7 @@
 // adapterOrder returns the order that loads the adapter if it fits, otherwise
 // the unload of another adapter to make room. It returns false if neither is
 // possible.
-func adapterOrder(service *catalog.Service, tracker *orders.Tracker, key adapterKey, used map[demand.AdapterUse]bool) (orders.Order, bool) {
+func adapterOrder(service *catalog.Service, tracker *orders.Tracker, need demand.AdapterNeed, used map[demand.AdapterUse]bool) (orders.Order, bool) {
 	free := service.Engine.MemoryMB
 	for name, loaded := range tracker.Models {
 		model := service.Engine.Models[name]
@@ -197,8 +207,8 @@
 	if reserved := tracker.Reserved(); reserved != "" && tracker.Models[reserved] == nil {
 		free -= service.Engine.Models[reserved].WeightsMB
 	}
-	if tracker.AdapterCount() < service.Engine.MaxAdapters && free >= service.Engine.Models[key.model].AdapterMB {
-		return orders.Order{Model: key.model, Adapter: key.adapter}, true
+	if tracker.AdapterCount() < service.Engine.MaxAdapters && free >= service.Engine.Models[need.Model].AdapterMB {
+		return orders.Order{Model: need.Model, Adapter: need.Adapter}, true
 	}
 	return unloadLeastRecentlyUsed(tracker, used)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -51,7 +51,7 @@
 	storeBuckets map[string]*storeLoads
 	// expected holds the times at which loads in progress should complete.
 	expected     map[demand.ModelKey]time.Time
-	adapterLoads map[adapterKey]*adapterLoad
+	adapterLoads map[demand.AdapterNeed]*adapterLoad
 }
 
 // drain records that an engine unloads models to make room for another one. It
@@ -147,7 +147,7 @@
 	o.drains = map[inventory.Key]drain{}
 	o.storeBuckets = map[string]*storeLoads{}
 	o.expected = map[demand.ModelKey]time.Time{}
-	o.adapterLoads = map[adapterKey]*adapterLoad{}
+	o.adapterLoads = map[demand.AdapterNeed]*adapterLoad{}
 	o.Log.Info("ownership of engines acquired", "fence", fence)
 }
 
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -262,37 +262,3 @@
 		candidates[i].Cached = candidates[i].Name == first
 	}
 }
-
-// withAdapter returns an engine that holds the request's adapter, and requests
-// the adapter's load if no engine is known to hold it. Both results are nil if
-// the caller should choose an endpoint again.
-func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, *Failure) {
-	if known := x.relay.adapters.engine(x.req.Model, x.req.Adapter); known != "" {
-		e := snapshot.Endpoint(known)
-		if e != nil && e.Holds(x.req.Model) && !e.Leaving && !slices.Contains(x.tried, known) {
-			return e, nil
-		}
-		x.relay.adapters.remove(x.req.Model, x.req.Adapter, known)
-	}
-	w.reason = waitReasons[choose.Found]
-	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, x.service.Name, x.req.Model, x.req.Adapter)
-	if err != nil {
-		x.relay.Log.Info("adapter load failed", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
-		if !pause.For(ctx, adapterRetryInterval) || time.Now().After(x.latestDispatch(loadWaitFraction)) {
-			return nil, refuse(ReasonNoAdapter, loadRetryAfter)
-		}
-		return nil, nil
-	}
-	if !pause.For(ctx, time.Until(ready)) {
-		return nil, endedFailure(ctx, outcome.NotRun, nil)
-	}
-	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
-	e := snapshot.Endpoint(id)
-	if e == nil {
-		e = x.relay.Inventory.Current().Endpoint(id)
-	}
-	return e, nil
-}
-
-// adapterRetryInterval is the time between two attempts to load an adapter.
-const adapterRetryInterval = 100 * time.Millisecond
--- a/internal/relay/adapters.go
+++ b/internal/relay/adapters.go
@@ -1,6 +1,20 @@
 package relay
 
-import "sync"
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/pause"
+)
+
+// adapterRetryInterval is the time between two attempts to load an adapter.
+const adapterRetryInterval = 100 * time.Millisecond
 
 // adapterLocations records the engine at which each adapter was last loaded.
 type adapterLocations struct {
@@ -37,3 +51,80 @@
 		delete(l.engines, key)
 	}
 }
+
+// withAdapter returns an engine that holds the request's adapter, and requests
+// the adapter's load if no engine is known to hold it, or only one whose streams
+// pause for too long. Both results are nil if the caller should choose an
+// endpoint again.
+func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, *Failure) {
+	known := x.knownAdapter(snapshot)
+	if known != nil && !x.pauses(known) {
+		return known, nil
+	}
+	need := demand.AdapterNeed{Service: x.service.Name, Model: x.req.Model, Adapter: x.req.Adapter}
+	if known != nil {
+		need.Avoid = known.ID
+	}
+	w.reason = waitReasons[choose.Found]
+	id, ready, err := x.relay.Adapters.EnsureAdapter(ctx, need)
+	if err != nil {
+		x.relay.Log.Info("adapter load failed", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
+		return x.withoutAdapterLoad(ctx, snapshot, known)
+	}
+	if !pause.For(ctx, time.Until(ready)) {
+		return nil, endedFailure(ctx, outcome.NotRun, nil)
+	}
+	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
+	e := snapshot.Endpoint(id)
+	if e == nil {
+		e = x.relay.Inventory.Current().Endpoint(id)
+	}
+	return e, nil
+}
+
+// knownAdapter returns the engine at which the request's adapter was last
+// loaded, or nil if it can't be used.
+func (x *exchange) knownAdapter(snapshot *inventory.Snapshot) *inventory.Endpoint {
+	known := x.relay.adapters.engine(x.req.Model, x.req.Adapter)
+	if known == "" {
+		return nil
+	}
+	e := snapshot.Endpoint(known)
+	if e != nil && x.usable(e) {
+		return e
+	}
+	x.relay.adapters.remove(x.req.Model, x.req.Adapter, known)
+	return nil
+}
+
+// usable reports whether an engine holds the request's model, is not leaving and
+// has not failed the request.
+func (x *exchange) usable(e *inventory.Endpoint) bool {
+	return e.Holds(x.req.Model) && !e.Leaving && !slices.Contains(x.tried, e.ID)
+}
+
+// pauses reports whether the streams of an engine pause for longer than the
+// request allows.
+func (x *exchange) pauses(e *inventory.Endpoint) bool {
+	view := x.relay.loads.View(e.ID, time.Now())
+	return choose.Pauses(choose.Request{MaxPause: x.route.MaxGap}, choose.Candidate{Pause: view.Pause})
+}
+
+// withoutAdapterLoad returns an engine that holds the adapter although no load
+// could be ordered: the known one, or one whose entry in the inventory lists the
+// adapter. If there is none, it waits before the next attempt, and refuses the
+// request if that comes too late.
+func (x *exchange) withoutAdapterLoad(ctx context.Context, snapshot *inventory.Snapshot, known *inventory.Endpoint) (*inventory.Endpoint, *Failure) {
+	if known != nil {
+		return known, nil
+	}
+	for _, e := range snapshot.Service(x.service.Name) {
+		if x.usable(e) && slices.Contains(e.Models[x.req.Model], x.req.Adapter) {
+			return e, nil
+		}
+	}
+	if !pause.For(ctx, adapterRetryInterval) || time.Now().After(x.latestDispatch(loadWaitFraction)) {
+		return nil, refuse(ReasonNoAdapter, loadRetryAfter)
+	}
+	return nil, nil
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -112,7 +112,7 @@
 
 func (noLoads) Expected(string, string) (time.Time, bool) { return time.Time{}, false }
 
-func (noLoads) EnsureAdapter(context.Context, string, string, string) (string, time.Time, error) {
+func (noLoads) EnsureAdapter(context.Context, demand.AdapterNeed) (string, time.Time, error) {
 	return "", time.Time{}, errors.New("no owner")
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 )
 
@@ -109,7 +110,7 @@
 // Adapters loads an adapter at an engine that holds its model. It returns the
 // id of the engine and when the adapter can be used there.
 type Adapters interface {
-	EnsureAdapter(ctx context.Context, service, model, adapter string) (engine string, ready time.Time, err error)
+	EnsureAdapter(ctx context.Context, need demand.AdapterNeed) (engine string, ready time.Time, err error)
 }
 
 // Loads predicts when a model that no engine holds will be loaded.
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -95,6 +95,23 @@
 			demand:  map[string]Demand{"hot": {Rate: 10, Running: 40}},
 			want:    []Step{{Engine: "b", Model: "hot", Target: "hot", LoadTime: 800 * time.Millisecond}},
 		},
+		{
+			name:    "slow engine makes a model's requests late: another copy, also at a low rate",
+			engines: []Engine{engineWith("a", "hot"), onDisk(engineWith("b"), "hot")},
+			demand:  map[string]Demand{"hot": {Rate: 1.5, LateRate: 0.4, Running: 2}},
+			want:    []Step{{Engine: "b", Model: "hot", Target: "hot", LoadTime: 800 * time.Millisecond}},
+		},
+		{
+			name:    "a single late request is no reason for another copy",
+			engines: []Engine{engineWith("a", "hot"), onDisk(engineWith("b"), "hot")},
+			demand:  map[string]Demand{"hot": {Rate: 0.1, LateRate: 0.08}},
+		},
+		{
+			name:    "demand not known yet: the model that another engine holds too is evicted",
+			engines: []Engine{onDisk(engineWith("a", "x", "y", "z"), "r"), func() Engine { e := engineWith("b", "z"); e.Ready = false; return e }()},
+			demand:  map[string]Demand{"r": {Waiting: 1}},
+			want:    []Step{{Engine: "a", Unload: true, Model: "z", Target: "r"}},
+		},
 		{
 			name: "a model with running requests is not evicted",
 			engines: []Engine{func() Engine {
