Spend loads from the weight store where they help, and learn how many run at once

A hot model that one engine cached and could not load got no copy from the store at all. Four loads were ordered at once where two run at full speed, so each took twice as long (20.4 and 25.7 s for 10.2 s).

Change: a load from the store is reserved before its unloads, and engines that are being drained keep theirs; caches count one engine each against the copies that are missing; the limit of concurrent loads starts at 2, grows while loads at the limit take as long as expected and shrinks when they take half as long again.

Seen failing first: three new rows of TestPlan.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -47,8 +47,10 @@
 	fence    int64
 	trackers map[inventory.Key]*orders.Tracker
 	drains   map[inventory.Key]drain
-	// storeBuckets holds the token bucket for store loads of each service.
-	storeBuckets map[string]*storeLoads
+	// storeLimits holds the limits of loads from the weight store by service,
+	// storeLoading those in progress.
+	storeLimits  map[string]*storeLoads
+	storeLoading map[inventory.Key]storeLoad
 	// expected holds the times at which loads in progress should complete.
 	expected     map[demand.ModelKey]time.Time
 	adapterLoads map[demand.AdapterNeed]*adapterLoad
@@ -145,7 +147,8 @@
 	o.fence = fence
 	o.trackers = map[inventory.Key]*orders.Tracker{}
 	o.drains = map[inventory.Key]drain{}
-	o.storeBuckets = map[string]*storeLoads{}
+	o.storeLimits = map[string]*storeLoads{}
+	o.storeLoading = map[inventory.Key]storeLoad{}
 	o.expected = map[demand.ModelKey]time.Time{}
 	o.adapterLoads = map[demand.AdapterNeed]*adapterLoad{}
 	o.Log.Info("ownership of engines acquired", "fence", fence)
@@ -159,6 +162,7 @@
 		if e == nil || e.Key() != key {
 			delete(o.trackers, key)
 			delete(o.drains, key)
+			delete(o.storeLoading, key)
 			o.Log.Info("engine gone", "endpoint", tracker.Engine.ID, "born", tracker.Engine.StartedAtMS)
 		}
 	}
@@ -169,6 +173,9 @@
 			o.trackers[e.Key()] = tracker
 		}
 		tracker.Observed(e.Models, now)
+		if tracker.Pending == nil {
+			o.endStoreLoad(e.Key(), e.Models, now)
+		}
 	})
 }
 
@@ -202,7 +209,7 @@
 		Now:        now,
 		Models:     service.Engine.Models,
 		Demand:     map[string]swap.Demand{},
-		StoreLoads: o.storeLoads(service).allowed(now, o.storeLoadsInProgress(service, endpoints)),
+		StoreLoads: o.storeLoads(service).allowed(now, o.storeLoadsInProgress(service.Name)),
 	}
 	for key, total := range totals.Models {
 		if key.Service == service.Name {
@@ -270,7 +277,7 @@
 			delete(o.drains, e.Key())
 		}
 		if step.FromStore {
-			o.storeLoads(service).take()
+			o.beginStoreLoad(service, e.Key(), step.Model, step.LoadTime, now)
 		}
 		order := orders.Order{Unload: step.Unload, Model: step.Model}
 		tracker.Sent(order, now, step.LoadTime)
--- a/internal/owner/storeloads.go
+++ b/internal/owner/storeloads.go
@@ -5,37 +5,56 @@
 
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/inventory"
-	"chestnutgauge/internal/swap"
 )
 
-// Limits of loads from the weight store.
+// storeRateShare is the share of the weight store's rate limit that is used.
+const storeRateShare = 0.9
+
+// Limits of concurrent loads from the weight store. The number that run at full
+// speed is not known, so the limit follows what loads took: it grows while they
+// take as long as expected and shrinks when they take much longer.
 const (
-	// maxConcurrentStoreLoads is the number of concurrent loads that the store
-	// serves at full speed.
-	maxConcurrentStoreLoads = 4
-	// storeRateShare is the share of the store's rate limit that is used.
-	storeRateShare = 0.9
+	minStoreLoads     = 2
+	maxStoreLoads     = 16
+	initialStoreLoads = 2
+	// fullSpeedFactor and slowFactor are the times that a load takes, relative to
+	// the expected one, up to which the limit grows and from which it shrinks.
+	fullSpeedFactor = 1.25
+	slowFactor      = 1.5
 )
 
-// storeLoads is a token bucket that limits loads from the weight store. It
-// starts empty, since a previous owner may have used up the store's rate limit.
+// storeLoads limits loads from the weight store by rate, as a token bucket, and
+// by number. The bucket starts empty, since a previous owner may have used up the
+// store's rate limit.
 type storeLoads struct {
 	// rate is in loads per second.
 	rate   float64
 	tokens float64
 	// last is the time of the last refill.
 	last time.Time
+	// limit is the maximum number of concurrent loads.
+	limit int
+}
+
+// storeLoad is a load from the weight store that is in progress.
+type storeLoad struct {
+	service  string
+	model    string
+	sentAt   time.Time
+	expected time.Duration
+	// atLimit reports that as many loads were in progress as the limit allowed.
+	atLimit bool
 }
 
-// storeLoads returns the bucket of a service. The caller holds mu.
+// storeLoads returns the limits of a service. The caller holds mu.
 func (o *Owner) storeLoads(service *catalog.Service) *storeLoads {
-	bucket, ok := o.storeBuckets[service.Name]
+	loads, ok := o.storeLimits[service.Name]
 	if !ok {
-		bucket = &storeLoads{}
-		o.storeBuckets[service.Name] = bucket
+		loads = &storeLoads{limit: initialStoreLoads}
+		o.storeLimits[service.Name] = loads
 	}
-	bucket.rate = service.Engine.StoreLoadsPerSecond * storeRateShare
-	return bucket
+	loads.rate = service.Engine.StoreLoadsPerSecond * storeRateShare
+	return loads
 }
 
 // allowed refills the bucket and returns how many loads may start now.
@@ -44,7 +63,7 @@
 		s.tokens = min(s.tokens+s.rate*now.Sub(s.last).Seconds(), max(1, s.rate))
 	}
 	s.last = now
-	return max(0, min(int(s.tokens), maxConcurrentStoreLoads-inProgress))
+	return max(0, min(int(s.tokens), s.limit-inProgress))
 }
 
 // take removes a token for a load that starts.
@@ -52,18 +71,54 @@
 	s.tokens--
 }
 
-// storeLoadsInProgress returns the number of loads in progress whose weights
-// come from the weight store.
-func (o *Owner) storeLoadsInProgress(service *catalog.Service, endpoints []*inventory.Endpoint) int {
+// finished adapts the limit to the duration of a load. A load that ran while
+// fewer were in progress than allowed does not show that more would run at full
+// speed.
+func (s *storeLoads) finished(load storeLoad, took time.Duration) {
+	ratio := took.Seconds() / load.expected.Seconds()
+	switch {
+	case ratio >= slowFactor:
+		s.limit = max(minStoreLoads, s.limit-1)
+	case ratio <= fullSpeedFactor && load.atLimit:
+		s.limit = min(maxStoreLoads, s.limit+1)
+	}
+}
+
+// storeLoadsInProgress returns the number of loads from the weight store that
+// are in progress for a service. The caller holds mu.
+func (o *Owner) storeLoadsInProgress(service string) int {
 	n := 0
-	for _, e := range endpoints {
-		p := o.trackers[e.Key()].Pending
-		if p == nil || p.Order.Unload {
-			continue
-		}
-		if swap.FromStore(e.InMemory, e.OnDisk, p.Order.Model) {
+	for _, load := range o.storeLoading {
+		if load.service == service {
 			n++
 		}
 	}
 	return n
 }
+
+// beginStoreLoad records a load from the weight store that is ordered now. The
+// caller holds mu.
+func (o *Owner) beginStoreLoad(service *catalog.Service, engine inventory.Key, model string, expected time.Duration, now time.Time) {
+	loads := o.storeLoads(service)
+	loads.take()
+	inProgress := o.storeLoadsInProgress(service.Name) + 1
+	o.storeLoading[engine] = storeLoad{service: service.Name, model: model, sentAt: now, expected: expected, atLimit: inProgress >= loads.limit}
+}
+
+// endStoreLoad records that the order to an engine is no longer in progress, and
+// learns from the time that a load took. The caller holds mu.
+func (o *Owner) endStoreLoad(engine inventory.Key, models map[string][]string, now time.Time) {
+	load, ok := o.storeLoading[engine]
+	if !ok {
+		return
+	}
+	delete(o.storeLoading, engine)
+	loads := o.storeLimits[load.service]
+	if _, loaded := models[load.model]; !loaded || loads == nil {
+		return
+	}
+	before := loads.limit
+	loads.finished(load, now.Sub(load.sentAt))
+	o.Log.Info("load from the weight store finished", "endpoint", engine.ID, "model", load.model, "took_ms", now.Sub(load.sentAt).Milliseconds(),
+		"expected_ms", load.expected.Milliseconds(), "limit", loads.limit, "limit_before", before)
+}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -122,19 +122,21 @@
 	// assigned holds the engines that already have a step in this plan.
 	assigned map[string]bool
 	// storeLoadsLeft is the number of loads from the weight store that may still
-	// start.
+	// start, without those that are reserved for engines.
 	storeLoadsLeft int
-	// cachedElsewhere holds the models whose weights are cached, in memory or on
-	// disk, by an engine that has not loaded them.
-	cachedElsewhere map[string]bool
+	reserved       map[string]bool
+	// cachedElsewhere is, by model, the number of engines that cache its weights,
+	// in memory or on disk, and have not loaded it.
+	cachedElsewhere map[string]int
 }
 
 // Plan returns the next orders, at most one per engine.
 func Plan(state State) []Step {
-	p := &planner{State: state, copies: map[string]int{}, pending: map[string]int{}, assigned: map[string]bool{}, storeLoadsLeft: state.StoreLoads, cachedElsewhere: map[string]bool{}}
+	p := &planner{State: state, copies: map[string]int{}, pending: map[string]int{}, assigned: map[string]bool{}, reserved: map[string]bool{}, storeLoadsLeft: state.StoreLoads, cachedElsewhere: map[string]int{}}
 	for _, e := range state.Engines {
 		p.count(e)
 	}
+	p.reserveForDrains()
 	p.continueDrains()
 	for _, model := range p.modelsToLoad() {
 		p.scheduleLoad(model)
@@ -152,11 +154,9 @@
 	for model := range e.Copies {
 		p.copies[model]++
 	}
-	for _, models := range [][]string{e.InMemory, e.OnDisk} {
-		for _, model := range models {
-			if _, loaded := e.Copies[model]; !loaded {
-				p.cachedElsewhere[model] = true
-			}
+	for model := range cached(e) {
+		if _, loaded := e.Copies[model]; !loaded && e.Loading != model {
+			p.cachedElsewhere[model]++
 		}
 	}
 	if e.Loading != "" {
@@ -167,6 +167,15 @@
 	}
 }
 
+// cached returns the models whose weights an engine caches.
+func cached(e Engine) map[string]bool {
+	models := map[string]bool{}
+	for _, name := range slices.Concat(e.InMemory, e.OnDisk) {
+		models[name] = true
+	}
+	return models
+}
+
 // continueDrains plans the next step of engines that are being drained for a
 // model.
 func (p *planner) continueDrains() {
@@ -186,21 +195,43 @@
 	if !ok {
 		return false
 	}
+	duration, fromStore := loadTime(e, model)
+	if fromStore && !p.reserveStoreLoad(e) {
+		return false
+	}
 	if len(victims) > 0 {
 		p.order(e, Step{Unload: true, Model: victims[0], Target: model.Name})
 		return true
 	}
-	duration, fromStore := loadTime(e, model)
-	if fromStore {
-		if p.storeLoadsLeft <= 0 {
-			return false
-		}
-		p.storeLoadsLeft--
-	}
 	p.order(e, Step{Model: model.Name, Target: model.Name, FromStore: fromStore, LoadTime: duration})
 	return true
 }
 
+// reserveStoreLoad reserves a load from the weight store for an engine, also
+// before the unloads that it needs, so that nothing is unloaded for a load that
+// can't start. It reports whether the engine has a reservation.
+func (p *planner) reserveStoreLoad(e *Engine) bool {
+	if p.reserved[e.ID] {
+		return true
+	}
+	if p.storeLoadsLeft <= 0 {
+		return false
+	}
+	p.storeLoadsLeft--
+	p.reserved[e.ID] = true
+	return true
+}
+
+// reserveForDrains reserves the store loads of engines that are being drained.
+func (p *planner) reserveForDrains() {
+	for i := range p.Engines {
+		e := &p.Engines[i]
+		if e.DrainedFor != "" && !e.Leaving && FromStore(e.InMemory, e.OnDisk, e.DrainedFor) {
+			p.reserveStoreLoad(e)
+		}
+	}
+}
+
 // order adds a step for an engine.
 func (p *planner) order(e *Engine, step Step) {
 	step.Engine = e.ID
@@ -294,15 +325,22 @@
 		return 0, false
 	}
 	duration, fromStore := loadTime(e, model)
-	if fromStore && (p.storeLoadsLeft <= 0 || p.cachedElsewhere[model.Name]) {
-		// Waiting for an engine that caches the weights is preferred to a load
-		// from the store.
+	if fromStore && (p.storeLoadsLeft <= 0 || p.cachesSuffice(model.Name)) {
 		return 0, false
 	}
 	_, loss, ok := p.victims(e, model)
 	return duration.Seconds() + loss, ok
 }
 
+// cachesSuffice reports whether the engines that cache a model's weights are
+// enough for the copies that it lacks. Waiting for one of them is then preferred
+// to a load from the weight store.
+func (p *planner) cachesSuffice(model string) bool {
+	caches := p.cachedElsewhere[model]
+	missing := RequiredCopies(p.Demand[model]) - p.copies[model] - p.pending[model]
+	return caches > 0 && caches >= missing
+}
+
 // loadTime returns the expected duration of a load and whether the weights come
 // from the weight store.
 func loadTime(e *Engine, model catalog.Model) (time.Duration, bool) {
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -69,12 +69,35 @@
 			engines: []Engine{engineWith("a"), func() Engine { e := onDisk(engineWith("b"), "r"); e.Ready = false; return e }()},
 			demand:  map[string]Demand{"r": {Waiting: 1}}, storeLoads: 4,
 		},
+		{
+			name: "more copies missing than engines that cache the weights: also loaded from the store",
+			engines: []Engine{
+				engineWith("a", "hot"),
+				func() Engine { e := onDisk(engineWith("b"), "hot"); e.Ready = false; return e }(),
+				engineWith("c"),
+			},
+			demand: map[string]Demand{"hot": {Rate: 10, Running: 40}}, storeLoads: 1,
+			want: []Step{{Engine: "c", Model: "hot", Target: "hot", FromStore: true, LoadTime: 6 * time.Second}},
+		},
 		{
 			name:    "weights cached on no engine: loaded from the store",
 			engines: []Engine{engineWith("a")},
 			demand:  map[string]Demand{"r": {Waiting: 1}}, storeLoads: 4,
 			want: []Step{{Engine: "a", Model: "r", Target: "r", FromStore: true, LoadTime: 6 * time.Second}},
 		},
+		{
+			name:    "limit of store loads reached: nothing is unloaded for a load that can't start",
+			engines: []Engine{engineWith("a", "x", "y", "z")},
+			demand:  map[string]Demand{"r": {Waiting: 1}},
+		},
+		{
+			name: "the last store load is reserved for an engine that is being drained for it",
+			engines: []Engine{
+				func() Engine { e := engineWith("a", "x", "y", "z"); e.DrainedFor = "r"; e.Ready = false; return e }(),
+				engineWith("b", "x", "y", "z"),
+			},
+			demand: map[string]Demand{"r": {Waiting: 1}, "s": {Waiting: 1}}, storeLoads: 1,
+		},
 		{
 			name:    "limit of store loads reached: no load",
 			engines: []Engine{engineWith("a")},
