--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -158,7 +159,7 @@
 		c.Services[service.Name] = service
 	}
 	for _, route := range routes {
-		host := strings.ToLower(route.Host)
+		host := hostName(route.Host)
 		c.routes[host] = append(c.routes[host], route)
 	}
 	for _, hostRoutes := range c.routes {
@@ -172,8 +173,7 @@
 // Route returns the route of a host with the longest prefix of the path, or
 // nil. A port in host is ignored.
 func (c *Catalog) Route(host, path string) *Route {
-	name, _, _ := strings.Cut(strings.ToLower(host), ":")
-	for _, route := range c.routes[name] {
+	for _, route := range c.routes[hostName(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
@@ -181,6 +181,16 @@
 	return nil
 }
 
+// hostName returns a host in lower case, without its port and without the
+// brackets of an IPv6 address.
+func hostName(host string) string {
+	host = strings.ToLower(host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return strings.TrimSuffix(strings.TrimPrefix(host, "["), "]")
+}
+
 // Routes calls visit for each route.
 func (c *Catalog) Routes(visit func(*Route)) {
 	for _, hostRoutes := range c.routes {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -286,19 +286,16 @@
 	return attemptResult{run: outcome.NotRun, cause: statusError(reply.Status)}
 }
 
-// maxBufferedBody bounds the bytes of a response that is buffered before it is
-// forwarded.
+// maxBufferedBody is the number of bytes of a response that are buffered before
+// it is forwarded. The rest of a longer response is forwarded as it arrives.
 const maxBufferedBody = 1 << 20
 
-// forwardBuffered reads a response to its end and forwards it.
+// forwardBuffered reads a response to its end, or until the buffer is full, and
+// forwards it.
 func (x *exchange) forwardBuffered(ctx context.Context, endpoint *inventory.Endpoint, reply *Reply, started time.Time) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody))
 	if err != nil {
-		if ctx.Err() == nil {
-			x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
-			x.relay.connectionLost(endpoint, x.digest())
-		}
-		return attemptResult{run: outcome.Ran, cause: err}
+		return x.bodyLost(ctx, endpoint, err)
 	}
 	buffered := &bufferedReply{Reply: *reply, body: body}
 	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() {
@@ -315,10 +312,49 @@
 	if reply.Status < http.StatusBadRequest {
 		x.relay.suspects.Answered(x.digest())
 	}
+	if len(body) == maxBufferedBody {
+		return x.forwardRest(ctx, endpoint, buffered)
+	}
 	x.forward(buffered)
 	return attemptResult{done: true}
 }
 
+// bodyLost handles a response whose connection was lost before its end.
+func (x *exchange) bodyLost(ctx context.Context, endpoint *inventory.Endpoint, err error) attemptResult {
+	if ctx.Err() == nil {
+		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
+		x.relay.connectionLost(endpoint, x.digest())
+	}
+	return attemptResult{run: outcome.Ran, truncated: x.started, cause: err}
+}
+
+// forwardRest forwards a response that fills the buffer, and then what follows
+// as it arrives.
+func (x *exchange) forwardRest(ctx context.Context, endpoint *inventory.Endpoint, buffered *bufferedReply) attemptResult {
+	x.started = true
+	x.status = buffered.Status
+	x.answer.Begin(&buffered.Reply, int(buffered.Length))
+	x.progress.bytesSent(time.Now())
+	if err := x.answer.Write(buffered.body); err != nil {
+		return attemptResult{run: outcome.Ran, truncated: true, cause: err}
+	}
+	chunk := make([]byte, streamBuffer)
+	for {
+		n, err := buffered.Body.Read(chunk)
+		if n > 0 {
+			if err := x.answer.Write(chunk[:n]); err != nil {
+				return attemptResult{run: outcome.Ran, truncated: true, cause: err}
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return attemptResult{done: true}
+		case err != nil:
+			return x.bodyLost(ctx, endpoint, err)
+		}
+	}
+}
+
 type statusError int
 
 // Error implements error.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -440,3 +440,25 @@
 		require.Equal(t, time.Second, time.Since(started))
 	})
 }
+
+// TestLongResponse checks that a response that is longer than the buffer is
+// forwarded whole, and that one that ends early does not look complete.
+func TestLongResponse(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 2*maxBufferedBody/16)
+	for _, kind := range []string{"once", "repeat"} {
+		synctest.Test(t, func(t *testing.T) {
+			got := &fakeAnswer{}
+			endpoints := &fakeEndpoints{next: []behaviour{answer(200, long)}}
+			require.Nil(t, newRelay(endpoints).Serve(t.Context(), request(kind, "m"), got))
+			require.Equal(t, len(long), got.body.Len())
+			require.True(t, got.body.String() == long)
+		})
+		synctest.Test(t, func(t *testing.T) {
+			got := &fakeAnswer{}
+			endpoints := &fakeEndpoints{next: []behaviour{truncated(200, long), answer(200, "x")}}
+			failure := newRelay(endpoints).Serve(t.Context(), request(kind, "m"), got)
+			require.Equal(t, ReasonTruncated, failure.Reason)
+			require.Len(t, endpoints.endpointIDs, 1, "sent again after a part of the response")
+		})
+	}
+}
