Keep the owner served while the store rejects it, and remove leaving endpoints in time

Calls through another node were to bridge that, but nodes that follow the owner make no calls of their own and refused to make any for it, since the store was not known to serve them. The owner took its own 2 s for an outage of the store, so from 18.5 s on it kept endpoints whose entries were removed for 2.5 s, among them one that was leaving; requests reached it 2.1 s after the store had acknowledged that (bound 2.0 s).

Change: a node makes calls for another unless its own were just rejected.

Ruled out: late news of the removal (7 ms at the owner).

Seen failing first: TestFallbackThroughIdleNode. New: TestShortOutage, TestRemovalAfterOutage.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"chestnutgauge/internal/monotime"
@@ -97,6 +98,8 @@
 	lost        bool
 	lostAt      monotime.Mark
 	recoveredAt monotime.Mark
+	// lastOutage is the duration of the last outage, in nanoseconds.
+	lastOutage atomic.Int64
 }
 
 // New returns a follower of a table that passes all rows to replace and changed
@@ -122,11 +125,11 @@
 	return duration
 }
 
-// SinceRecovery returns the time since the store last recovered from an outage,
-// or 0 if it has had none.
-func (f *Follower) SinceRecovery() time.Duration {
+// LastOutage returns the time since the store last recovered from an outage and
+// the duration of that outage, both 0 if there was none.
+func (f *Follower) LastOutage() (sinceRecovery, duration time.Duration) {
 	age, _ := f.recoveredAt.Age(f.clock())
-	return age
+	return age, time.Duration(f.lastOutage.Load())
 }
 
 // Notify requests an immediate read of the whole table.
@@ -263,6 +266,7 @@
 		return 0, err
 	}
 	if f.lost {
+		f.lastOutage.Store(int64(f.OutageDuration()))
 		f.recoveredAt.Set(f.clock())
 	}
 	f.Replace(rows.Rows)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -108,7 +108,8 @@
 		time.Sleep(batchInterval)
 		s.next <- ErrHistoryGone
 		require.Equal(t, []string{"all", "changed", "all"}, got())
-		require.Zero(t, f.SinceRecovery(), "a dropped history counted as an outage")
+		sinceRecovery, _ := f.LastOutage()
+		require.Zero(t, sinceRecovery, "a dropped history counted as an outage")
 		f.Notify()
 		require.Equal(t, []string{"all", "changed", "all", "all"}, got())
 	})
@@ -129,9 +130,12 @@
 		time.Sleep(backoffMax)
 		require.Equal(t, []string{"all", "all"}, got())
 		require.Zero(t, f.OutageDuration())
-		require.LessOrEqual(t, f.SinceRecovery(), backoffMax)
+		sinceRecovery, duration := f.LastOutage()
+		require.LessOrEqual(t, sinceRecovery, backoffMax)
+		require.InDelta(t, 10*time.Second, duration, float64(backoffMax))
 		time.Sleep(5 * time.Second)
-		require.Greater(t, f.SinceRecovery(), 5*time.Second)
+		sinceRecovery, _ = f.LastOutage()
+		require.Greater(t, sinceRecovery, 5*time.Second)
 	})
 }
 
--- a/internal/fleet/storecaller.go
+++ b/internal/fleet/storecaller.go
@@ -7,18 +7,12 @@
 	"time"
 )
 
-// ErrNotServed means that the store is not known to serve this node.
+// ErrNotServed means that the store has just rejected this node's calls.
 var ErrNotServed = errors.New("fleet: the store does not serve this node")
 
-// Durations for which the outcome of a direct call is taken into account.
-const (
-	// refusalBackoff is how long calls go through other nodes first after a
-	// direct call was refused or failed.
-	refusalBackoff = time.Second
-	// servedTTL is how long the store counts as serving this node after it
-	// processed a direct call.
-	servedTTL = 3 * time.Second
-)
+// refusalBackoff is how long calls go through other nodes first after a direct
+// call was refused or failed.
+const refusalBackoff = time.Second
 
 // Fallback makes a call to the store through another node.
 type Fallback interface {
@@ -51,9 +45,9 @@
 }
 
 // Direct makes a call on behalf of another node. It returns ErrNotServed if the
-// store is not known to serve this node.
+// store has just rejected this node's own calls.
 func (c *StoreCaller) Direct(ctx context.Context, call StoreCall) (StoreReply, error) {
-	if !c.recentlyServed(time.Now()) {
+	if c.recentlyRefused(time.Now()) {
 		return StoreReply{}, ErrNotServed
 	}
 	return c.direct(ctx, call)
@@ -107,11 +101,3 @@
 	defer c.mu.Unlock()
 	return !c.refusedAt.Before(c.servedAt) && now.Sub(c.refusedAt) < refusalBackoff
 }
-
-// recentlyServed reports whether the store processed the last direct call, less
-// than servedTTL ago.
-func (c *StoreCaller) recentlyServed(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.servedAt.After(c.refusedAt) && now.Sub(c.servedAt) < servedTTL
-}
--- a/internal/inventory/entries.go
+++ b/internal/inventory/entries.go
@@ -28,7 +28,7 @@
 	e.feed = feed.New(source, "endpoints", e.replace, e.change, log)
 	e.feed.Idle = idle
 	e.feed.IsOwner = owns
-	e.target = NewGrace(target, e.feed.SinceRecovery, log)
+	e.target = NewGrace(target, e.feed.LastOutage, log)
 	return e
 }
 
--- a/internal/inventory/grace_test.go
+++ b/internal/inventory/grace_test.go
@@ -16,11 +16,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		inventory := New()
 		recoveredAt := time.Time{}
-		since := func() time.Duration {
+		since := func() (time.Duration, time.Duration) {
 			if recoveredAt.IsZero() {
-				return 0
+				return 0, 0
 			}
-			return time.Since(recoveredAt)
+			return time.Since(recoveredAt), time.Minute
 		}
 		grace := NewGrace(inventory, since, slog.New(slog.DiscardHandler))
 		entry := func(id string) *Endpoint { return &Endpoint{ID: id, Service: "s"} }
@@ -49,3 +49,42 @@
 		requireOnly()
 	})
 }
+
+// TestShortOutage checks that entries that are missing after an outage in which
+// none can have expired are removed at once.
+func TestShortOutage(t *testing.T) {
+	inventory := New()
+	grace := NewGrace(inventory, func() (time.Duration, time.Duration) { return time.Millisecond, minExpiryOutage - 1 }, slog.New(slog.DiscardHandler))
+	entry := func(id string) *Endpoint { return &Endpoint{ID: id, Service: "s"} }
+	grace.Replace([]*Endpoint{entry("a"), entry("b"), entry("c")})
+	grace.Change(nil, []string{"a"})
+	grace.Replace([]*Endpoint{entry("b")})
+	require.Equal(t, 1, inventory.Current().Len())
+}
+
+// TestRemovalAfterOutage checks that an entry that is removed after an outage is
+// kept for a shorter time than one that is missing since then: its endpoint
+// mostly leaves, and must get no requests for long.
+func TestRemovalAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inventory := New()
+		recoveredAt := time.Now()
+		since := func() (time.Duration, time.Duration) {
+			return time.Since(recoveredAt) + time.Nanosecond, time.Minute
+		}
+		grace := NewGrace(inventory, since, slog.New(slog.DiscardHandler))
+		a, b, c := &Endpoint{ID: "a", Service: "s"}, &Endpoint{ID: "b", Service: "s"}, &Endpoint{ID: "c", Service: "s"}
+		inventory.Replace([]*Endpoint{a, b, c})
+		grace.Replace([]*Endpoint{b, c})
+		grace.Change(nil, []string{"b"})
+		time.Sleep(removalDelay - time.Millisecond)
+		require.Equal(t, 3, inventory.Current().Len())
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		require.Nil(t, inventory.Current().Endpoint("b"))
+		require.NotNil(t, inventory.Current().Endpoint("a"))
+		time.Sleep(gracePeriod)
+		synctest.Wait()
+		require.Equal(t, 1, inventory.Current().Len())
+	})
+}
