Split the planner, the lease's keeper and the node's Run, and release the lease when a server fails

A server that failed ended the node without waiting for its workers and with the lease held, so that nothing was loaded for term and gap; a lost lease was always said to be held by another node.

Change: files by job, nothing else moved; Run starts the servers, then the workers, and releases the lease either way.

Seen failing first: TestServerFails (without the release), TestLostReason.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -324,3 +324,33 @@
 		require.False(t, ok, "the lease counts without a clock")
 	})
 }
+
+// TestLostReason checks that the log tells why a lease was lost.
+func TestLostReason(t *testing.T) {
+	cases := map[string]Row{
+		"the record is missing":        {},
+		"the record cannot be decoded": {Found: true, Value: []byte("{")},
+		"another node holds it":        {Found: true, Value: []byte(`{"holder":"b"}`)},
+	}
+	for want, row := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			k := newKeeper(s, "a")
+			var out bytes.Buffer
+			k.Log = slog.New(slog.NewTextHandler(&out, nil))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = k.Run(ctx) }()
+			time.Sleep(time.Second)
+			require.True(t, holds(k))
+			s.mu.Lock()
+			row.Version = s.row.Version + 1
+			s.row = row
+			s.mu.Unlock()
+			time.Sleep(settings.Renew + time.Millisecond)
+			cancel()
+			synctest.Wait()
+			require.Contains(t, out.String(), want)
+		})
+	}
+}
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -3,18 +3,13 @@
 package noded
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/rotisserie/eris"
-
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/fleet"
@@ -22,11 +17,9 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
-	"chestnutgauge/internal/opshttp"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/reload"
-	"chestnutgauge/internal/supervise"
 	"chestnutgauge/platform"
 )
 
@@ -60,26 +53,6 @@
 	return min(time.Duration(seconds*float64(time.Second)), maxAcquireDelay)
 }
 
-// Timing of a shutdown.
-const (
-	// balancerDelay is how long the load balancer may keep sending requests to
-	// a node that reports that it is not ready.
-	balancerDelay = 2500 * time.Millisecond
-	// shutdownMargin is the part of the shutdown limit that stays unused.
-	shutdownMargin = 500 * time.Millisecond
-	// responseMargin is the time reserved for the final responses to requests
-	// that can't be finished.
-	responseMargin = 300 * time.Millisecond
-	// releaseTimeout bounds the release of the lease, the last step.
-	releaseTimeout = 200 * time.Millisecond
-)
-
-// headerTimeout bounds the reading of a request's header.
-const headerTimeout = 10 * time.Second
-
-// maxHeaderBytes bounds a request's header.
-const maxHeaderBytes = 64 << 10
-
 // Node is one process.
 type Node struct {
 	// settings are the active settings.
@@ -200,72 +173,6 @@
 	return n.shuttingDown.Load() || n.isolation.Isolated()
 }
 
-// metricsPort is the port of the metrics endpoint.
-const metricsPort = "9464"
-
-// registerMetrics registers the metrics of the process as a whole.
-func (n *Node) registerMetrics() {
-	metrics.GetOrCreateGauge("chestnut_lease_held", func() float64 {
-		if n.owns() {
-			return 1
-		}
-		return 0
-	})
-}
-
-// Run runs the node until ctx ends, then shuts it down gracefully.
-func (n *Node) Run(ctx context.Context) error {
-	s := n.settings.Load()
-	n.log.Info("start", "vm", s.VM, "data_centre", s.DataCentre, "memory_mb", s.MemoryMB)
-	n.registerMetrics()
-	tree := supervise.New("node", n.log)
-	supervise.Add(tree, "configuration", n.config.Run)
-	supervise.Add(tree, "endpoints", n.entries.Run)
-	supervise.Add(tree, "lease", n.keeper.Run)
-	supervise.Add(tree, "owner", n.owner.Run)
-	supervise.Add(tree, "demand", n.client.Run)
-	supervise.Add(tree, "inventory", n.follower.Run)
-	supervise.Add(tree, "isolation", n.watchIsolation)
-	supervise.Add(tree, "settings", func(ctx context.Context) error { return n.watcher.Run(ctx, n.readSettings) })
-	listener, err := httpserver.Listen(s.CallersListen)
-	if err != nil {
-		return eris.Wrap(err, "listen")
-	}
-	callers := httpserver.New(&http.Server{
-		Handler:           platform.NewIngress(n.relay, n.limits, n.closeConnections),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}, listener, n.limits)
-	servers := map[string]*http.Server{
-		s.ReadyListen:                       {Handler: opshttp.ReadyHandler(platform.ReadyPath, n.ready)},
-		n.peerAddress():                     {Handler: fleet.Handler(n.owner, n.aggregator, n.publisher(), n.store, n.log)},
-		net.JoinHostPort(s.IP, metricsPort): {Handler: opshttp.Handler(n.ready)},
-	}
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	failed := make(chan error, len(servers)+1)
-	go func() { failed <- callers.Serve() }()
-	for address, server := range servers {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return eris.Wrap(err, "listen")
-		}
-		go func() { failed <- server.Serve(listener) }()
-	}
-	treeDone := tree.ServeBackground(running)
-	select {
-	case <-ctx.Done():
-	case err := <-failed:
-		return eris.Wrap(err, "serve")
-	}
-	n.shutdown(callers)
-	stop()
-	<-treeDone
-	n.log.Info("stop")
-	return nil
-}
-
 // defaultMaxBody is the maximum size of a request's body in bytes if the
 // configuration sets none or is not available.
 const defaultMaxBody = 4 << 20
@@ -286,25 +193,3 @@
 	limits.Idle = c.Limits.IdleTime
 	return limits
 }
-
-// shutdown reports that the node is not ready, waits until the load balancer
-// has reacted, finishes the requests in flight within the shutdown limit and
-// releases the lease.
-func (n *Node) shutdown(callers *httpserver.Server) {
-	startTime := time.Now()
-	n.shuttingDown.Store(true)
-	n.log.Info("shutting down", "in_flight", n.relay.InFlight())
-	allowed := n.settings.Load().ShutdownLimit - shutdownMargin
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), startTime.Add(allowed))
-	defer cancel()
-	n.keeper.Retire()
-	abortTimer := time.AfterFunc(allowed-responseMargin, n.relay.Shutdown)
-	defer abortTimer.Stop()
-	time.Sleep(time.Until(startTime.Add(balancerDelay)))
-	if err := callers.Shutdown(shutdownCtx); err != nil {
-		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
-	}
-	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancelRelease()
-	n.keeper.Release(releaseCtx)
-}
--- /dev/null
+++ b/internal/noded/run.go
@@ -0,0 +1,116 @@
+package noded
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"chestnutgauge/internal/fleet"
+	"chestnutgauge/internal/httpserver"
+	"chestnutgauge/internal/opshttp"
+	"chestnutgauge/internal/supervise"
+	"chestnutgauge/platform"
+)
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 10 * time.Second
+
+// maxHeaderBytes bounds a request's header.
+const maxHeaderBytes = 64 << 10
+
+// metricsPort is the port of the metrics endpoint.
+const metricsPort = "9464"
+
+// registerMetrics registers the metrics of the process as a whole.
+func (n *Node) registerMetrics() {
+	metrics.GetOrCreateGauge("chestnut_lease_held", func() float64 {
+		if n.owns() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Run runs the node until ctx ends, then shuts it down gracefully. It returns an
+// error if a server can't be started or fails.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.settings.Load()
+	n.log.Info("start", "vm", s.VM, "data_centre", s.DataCentre, "memory_mb", s.MemoryMB)
+	n.registerMetrics()
+	callers, failed, err := n.serve()
+	if err != nil {
+		return err
+	}
+	return n.runWorkers(ctx, callers, failed)
+}
+
+// serve starts the servers of the node. An error of a server is sent to failed.
+func (n *Node) serve() (callers *httpserver.Server, failed chan error, err error) {
+	s := n.settings.Load()
+	servers := map[string]http.Handler{
+		s.ReadyListen:                       opshttp.ReadyHandler(platform.ReadyPath, n.ready),
+		n.peerAddress():                     fleet.Handler(n.owner, n.aggregator, n.publisher(), n.store, n.log),
+		net.JoinHostPort(s.IP, metricsPort): opshttp.Handler(n.ready),
+	}
+	failed = make(chan error, len(servers)+1)
+	for address, handler := range servers {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, nil, eris.Wrap(err, "listen")
+		}
+		server := &http.Server{Handler: handler}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	listener, err := httpserver.Listen(s.CallersListen)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "listen")
+	}
+	callers = httpserver.New(&http.Server{
+		Handler:           platform.NewIngress(n.relay, n.limits, n.closeConnections),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}, listener, n.limits)
+	go func() { failed <- callers.Serve() }()
+	return callers, failed, nil
+}
+
+// runWorkers runs the workers until ctx ends or a server fails. It then shuts the
+// node down, gracefully in the first case, and returns the server's error in the
+// second.
+func (n *Node) runWorkers(ctx context.Context, callers *httpserver.Server, failed <-chan error) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	workersDone := n.workers().ServeBackground(running)
+	var failure error
+	select {
+	case <-ctx.Done():
+		n.shutdown(callers)
+	case failure = <-failed:
+		n.log.Error("server failed", "error", failure)
+		n.releaseLease()
+	}
+	stop()
+	<-workersDone
+	n.log.Info("stop")
+	return eris.Wrap(failure, "serve")
+}
+
+// workers returns the supervisor of the node's workers.
+func (n *Node) workers() *supervise.Tree {
+	tree := supervise.New("node", n.log)
+	supervise.Add(tree, "configuration", n.config.Run)
+	supervise.Add(tree, "endpoints", n.entries.Run)
+	supervise.Add(tree, "lease", n.keeper.Run)
+	supervise.Add(tree, "owner", n.owner.Run)
+	supervise.Add(tree, "demand", n.client.Run)
+	supervise.Add(tree, "inventory", n.follower.Run)
+	supervise.Add(tree, "isolation", n.watchIsolation)
+	supervise.Add(tree, "settings", func(ctx context.Context) error { return n.watcher.Run(ctx, n.readSettings) })
+	return tree
+}
--- /dev/null
+++ b/internal/noded/run_test.go
@@ -0,0 +1,63 @@
+package noded
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/reload"
+	"chestnutgauge/platform"
+)
+
+// memoryLease is a lease store in memory.
+type memoryLease struct {
+	mu  sync.Mutex
+	row lease.Row
+}
+
+func (m *memoryLease) Read(context.Context) (lease.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.row, nil
+}
+
+func (m *memoryLease) Write(_ context.Context, version int64, value []byte) (lease.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version != m.row.Version {
+		return lease.Row{}, lease.ErrConflict
+	}
+	m.row = lease.Row{Value: value, Version: version + 1, Found: true}
+	return m.row, nil
+}
+
+// TestServerFails checks that a node whose server fails ends with the error and
+// releases its lease.
+func TestServerFails(t *testing.T) {
+	const file = "../../platform/testdata/settings.conf"
+	settings, err := platform.LoadSettings(file)
+	require.NoError(t, err)
+	settings.StoreAddress = "127.0.0.1:1"
+	watcher := reload.NewWatcher(file)
+	defer watcher.Stop()
+	n := New(settings, watcher, slog.New(slog.DiscardHandler))
+	store := &memoryLease{}
+	n.keeper.Store = store
+	failed := make(chan error, 1)
+	done := make(chan error, 1)
+	go func() { done <- n.runWorkers(t.Context(), nil, failed) }()
+	require.Eventually(t, n.owns, 20*time.Second, 10*time.Millisecond)
+	broken := errors.New("broken")
+	failed <- broken
+	require.ErrorIs(t, <-done, broken)
+	var record lease.Record
+	require.NoError(t, json.Unmarshal(store.row.Value, &record))
+	require.True(t, record.Released)
+}
--- /dev/null
+++ b/internal/noded/shutdown.go
@@ -0,0 +1,49 @@
+package noded
+
+import (
+	"context"
+	"time"
+
+	"chestnutgauge/internal/httpserver"
+)
+
+// Timing of a shutdown.
+const (
+	// balancerDelay is how long the load balancer may keep sending requests to
+	// a node that reports that it is not ready.
+	balancerDelay = 2500 * time.Millisecond
+	// shutdownMargin is the part of the shutdown limit that stays unused.
+	shutdownMargin = 500 * time.Millisecond
+	// responseMargin is the time reserved for the final responses to requests
+	// that can't be finished.
+	responseMargin = 300 * time.Millisecond
+	// releaseTimeout bounds the release of the lease, the last step.
+	releaseTimeout = 200 * time.Millisecond
+)
+
+// shutdown reports that the node is not ready, waits until the load balancer
+// has reacted, finishes the requests in flight within the shutdown limit and
+// releases the lease.
+func (n *Node) shutdown(callers *httpserver.Server) {
+	startTime := time.Now()
+	n.shuttingDown.Store(true)
+	n.log.Info("shutting down", "in_flight", n.relay.InFlight())
+	allowed := n.settings.Load().ShutdownLimit - shutdownMargin
+	shutdownCtx, cancel := context.WithDeadline(context.Background(), startTime.Add(allowed))
+	defer cancel()
+	n.keeper.Retire()
+	abortTimer := time.AfterFunc(allowed-responseMargin, n.relay.Shutdown)
+	defer abortTimer.Stop()
+	time.Sleep(time.Until(startTime.Add(balancerDelay)))
+	if err := callers.Shutdown(shutdownCtx); err != nil {
+		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
+	}
+	n.releaseLease()
+}
+
+// releaseLease releases the lease if the node holds it.
+func (n *Node) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	n.keeper.Release(ctx)
+}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -4,8 +4,6 @@
 package swap
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -43,20 +41,6 @@
 	OnDisk   []string
 }
 
-// Demand is the demand for one model.
-type Demand struct {
-	// Rate is in requests per second, TokenRate in prompt tokens per second.
-	Rate      float64
-	TokenRate float64
-	// LateRate is the rate of requests that were late because their engine was
-	// slow, per second.
-	LateRate float64
-	// Waiting is the number of requests that no engine can run now, Running the
-	// number of requests that engines are running.
-	Waiting int
-	Running int
-}
-
 // State is a snapshot of a service.
 type State struct {
 	Now     time.Time
@@ -81,36 +65,6 @@
 	LoadTime time.Duration
 }
 
-// Parameters of the planner.
-const (
-	// minResidency is the minimum time that a model stays loaded before it may be
-	// evicted.
-	minResidency = 1500 * time.Millisecond
-	// horizon is the period over which the cost of evicting a copy is estimated.
-	horizon = 10 * time.Second
-	// unknownRate is the assumed minimum request rate of a model, per second. It
-	// makes the last copy of a model without known demand the last to be evicted.
-	unknownRate = 0.01
-	// spareWeight scales the value of a copy in excess of those that the demand
-	// requires.
-	spareWeight = 0.1
-	// copyTokenRate is the target load of one copy in prompt tokens per second,
-	// copyRunning its target number of concurrent requests.
-	copyTokenRate = 8000.0
-	copyRunning   = 16
-	// twoCopiesRate and threeCopiesRate are the request rates per second from
-	// which a model has at least two and three copies, so that it stays available
-	// when an engine is lost.
-	twoCopiesRate   = 2.0
-	threeCopiesRate = 8.0
-	// lateSharePerCopy is the share of late requests for which a model gets
-	// another copy, minLateRate the rate of late requests per second from which
-	// that share is used, and maxLateCopies the maximum of such copies.
-	lateSharePerCopy = 0.2
-	minLateRate      = 0.15
-	maxLateCopies    = 2
-)
-
 // planner builds the plan for one snapshot.
 type planner struct {
 	State
@@ -167,15 +121,6 @@
 	}
 }
 
-// cached returns the models whose weights an engine caches.
-func cached(e Engine) map[string]bool {
-	models := map[string]bool{}
-	for _, name := range slices.Concat(e.InMemory, e.OnDisk) {
-		models[name] = true
-	}
-	return models
-}
-
 // continueDrains plans the next step of engines that are being drained for a
 // model.
 func (p *planner) continueDrains() {
@@ -207,31 +152,6 @@
 	return true
 }
 
-// reserveStoreLoad reserves a load from the weight store for an engine, also
-// before the unloads that it needs, so that nothing is unloaded for a load that
-// can't start. It reports whether the engine has a reservation.
-func (p *planner) reserveStoreLoad(e *Engine) bool {
-	if p.reserved[e.ID] {
-		return true
-	}
-	if p.storeLoadsLeft <= 0 {
-		return false
-	}
-	p.storeLoadsLeft--
-	p.reserved[e.ID] = true
-	return true
-}
-
-// reserveForDrains reserves the store loads of engines that are being drained.
-func (p *planner) reserveForDrains() {
-	for i := range p.Engines {
-		e := &p.Engines[i]
-		if e.DrainedFor != "" && !e.Leaving && FromStore(e.InMemory, e.OnDisk, e.DrainedFor) {
-			p.reserveStoreLoad(e)
-		}
-	}
-}
-
 // order adds a step for an engine.
 func (p *planner) order(e *Engine, step Step) {
 	step.Engine = e.ID
@@ -239,66 +159,6 @@
 	p.steps = append(p.steps, step)
 }
 
-// RequiredCopies returns the number of copies that a model's demand requires.
-func RequiredCopies(d Demand) int {
-	if d.Rate <= 0 && d.Waiting == 0 {
-		return 0
-	}
-	n := 1 + max(int(d.TokenRate/copyTokenRate), (d.Running+d.Waiting)/copyRunning)
-	switch {
-	case d.Rate >= threeCopiesRate:
-		n = max(n, 3)
-	case d.Rate >= twoCopiesRate:
-		n = max(n, 2)
-	}
-	return n + lateCopies(d)
-}
-
-// lateCopies returns the number of additional copies for a model whose engines
-// are too slow for it.
-func lateCopies(d Demand) int {
-	if d.LateRate < minLateRate || d.Rate <= 0 {
-		return 0
-	}
-	return min(int(math.Ceil(d.LateRate/d.Rate/lateSharePerCopy)), maxLateCopies)
-}
-
-// modelsToLoad returns the models that need another copy: first those with the
-// most waiting requests and no loaded copy, then those with the highest request
-// rate.
-func (p *planner) modelsToLoad() []catalog.Model {
-	var models []catalog.Model
-	for name, d := range p.Demand {
-		model, ok := p.Models[name]
-		if !ok {
-			continue
-		}
-		have := p.copies[name] + p.pending[name]
-		unserved := d.Waiting > 0 && have == 0
-		if unserved || have > 0 && have < RequiredCopies(d) && (d.Rate >= twoCopiesRate || lateCopies(d) > 0) {
-			models = append(models, model)
-		}
-	}
-	slices.SortFunc(models, func(a, b catalog.Model) int {
-		da, db := p.Demand[a.Name], p.Demand[b.Name]
-		return cmp.Or(
-			cmp.Compare(unservedWaiting(db, p.copies[b.Name]), unservedWaiting(da, p.copies[a.Name])),
-			cmp.Compare(db.Rate, da.Rate),
-			cmp.Compare(a.Name, b.Name),
-		)
-	})
-	return models
-}
-
-// unservedWaiting returns the number of waiting requests if no engine has the
-// model loaded, else 0.
-func unservedWaiting(d Demand, copies int) int {
-	if copies > 0 {
-		return 0
-	}
-	return d.Waiting
-}
-
 // scheduleLoad plans the load of a model on the engine where it costs least.
 func (p *planner) scheduleLoad(model catalog.Model) {
 	var best *Engine
@@ -332,90 +192,6 @@
 	return duration.Seconds() + loss, ok
 }
 
-// cachesSuffice reports whether the engines that cache a model's weights are
-// enough for the copies that it lacks. Waiting for one of them is then preferred
-// to a load from the weight store.
-func (p *planner) cachesSuffice(model string) bool {
-	caches := p.cachedElsewhere[model]
-	missing := RequiredCopies(p.Demand[model]) - p.copies[model] - p.pending[model]
-	return caches > 0 && caches >= missing
-}
-
-// loadTime returns the expected duration of a load and whether the weights come
-// from the weight store.
-func loadTime(e *Engine, model catalog.Model) (time.Duration, bool) {
-	switch {
-	case FromStore(e.InMemory, e.OnDisk, model.Name):
-		return model.StoreLoad, true
-	case slices.Contains(e.InMemory, model.Name):
-		return model.MemoryLoad, false
-	}
-	return model.DiskLoad, false
-}
-
-// FromStore reports whether an engine loads a model from the weight store,
-// given the models whose weights are cached in memory and on disk.
-func FromStore(inMemory, onDisk []string, model string) bool {
-	return !slices.Contains(inMemory, model) && !slices.Contains(onDisk, model)
-}
-
-// victim is a candidate for eviction.
-type victim struct {
-	model string
-	// freesMB is the memory that the eviction frees, in MB.
-	freesMB float64
-	// value is the cost of the eviction, in seconds.
-	value float64
-}
-
-// victims returns the models to evict from an engine so that model fits, in
-// order of increasing value, and the cost of evicting them in seconds. ok is
-// false if the model cannot be made to fit.
-func (p *planner) victims(e *Engine, model catalog.Model) (names []string, loss float64, ok bool) {
-	free := e.MemoryMB
-	var candidates []victim
-	for name, loaded := range e.Copies {
-		size := p.Models[name].WeightsMB + loaded.AdapterMB
-		free -= size
-		if value, evictable := p.value(name, loaded); evictable && name != model.Name {
-			candidates = append(candidates, victim{model: name, freesMB: size, value: value})
-		}
-	}
-	if free >= model.WeightsMB {
-		return nil, 0, true
-	}
-	slices.SortFunc(candidates, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(b.freesMB, a.freesMB), cmp.Compare(a.model, b.model))
-	})
-	for _, v := range candidates {
-		names = append(names, v.model)
-		loss += v.value
-		free += v.freesMB
-		if free >= model.WeightsMB {
-			return names, loss, true
-		}
-	}
-	return nil, 0, false
-}
-
-// value returns the cost of evicting a copy, in seconds of expected reloads
-// over the horizon, and whether the copy may be evicted at all.
-func (p *planner) value(name string, loaded Copy) (float64, bool) {
-	d := p.Demand[name]
-	if loaded.Running > 0 || p.Now.Sub(loaded.Since) < minResidency {
-		return 0, false
-	}
-	copies := p.copies[name]
-	if d.Waiting > 0 && copies <= 1 {
-		return 0, false
-	}
-	value := max(d.Rate, unknownRate) / float64(max(copies, 1)) * horizon.Seconds() * p.Models[name].DiskLoad.Seconds()
-	if copies > max(1, RequiredCopies(d)) {
-		value *= spareWeight
-	}
-	return value, true
-}
-
 // fillFreeMemory plans loads of cached models that no engine has loaded into
 // free memory.
 func (p *planner) fillFreeMemory() {
