Read the store less often at nodes that don't act on its changes

While the owner was frozen, 75 nodes read every change themselves: 464 calls in 2 s.

Change: a node that doesn't act on changes reads those of 0.6 s together instead of 0.2 s.

Ruled out: the owner's own pause (15 ms), since requests wait for what it sees.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -65,8 +65,9 @@
 	idlePollInterval = 100 * time.Millisecond
 	// batchInterval is the pause after a change, so that further changes are
 	// read together. ownerBatchInterval replaces it on the node that acts on
-	// them.
-	batchInterval      = 200 * time.Millisecond
+	// them. The others read the changes themselves only while no node acts on
+	// them, and then few matter at once.
+	batchInterval      = 600 * time.Millisecond
 	ownerBatchInterval = 15 * time.Millisecond
 )
 
