Attribute pauses to the attempt's engine, and never forward a part of an error response

Cause, found in reading the change: a resumed stream's time between two endpoints counted as a pause of the second, which was then avoided; and an error response of more than 1 MiB on a route that may be repeated was still forwarded cut.

Seen failing first: TestResumedStreamPause, a new case of TestLongResponse.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -92,7 +92,7 @@
 	truncated bool
 	cause     error
 	// reply is an endpoint's error response that is forwarded if no retry
-	// follows.
+	// follows. It is nil if the response was not read whole.
 	reply *bufferedReply
 }
 
@@ -298,8 +298,13 @@
 		return x.bodyLost(ctx, endpoint, err)
 	}
 	buffered := &bufferedReply{Reply: *reply, body: body}
+	whole := len(body) < maxBufferedBody
 	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() {
-		return attemptResult{run: outcome.Ran, cause: statusError(reply.Status), reply: buffered}
+		result := attemptResult{run: outcome.Ran, cause: statusError(reply.Status)}
+		if whole {
+			result.reply = buffered
+		}
+		return result
 	}
 	if x.started {
 		// The caller already has the start of a stream, which can't be followed
@@ -312,7 +317,7 @@
 	if reply.Status < http.StatusBadRequest {
 		x.relay.suspects.Answered(x.digest())
 	}
-	if len(body) == maxBufferedBody {
+	if !whole {
 		return x.forwardRest(ctx, endpoint, buffered)
 	}
 	x.forward(buffered)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -329,6 +329,22 @@
 	}
 }
 
+// TestResumedStreamPause checks that the time that a resumed stream stood still
+// between two endpoints is not taken for a pause of the second one.
+func TestResumedStreamPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lateEnd := func(ctx context.Context, attempt Attempt) (*Reply, error) {
+			time.Sleep(900 * time.Millisecond)
+			return answer(200, eventTwo)(ctx, attempt)
+		}
+		endpoints := &fakeEndpoints{next: []behaviour{truncated(200, eventOne), lateEnd}}
+		r := newRelay(endpoints)
+		r.Catalog().Route("h", "/resume/x").MaxGap = 400 * time.Millisecond
+		require.Nil(t, r.Serve(t.Context(), request("resume", "m"), &fakeAnswer{}))
+		require.Zero(t, r.loads.View(endpoints.endpointIDs[1], time.Now()).Pause)
+	})
+}
+
 // TestStartedStreamWaits interrupts a stream late in its time while all
 // endpoints are ejected after failures: the request waits for one of them.
 func TestStartedStreamWaits(t *testing.T) {
@@ -453,6 +469,14 @@
 			require.Equal(t, len(long), got.body.Len())
 			require.True(t, got.body.String() == long)
 		})
+		synctest.Test(t, func(t *testing.T) {
+			got := &fakeAnswer{}
+			endpoints := &fakeEndpoints{next: []behaviour{answer(500, long), answer(500, long), answer(500, long)}}
+			failure := newRelay(endpoints).Serve(t.Context(), request(kind, "m"), got)
+			if failure == nil {
+				require.Equal(t, len(long), got.body.Len(), "an error response was cut")
+			}
+		})
 		synctest.Test(t, func(t *testing.T) {
 			got := &fakeAnswer{}
 			endpoints := &fakeEndpoints{next: []behaviour{truncated(200, long), answer(200, "x")}}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -19,15 +19,11 @@
 // ones, so that a resumable stream can be resumed at another endpoint.
 func (x *exchange) forwardStream(ctx context.Context, endpoint *inventory.Endpoint, reply *Reply, started time.Time) attemptResult {
 	buffer := make([]byte, streamBuffer)
-	var first time.Time
-	events := 0
+	times := streamTimings{started: started}
 	for {
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
-			if first.IsZero() {
-				first = time.Now()
-			}
-			events++
+			times.received(time.Now())
 			if err := x.forwardEvents(reply, buffer[:n]); err != nil {
 				return attemptResult{run: outcome.Ran, truncated: true, cause: err}
 			}
@@ -35,7 +31,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			return x.streamComplete(endpoint, reply, streamTimings{started: started, first: first, events: events})
+			return x.streamComplete(endpoint, reply, times)
 		default:
 			return x.streamInterrupted(ctx, endpoint, err)
 		}
@@ -121,10 +117,26 @@
 	return x.answer.Flush()
 }
 
+// streamTimings are the times of one attempt's stream. A resumed stream has
+// several attempts.
 type streamTimings struct {
 	started time.Time
-	first   time.Time
-	events  int
+	// first and last are the times of the first and the last bytes received,
+	// longestPause the longest time between two reads.
+	first, last  time.Time
+	longestPause time.Duration
+	events       int
+}
+
+// received records that bytes were received.
+func (t *streamTimings) received(now time.Time) {
+	if t.first.IsZero() {
+		t.first = now
+	} else {
+		t.longestPause = max(t.longestPause, now.Sub(t.last))
+	}
+	t.last = now
+	t.events++
 }
 
 // streamComplete forwards the remaining bytes of a complete stream.
@@ -138,7 +150,7 @@
 	if x.slowEngine(times) {
 		x.relay.Demand.Late(x.service.Name, x.req.Model)
 	}
-	x.relay.loads.Paused(endpoint.ID, x.progress.longestPause, time.Now())
+	x.relay.loads.Paused(endpoint.ID, times.longestPause, time.Now())
 	x.relay.suspects.Answered(x.digest())
 	return attemptResult{done: true}
 }
@@ -146,7 +158,7 @@
 // slowEngine reports whether a complete stream was late because of its engine.
 func (x *exchange) slowEngine(times streamTimings) bool {
 	slowStart := x.route.TargetLatency > 0 && times.first.Sub(times.started) > x.route.TargetLatency
-	return slowStart || x.route.MaxGap > 0 && x.progress.longestPause > x.route.MaxGap
+	return slowStart || x.route.MaxGap > 0 && times.longestPause > x.route.MaxGap
 }
 
 // streamInterrupted handles a stream whose connection was lost.
