--- a/internal/owner/adapters.go
+++ b/internal/owner/adapters.go
@@ -34,8 +34,8 @@
 const adapterLoadTime = 14 * time.Millisecond
 
 // EnsureAdapter loads an adapter on an engine that has its model loaded, unless
-// one other than the avoided engine has it already. It returns the engine's id and when the adapter can be
-// used.
+// one other than the avoided engine has it already. It returns the engine's id
+// and when the adapter can be used.
 func (o *Owner) EnsureAdapter(ctx context.Context, need demand.AdapterNeed) (string, time.Time, error) {
 	if _, ok := o.Lease.Grant(); !ok {
 		return "", time.Time{}, ErrNotOwner
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -49,7 +49,7 @@
 	drains   map[inventory.Key]drain
 	// storeLimits holds the limits of loads from the weight store by service,
 	// storeLoading those in progress.
-	storeLimits  map[string]*storeLoads
+	storeLimits  map[string]*storeLimiter
 	storeLoading map[inventory.Key]storeLoad
 	// expected holds the times at which loads in progress should complete.
 	expected     map[demand.ModelKey]time.Time
@@ -147,7 +147,7 @@
 	o.fence = fence
 	o.trackers = map[inventory.Key]*orders.Tracker{}
 	o.drains = map[inventory.Key]drain{}
-	o.storeLimits = map[string]*storeLoads{}
+	o.storeLimits = map[string]*storeLimiter{}
 	o.storeLoading = map[inventory.Key]storeLoad{}
 	o.expected = map[demand.ModelKey]time.Time{}
 	o.adapterLoads = map[demand.AdapterNeed]*adapterLoad{}
@@ -209,7 +209,7 @@
 		Now:        now,
 		Models:     service.Engine.Models,
 		Demand:     map[string]swap.Demand{},
-		StoreLoads: o.storeLoads(service).allowed(now, o.storeLoadsInProgress(service.Name)),
+		StoreLoads: o.storeLimiter(service).allowed(now, o.storeLoadsInProgress(service.Name)),
 	}
 	for key, total := range totals.Models {
 		if key.Service == service.Name {
--- a/internal/owner/storeloads.go
+++ b/internal/owner/storeloads.go
@@ -23,10 +23,10 @@
 	slowFactor      = 1.5
 )
 
-// storeLoads limits loads from the weight store by rate, as a token bucket, and
+// storeLimiter limits loads from the weight store by rate, as a token bucket, and
 // by number. The bucket starts empty, since a previous owner may have used up the
 // store's rate limit.
-type storeLoads struct {
+type storeLimiter struct {
 	// rate is in loads per second.
 	rate   float64
 	tokens float64
@@ -46,19 +46,19 @@
 	atLimit bool
 }
 
-// storeLoads returns the limits of a service. The caller holds mu.
-func (o *Owner) storeLoads(service *catalog.Service) *storeLoads {
-	loads, ok := o.storeLimits[service.Name]
+// storeLimiter returns the limiter of a service. The caller holds mu.
+func (o *Owner) storeLimiter(service *catalog.Service) *storeLimiter {
+	limiter, ok := o.storeLimits[service.Name]
 	if !ok {
-		loads = &storeLoads{limit: initialStoreLoads}
-		o.storeLimits[service.Name] = loads
+		limiter = &storeLimiter{limit: initialStoreLoads}
+		o.storeLimits[service.Name] = limiter
 	}
-	loads.rate = service.Engine.StoreLoadsPerSecond * storeRateShare
-	return loads
+	limiter.rate = service.Engine.StoreLoadsPerSecond * storeRateShare
+	return limiter
 }
 
 // allowed refills the bucket and returns how many loads may start now.
-func (s *storeLoads) allowed(now time.Time, inProgress int) int {
+func (s *storeLimiter) allowed(now time.Time, inProgress int) int {
 	if !s.last.IsZero() {
 		s.tokens = min(s.tokens+s.rate*now.Sub(s.last).Seconds(), max(1, s.rate))
 	}
@@ -67,14 +67,14 @@
 }
 
 // take removes a token for a load that starts.
-func (s *storeLoads) take() {
+func (s *storeLimiter) take() {
 	s.tokens--
 }
 
 // finished adapts the limit to the duration of a load. A load that ran while
 // fewer were in progress than allowed does not show that more would run at full
 // speed.
-func (s *storeLoads) finished(load storeLoad, took time.Duration) {
+func (s *storeLimiter) finished(load storeLoad, took time.Duration) {
 	ratio := took.Seconds() / load.expected.Seconds()
 	switch {
 	case ratio >= slowFactor:
@@ -99,10 +99,10 @@
 // beginStoreLoad records a load from the weight store that is ordered now. The
 // caller holds mu.
 func (o *Owner) beginStoreLoad(service *catalog.Service, engine inventory.Key, model string, expected time.Duration, now time.Time) {
-	loads := o.storeLoads(service)
-	loads.take()
+	limiter := o.storeLimiter(service)
+	limiter.take()
 	inProgress := o.storeLoadsInProgress(service.Name) + 1
-	o.storeLoading[engine] = storeLoad{service: service.Name, model: model, sentAt: now, expected: expected, atLimit: inProgress >= loads.limit}
+	o.storeLoading[engine] = storeLoad{service: service.Name, model: model, sentAt: now, expected: expected, atLimit: inProgress >= limiter.limit}
 }
 
 // endStoreLoad records that the order to an engine is no longer in progress, and
@@ -113,12 +113,12 @@
 		return
 	}
 	delete(o.storeLoading, engine)
-	loads := o.storeLimits[load.service]
-	if _, loaded := models[load.model]; !loaded || loads == nil {
+	limiter := o.storeLimits[load.service]
+	if _, loaded := models[load.model]; !loaded || limiter == nil {
 		return
 	}
-	before := loads.limit
-	loads.finished(load, now.Sub(load.sentAt))
+	before := limiter.limit
+	limiter.finished(load, now.Sub(load.sentAt))
 	o.Log.Info("load from the weight store finished", "endpoint", engine.ID, "model", load.model, "took_ms", now.Sub(load.sentAt).Milliseconds(),
-		"expected_ms", load.expected.Milliseconds(), "limit", loads.limit, "limit_before", before)
+		"expected_ms", load.expected.Milliseconds(), "limit", limiter.limit, "limit_before", before)
 }
--- a/internal/owner/storeloads_test.go
+++ b/internal/owner/storeloads_test.go
@@ -13,7 +13,7 @@
 func TestStoreLoadsLearn(t *testing.T) {
 	const expected = 6 * time.Second
 	for _, fullSpeed := range []int{2, 4, 8} {
-		s := &storeLoads{limit: initialStoreLoads}
+		s := &storeLimiter{limit: initialStoreLoads}
 		for round := range 200 {
 			slowdown := max(1, float64(s.limit)/float64(fullSpeed))
 			took := time.Duration(slowdown * float64(expected))
@@ -29,7 +29,7 @@
 // TestStoreLoadsUnused checks that loads that ran while fewer were in progress
 // than allowed don't raise the limit, and that it has bounds.
 func TestStoreLoadsUnused(t *testing.T) {
-	s := &storeLoads{limit: initialStoreLoads}
+	s := &storeLimiter{limit: initialStoreLoads}
 	load := storeLoad{expected: time.Second}
 	s.finished(load, time.Second)
 	require.Equal(t, initialStoreLoads, s.limit)
@@ -47,7 +47,7 @@
 // TestAllowed checks the limits by number and by rate.
 func TestAllowed(t *testing.T) {
 	start := time.Unix(1000, 0)
-	s := &storeLoads{limit: 2, rate: 4}
+	s := &storeLimiter{limit: 2, rate: 4}
 	require.Zero(t, s.allowed(start, 0), "the bucket starts empty")
 	require.Equal(t, 1, s.allowed(start.Add(300*time.Millisecond), 0))
 	later := start.Add(time.Minute)
