--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -194,7 +194,7 @@
 	x.started = true
 	x.status = reply.Status
 	x.answer.Begin(&reply.Reply, len(reply.body))
-	x.progress.bytesSent(time.Now())
+	x.progress.sent.record(time.Now())
 	if err := x.answer.Write(reply.body); err != nil {
 		x.relay.Log.Info("caller disconnected while an error response was forwarded", "request_id", x.req.ID, "error", err)
 	}
@@ -339,7 +339,7 @@
 	x.started = true
 	x.status = buffered.Status
 	x.answer.Begin(&buffered.Reply, int(buffered.Length))
-	x.progress.bytesSent(time.Now())
+	x.progress.sent.record(time.Now())
 	if err := x.answer.Write(buffered.body); err != nil {
 		return attemptResult{run: outcome.Ran, truncated: true, cause: err}
 	}
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -13,12 +13,27 @@
 	// request last waited for; it is empty if it never did.
 	waited    time.Duration
 	waitedFor string
-	// first and last are the times of the first and the last bytes sent to the
-	// caller, longestPause the longest time between two of its events.
-	first, last  time.Time
+	// sent are the times of the bytes sent to the caller.
+	sent byteTimes
+}
+
+// byteTimes are the times at which the bytes of a response passed.
+type byteTimes struct {
+	first, last time.Time
+	// longestPause is the longest time between two records.
 	longestPause time.Duration
 }
 
+// record records that bytes passed.
+func (t *byteTimes) record(now time.Time) {
+	if t.first.IsZero() {
+		t.first = now
+	} else {
+		t.longestPause = max(t.longestPause, now.Sub(t.last))
+	}
+	t.last = now
+}
+
 // waitReasons names what a request waits for, by the verdict on its endpoints.
 var waitReasons = map[choose.Verdict]string{
 	choose.Found:   "adapter",
@@ -27,23 +42,13 @@
 	choose.Full:    "room",
 }
 
-// bytesSent records that bytes of the response were sent to the caller.
-func (p *progress) bytesSent(now time.Time) {
-	if p.first.IsZero() {
-		p.first = now
-	} else {
-		p.longestPause = max(p.longestPause, now.Sub(p.last))
-	}
-	p.last = now
-}
-
 // attrs returns the attributes of the log line for a request that arrived at a
 // time. first_ms is -1 if there was no response.
 func (p *progress) attrs(arrived time.Time) []any {
 	first := int64(-1)
-	if !p.first.IsZero() {
-		first = p.first.Sub(arrived).Milliseconds()
+	if !p.sent.first.IsZero() {
+		first = p.sent.first.Sub(arrived).Milliseconds()
 	}
 	return []any{"waited_ms", p.waited.Milliseconds(), "waited_for", p.waitedFor,
-		"first_ms", first, "longest_pause_ms", p.longestPause.Milliseconds()}
+		"first_ms", first, "longest_pause_ms", p.sent.longestPause.Milliseconds()}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,7 +23,8 @@
 	for {
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
-			times.received(time.Now())
+			times.record(time.Now())
+			times.events++
 			if err := x.forwardEvents(reply, buffer[:n]); err != nil {
 				return attemptResult{run: outcome.Ran, truncated: true, cause: err}
 			}
@@ -110,7 +111,7 @@
 		firstSeconds.Update(time.Since(x.req.Arrived).Seconds())
 		x.answer.Begin(reply, -1)
 	}
-	x.progress.bytesSent(time.Now())
+	x.progress.sent.record(time.Now())
 	if err := x.answer.Write(data); err != nil {
 		return err
 	}
@@ -120,23 +121,9 @@
 // streamTimings are the times of one attempt's stream. A resumed stream has
 // several attempts.
 type streamTimings struct {
+	byteTimes
 	started time.Time
-	// first and last are the times of the first and the last bytes received,
-	// longestPause the longest time between two reads.
-	first, last  time.Time
-	longestPause time.Duration
-	events       int
-}
-
-// received records that bytes were received.
-func (t *streamTimings) received(now time.Time) {
-	if t.first.IsZero() {
-		t.first = now
-	} else {
-		t.longestPause = max(t.longestPause, now.Sub(t.last))
-	}
-	t.last = now
-	t.events++
+	events  int
 }
 
 // streamComplete forwards the remaining bytes of a complete stream.
