Decode and log the rate limit that an endpoint names

A response without the header ends a limit only if its request was sent after the limit was last named. A line and a counter for each change. Nothing acts on it yet.

--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -17,6 +17,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/reload"
@@ -128,6 +129,7 @@
 		Adapters:   n.client,
 		Loads:      n.client,
 		Demand:     n.meter,
+		Limits:     notice.NewLimits[inventory.Key](),
 		Isolated:   n.isolation.Isolated,
 		Budget:     relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:        log,
--- /dev/null
+++ b/internal/notice/limits.go
@@ -0,0 +1,155 @@
+package notice
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// MaxRateLimit bounds the limits that endpoints name, in requests a second. A
+// greater one has no effect.
+const MaxRateLimit = 1e6
+
+// LimitState is what a response says of its endpoint's rate limit.
+type LimitState int
+
+// What a response can say.
+const (
+	// LimitAbsent means that the endpoint names no limit.
+	LimitAbsent LimitState = iota
+	// LimitNamed means that it names one.
+	LimitNamed
+	// LimitUnknown means that the response says nothing that can be used.
+	LimitUnknown
+)
+
+// RateLimit is what a response says of its endpoint's rate limit: the number of
+// requests a second that the endpoint takes from all nodes together.
+type RateLimit struct {
+	State LimitState
+	// PerSecond is set if State is LimitNamed.
+	PerSecond float64
+}
+
+// LimitStatement is a node's knowledge of an endpoint's rate limit, for other
+// nodes.
+type LimitStatement[K comparable] struct {
+	Endpoint K `json:"endpoint"`
+	// PerSecond is the limit in requests a second. It is of no meaning if Ended.
+	PerSecond float64 `json:"per_second"`
+	// Ended means that the endpoint named a limit before and names none now.
+	Ended bool `json:"ended,omitempty"`
+	// AgeMS is the time since the endpoint last said so, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// How long a limit is known that its endpoint has not named again, and how long it
+// is known that one has ended. All nodes have heard of that by then.
+const (
+	limitRetention      = 10 * time.Minute
+	endedLimitRetention = 10 * time.Second
+)
+
+// limit is the last known statement of an endpoint.
+type limit struct {
+	perSecond float64
+	ended     bool
+	// at is when the endpoint said so.
+	at time.Time
+	// own reports that it said so to this node. Only such statements are passed on,
+	// so that none gets younger by going round.
+	own bool
+}
+
+// expired reports whether the statement can be dropped.
+func (l limit) expired(now time.Time) bool {
+	if l.ended {
+		return now.Sub(l.at) > endedLimitRetention
+	}
+	return now.Sub(l.at) > limitRetention
+}
+
+// Limits are the rate limits of endpoints, by what they last said to any node. The
+// methods are safe for concurrent use.
+type Limits[K comparable] struct {
+	mu        sync.Mutex
+	endpoints map[K]limit
+}
+
+// NewLimits returns Limits without an entry.
+func NewLimits[K comparable]() *Limits[K] {
+	return &Limits[K]{endpoints: map[K]limit{}}
+}
+
+// Get returns the limit of an endpoint in requests a second, or false if it has
+// none.
+func (l *Limits[K]) Get(key K) (perSecond float64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.endpoints[key]
+	return known.perSecond, ok && !known.ended
+}
+
+// Learn records what a response says that was received at now, to a request that
+// was sent at sentAt. It reports whether the limit has changed. A response without
+// a limit ends the known one only if its request was sent after that was last
+// named, since responses can overtake each other.
+func (l *Limits[K]) Learn(key K, says RateLimit, sentAt, now time.Time) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.endpoints[key]
+	switch says.State {
+	case LimitNamed:
+		l.endpoints[key] = limit{perSecond: says.PerSecond, at: now, own: true}
+		return !ok || known.ended || known.perSecond != says.PerSecond
+	case LimitAbsent:
+		if !ok || !sentAt.After(known.at) {
+			return false
+		}
+		l.endpoints[key] = limit{ended: true, at: now, own: true}
+		return !known.ended
+	}
+	return false
+}
+
+// Merge records the statements of another node, received at now, of endpoints of
+// which nothing newer is known.
+func (l *Limits[K]) Merge(statements []LimitStatement[K], now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range statements {
+		at := now.Add(-time.Duration(max(0, s.AgeMS)) * time.Millisecond)
+		if known, ok := l.endpoints[s.Endpoint]; !ok || at.After(known.at) {
+			l.endpoints[s.Endpoint] = limit{perSecond: s.PerSecond, ended: s.Ended, at: at}
+		}
+	}
+}
+
+// Own returns what endpoints said to this node and nothing newer is known of, and
+// All what they said to any node.
+func (l *Limits[K]) Own(now time.Time) []LimitStatement[K] {
+	return l.statements(now, func(known limit) bool { return known.own })
+}
+
+// All returns what endpoints said to any node.
+func (l *Limits[K]) All(now time.Time) []LimitStatement[K] {
+	return l.statements(now, func(limit) bool { return true })
+}
+
+func (l *Limits[K]) statements(now time.Time, include func(limit) bool) []LimitStatement[K] {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.endpoints, func(_ K, known limit) bool { return known.expired(now) })
+	var out []LimitStatement[K]
+	for key, known := range l.endpoints {
+		if include(known) {
+			out = append(out, LimitStatement[K]{
+				Endpoint:  key,
+				PerSecond: known.perSecond,
+				Ended:     known.ended,
+				AgeMS:     now.Sub(known.at).Milliseconds(),
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/notice/limits_test.go
@@ -0,0 +1,67 @@
+package notice
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func named(perSecond float64) RateLimit {
+	return RateLimit{State: LimitNamed, PerSecond: perSecond}
+}
+
+// TestLimitIsNamedAndEnds checks that a limit holds from the response that names it
+// until one without it, to a request that was sent after the limit was last named.
+func TestLimitIsNamedAndEnds(t *testing.T) {
+	l := NewLimits[string]()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	require.False(t, l.Learn("e", RateLimit{}, at(0), at(1)))
+	require.True(t, l.Learn("e", named(3), at(10), at(20)))
+	require.False(t, l.Learn("e", named(3), at(10), at(25)), "unchanged")
+	require.True(t, l.Learn("e", named(2), at(10), at(30)))
+	require.False(t, l.Learn("e", RateLimit{}, at(29), at(40)), "the request was sent before the limit was named")
+	require.False(t, l.Learn("e", RateLimit{State: LimitUnknown}, at(50), at(60)))
+	perSecond, ok := l.Get("e")
+	require.True(t, ok)
+	require.InDelta(t, 2.0, perSecond, 0)
+	require.True(t, l.Learn("e", RateLimit{}, at(50), at(60)))
+	require.False(t, l.Learn("e", RateLimit{}, at(61), at(62)))
+	_, ok = l.Get("e")
+	require.False(t, ok)
+	require.True(t, l.Learn("e", named(2), at(70), at(80)))
+}
+
+// TestLimitsOfOtherNodes checks that the newest statement of an endpoint counts,
+// whichever node heard it, and that none is passed on twice.
+func TestLimitsOfOtherNodes(t *testing.T) {
+	a, b := NewLimits[string](), NewLimits[string]()
+	a.Learn("e", named(3), start, start)
+	second := start.Add(time.Second)
+	b.Merge(a.Own(second), second)
+	perSecond, _ := b.Get("e")
+	require.InDelta(t, 3.0, perSecond, 0)
+	require.Empty(t, b.Own(second))
+	require.Len(t, b.All(second), 1)
+
+	third := second.Add(time.Second)
+	b.Learn("e", RateLimit{}, third, third)
+	b.Merge(a.Own(third), third)
+	_, ok := b.Get("e")
+	require.False(t, ok, "an older statement counted")
+	a.Merge(b.Own(third), third)
+	_, ok = a.Get("e")
+	require.False(t, ok)
+	require.Empty(t, a.Own(third))
+}
+
+// TestLimitsExpire checks that limits of endpoints that are gone are dropped.
+func TestLimitsExpire(t *testing.T) {
+	l := NewLimits[string]()
+	l.Learn("gone", named(3), start, start)
+	l.Learn("ended", named(3), start, start)
+	l.Learn("ended", RateLimit{}, start.Add(1), start.Add(1))
+	require.Len(t, l.All(start.Add(time.Second)), 2)
+	require.Len(t, l.All(start.Add(endedLimitRetention+time.Second)), 1)
+	require.Empty(t, l.All(start.Add(limitRetention+time.Second)))
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -248,7 +248,7 @@
 	x.endpoint = s.endpoint.ID
 	x.attempts++
 	x.relay.Demand.Reached(s.endpoint.ID, true)
-	x.relay.recordReply(s.endpoint, s.reply)
+	x.relay.recordReply(s)
 	switch {
 	case s.reply.NotRun:
 		return x.notRun(s.endpoint, s.reply)
@@ -267,10 +267,10 @@
 }
 
 // recordReply records what an endpoint says of itself with its response.
-func (r *Relay) recordReply(endpoint *inventory.Endpoint, reply *Reply) {
-	r.recordNotices(endpoint, reply)
-	if reply.HasLoad {
-		r.loads.Report(endpoint.ID, reply.Load.Running, reply.Load.Waiting, time.Now())
+func (r *Relay) recordReply(s *sending) {
+	r.recordNotices(s)
+	if s.reply.HasLoad {
+		r.loads.Report(s.endpoint.ID, s.reply.Load.Running, s.reply.Load.Waiting, time.Now())
 	}
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -11,6 +11,7 @@
 	attemptsTotal    = metrics.NewCounter(`chestnut_relay_sendings_total`)
 	cooldownsTotal   = metrics.NewCounter(`chestnut_cooldowns_total`)
 	cooldownRefusals = metrics.NewCounter(`chestnut_cooldown_refusals_total`)
+	rateLimitChanges = metrics.NewCounter(`chestnut_rate_limit_changes_total`)
 	resumesTotal     = metrics.NewCounter(`chestnut_relay_resumes_total`)
 	requestSeconds   = metrics.NewHistogram(`chestnut_relay_request_seconds`)
 	firstSeconds     = metrics.NewHistogram(`chestnut_relay_first_byte_seconds`)
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -10,13 +10,25 @@
 )
 
 // recordNotices records what an endpoint says of itself in its response.
-func (r *Relay) recordNotices(endpoint *inventory.Endpoint, reply *Reply) {
-	if reply.Leaving {
-		r.markLeaving(endpoint)
+func (r *Relay) recordNotices(s *sending) {
+	if s.reply.Leaving {
+		r.markLeaving(s.endpoint)
 	}
-	if reply.Cooldown > 0 {
-		r.startCooldown(endpoint, reply.Cooldown)
+	if s.reply.Cooldown > 0 {
+		r.startCooldown(s.endpoint, s.reply.Cooldown)
 	}
+	r.learnRateLimit(s)
+}
+
+// learnRateLimit records what an endpoint says of its rate limit.
+func (r *Relay) learnRateLimit(s *sending) {
+	says := s.reply.RateLimit
+	if !r.Limits.Learn(s.endpoint.Key(), says, s.started, time.Now()) {
+		return
+	}
+	rateLimitChanges.Inc()
+	r.Log.Info("rate limit of endpoint", "endpoint", s.endpoint.ID, "born", s.endpoint.StartedAtMS,
+		"limited", says.State == notice.LimitNamed, "per_second", says.PerSecond)
 }
 
 // markLeaving records that an endpoint said that it is leaving. The owner is told
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,9 @@
 	Adapters   Adapters
 	Loads      Loads
 	Demand     *demand.Meter
-	Budget     Budget
+	// Limits are the rate limits of endpoints.
+	Limits *notice.Limits[inventory.Key]
+	Budget Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/pause"
 )
@@ -144,6 +145,7 @@
 		Adapters:  noLoads{},
 		Loads:     noLoads{},
 		Demand:    demand.NewMeter("n"),
+		Limits:    notice.NewLimits[inventory.Key](),
 		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
 		Isolated:  func() bool { return false },
 		Log:       slog.New(slog.DiscardHandler),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
 )
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -77,6 +78,8 @@
 	// Cooldown is the time for which the endpoint, which refused the request,
 	// wants no others. 0 means that it states none.
 	Cooldown time.Duration
+	// RateLimit is what it states of the number of requests a second that it takes.
+	RateLimit notice.RateLimit
 }
 
 // SendError reports an attempt that got no response.
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -72,7 +72,7 @@
 	}
 	if s.reply.NotRun || !x.isStream(s.reply) {
 		x.relay.Log.Info("stalled stream not continued", "request_id", x.req.ID, "endpoint", endpoint.ID, "status", s.reply.Status)
-		x.relay.recordReply(endpoint, s.reply)
+		x.relay.recordReply(s)
 		s.close()
 		return nil
 	}
