Keep the rate limit that an endpoint names over all nodes

Cause: no code read the limit. The class: a bound on the sum over all nodes that no one keeps, since each node decides alone; the retry budget and the engines' slots are divided among nodes, and both tolerate an excess that this bound does not.

Ruled out: repeats, and a limit that each node keeps for itself.

Change: a request to such an endpoint needs a permit of the owner, which grants them at the limit's rate, the most urgent request of all nodes first. Nodes learn limits from responses, reports and the owner's answers. What gets no permit goes to another endpoint, waits if it is granted one in time, or is refused at once with the time at which it could be. A node that gets no answer from the owner sends its part of a quarter of the limit. Cooldowns and permits are one state for the choice of an endpoint.

Weighed: shares of the rate as a bucket at each node. With more nodes than requests a second their first requests alone exceed the bound.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
 )
 
 // ModelKey identifies a model of a service.
@@ -125,6 +126,8 @@
 	// Drains are the node's drain marks of endpoints whose entries don't show them
 	// as leaving.
 	Drains []inventory.DrainMark `json:"drains,omitempty"`
+	// Limits are the rate limits that endpoints named to the node.
+	Limits []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
 }
 
 // Meter measures the demand at a node. Its methods are safe for concurrent use.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/pause"
 )
@@ -31,6 +33,8 @@
 	Meter      *demand.Meter
 	Owner      *owner.Owner
 	Aggregator *demand.Aggregator
+	// Limits are the rate limits that this node knows.
+	Limits *notice.Limits[inventory.Key]
 	// ConfigVersion returns the version of the active configuration, 0 if none.
 	ConfigVersion func() int64
 	HTTP          *http.Client
@@ -64,12 +68,18 @@
 
 // Nodes returns the number of nodes that report to the owner.
 func (c *Client) Nodes() int {
+	if nodes, ok := c.KnownNodes(); ok {
+		return nodes
+	}
+	return initialNodes
+}
+
+// KnownNodes returns the number of nodes that report to the owner, or false if the
+// owner has not reported it yet.
+func (c *Client) KnownNodes() (nodes int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.peers) == 0 {
-		return initialNodes
-	}
-	return len(c.peers)
+	return len(c.peers), len(c.peers) > 0
 }
 
 // Alive reports whether peer is the owner that last sent a response, and did so
@@ -121,6 +131,7 @@
 	now := time.Now()
 	report := c.Meter.Report(now)
 	report.Drains = c.Owner.Inventory.Current().UnlistedDrains(now)
+	report.Limits = c.Limits.Own(now)
 	report.ConfigVersion = c.ConfigVersion()
 	holder := c.Holder.Holder()
 	var response DemandResponse
@@ -128,7 +139,7 @@
 	case "":
 		return errNoOwner
 	case c.Self:
-		response = acceptReport(c.Owner, c.Aggregator, report)
+		response = acceptReport(c.Owner, c.Aggregator, c.Limits, report)
 	default:
 		if err := c.call(ctx, holder, demandPath, report, &response); err != nil {
 			return err
@@ -140,6 +151,7 @@
 
 func (c *Client) storeResponse(from string, response DemandResponse) {
 	now := time.Now()
+	c.Limits.Merge(response.Limits, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastResponseAt, c.lastOwner = now, from
@@ -169,12 +181,12 @@
 func (c *Client) call(ctx context.Context, to, path string, body, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.post(ctx, to, path, body, response)
+	return post(ctx, c.HTTP, to, path, body, response)
 }
 
 // post sends body as JSON to a node and decodes the JSON response into
 // response.
-func (c *Client) post(ctx context.Context, to, path string, body, response any) error {
+func post(ctx context.Context, client *http.Client, to, path string, body, response any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return fmt.Errorf("fleet: encode: %w", err)
@@ -183,7 +195,7 @@
 	if err != nil {
 		return fmt.Errorf("fleet: request: %w", err)
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
--- a/internal/fleet/drains_test.go
+++ b/internal/fleet/drains_test.go
@@ -14,6 +14,7 @@
 	"chestnutgauge/internal/era"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 )
 
@@ -61,7 +62,15 @@
 		StoreEra:   func() int64 { return 3 },
 		Log:        discard,
 	}
-	server := httptest.NewServer(Handler(engineOwner, demand.NewAggregator(), publisher, nil, func(int64) {}, discard))
+	peers := &Server{
+		Owner:           engineOwner,
+		Aggregator:      demand.NewAggregator(),
+		Publisher:       publisher,
+		RateLimits:      NewRateLimits(),
+		OnConfigVersion: func(int64) {},
+		Log:             discard,
+	}
+	server := httptest.NewServer(peers.Handler())
 	t.Cleanup(server.Close)
 	return holderAt(strings.TrimPrefix(server.URL, "http://"))
 }
@@ -78,6 +87,7 @@
 		Self:   "node",
 		Holder: holder,
 		Meter:  demand.NewMeter("node"),
+		Limits: notice.NewLimits[inventory.Key](),
 		Owner:  owner.New(owner.Dependencies{Inventory: atNode, Log: discard}),
 		HTTP:   NewHTTP(),
 		Log:    discard,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 )
 
@@ -31,6 +32,8 @@
 	// Peers are the addresses of the nodes that report demand.
 	Peers    []string   `json:"peers"`
 	Expected []Expected `json:"expected"`
+	// Limits are the rate limits that endpoints named to any node.
+	Limits []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -49,51 +52,70 @@
 // maxBody bounds the body of a call, in bytes.
 const maxBody = 1 << 20
 
-// Handler serves the calls of other nodes. onConfigVersion is called with the
-// version of the configuration in force at each node that reports demand.
-func Handler(engineOwner *owner.Owner, aggregator *demand.Aggregator, publisher *Publisher, store Store, onConfigVersion func(version int64), log *slog.Logger) http.Handler {
+// Server serves the calls of other nodes.
+type Server struct {
+	Owner      *owner.Owner
+	Aggregator *demand.Aggregator
+	Publisher  *Publisher
+	Store      Store
+	RateLimits *RateLimits
+	// OnConfigVersion is called with the version of the configuration in force at
+	// each node that reports demand.
+	OnConfigVersion func(version int64)
+	Log             *slog.Logger
+}
+
+// Handler returns the handler of the calls.
+func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST "+storePath, serveStore(store, func(w http.ResponseWriter, body any) { writeJSON(w, body, log) }))
-	mux.Handle("GET "+inventoryPath, publisher)
-	mux.HandleFunc("POST "+demandPath, func(w http.ResponseWriter, r *http.Request) {
-		var report demand.Report
-		if !decodeBody(w, r, &report) {
-			return
-		}
-		if _, ok := engineOwner.Lease.Grant(); !ok {
-			http.Error(w, owner.ErrNotOwner.Error(), http.StatusConflict)
-			return
-		}
-		onConfigVersion(report.ConfigVersion)
-		response := acceptReport(engineOwner, aggregator, report)
-		writeJSON(w, response, log)
-	})
-	mux.HandleFunc("POST "+adapterPath, func(w http.ResponseWriter, r *http.Request) {
-		var need demand.AdapterNeed
-		if !decodeBody(w, r, &need) {
-			return
-		}
-		engine, ready, err := engineOwner.EnsureAdapter(r.Context(), need)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusConflict)
-			return
-		}
-		writeJSON(w, AdapterResponse{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, log)
-	})
+	mux.Handle("POST "+storePath, serveStore(s.Store, func(w http.ResponseWriter, body any) { writeJSON(w, body, s.Log) }))
+	mux.Handle("GET "+inventoryPath, s.Publisher)
+	mux.HandleFunc("POST "+demandPath, s.serveDemand)
+	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
+	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
 	return mux
 }
 
+// serveDemand serves a demand report.
+func (s *Server) serveDemand(w http.ResponseWriter, r *http.Request) {
+	var report demand.Report
+	if !decodeBody(w, r, &report) {
+		return
+	}
+	if _, ok := s.Owner.Lease.Grant(); !ok {
+		http.Error(w, owner.ErrNotOwner.Error(), http.StatusConflict)
+		return
+	}
+	s.OnConfigVersion(report.ConfigVersion)
+	writeJSON(w, acceptReport(s.Owner, s.Aggregator, s.RateLimits.Known, report), s.Log)
+}
+
+// serveAdapter serves a request for an adapter.
+func (s *Server) serveAdapter(w http.ResponseWriter, r *http.Request) {
+	var need demand.AdapterNeed
+	if !decodeBody(w, r, &need) {
+		return
+	}
+	engine, ready, err := s.Owner.EnsureAdapter(r.Context(), need)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	writeJSON(w, AdapterResponse{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, s.Log)
+}
+
 // acceptReport aggregates a demand report and returns the response. An urgent
 // report wakes the owner's control loop.
-func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, report demand.Report) DemandResponse {
+func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, limits *notice.Limits[inventory.Key], report demand.Report) DemandResponse {
 	now := time.Now()
 	urgent := aggregator.Add(report, now)
 	recorder := inventory.Recorder{Inventory: engineOwner.Inventory, Log: engineOwner.Log}
 	recorder.Record(inventory.SourceReport, report.Drains, now)
+	limits.Merge(report.Limits, now)
 	if urgent {
 		engineOwner.Notify()
 	}
-	response := DemandResponse{Peers: aggregator.Nodes(now)}
+	response := DemandResponse{Peers: aggregator.Nodes(now), Limits: limits.All(now)}
 	for key, in := range engineOwner.Expected(now) {
 		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, InMS: in.Milliseconds()})
 	}
--- /dev/null
+++ b/internal/fleet/ratelimits_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/ratelimit"
+)
+
+// limitedNode returns the rate limits of a node whose owner is at an address.
+func limitedNode(holder Holder, nodes int) *RateLimits {
+	r := NewRateLimits()
+	r.Self = "node"
+	r.Holder = holder
+	r.Nodes = func() (int, bool) { return nodes, nodes > 0 }
+	r.HTTP = NewHTTP()
+	r.Log = discard
+	return r
+}
+
+// serveRateLimits serves the calls of other nodes at one that owns the engines, and
+// returns its address and its rate limits.
+func serveRateLimits(t *testing.T) (holderAt, *RateLimits) {
+	limits := NewRateLimits()
+	limits.Lease = heldLease{}
+	limits.Log = discard
+	engineOwner := owner.New(owner.Dependencies{Inventory: inventory.New(), Lease: heldLease{}, Log: discard})
+	server := httptest.NewServer((&Server{Owner: engineOwner, Publisher: &Publisher{}, RateLimits: limits, Log: discard}).Handler())
+	t.Cleanup(server.Close)
+	return holderAt(strings.TrimPrefix(server.URL, "http://")), limits
+}
+
+// TestPermitsOfOneOwner checks that nodes share what the owner grants, by the newest
+// limit that it knows, and that it grants all without one.
+func TestPermitsOfOneOwner(t *testing.T) {
+	holder, atOwner := serveRateLimits(t)
+	engine := inventory.Key{ID: "e", StartedAtMS: 7}
+	limit := notice.RateLimit{State: notice.LimitNamed, PerSecond: 0.5}
+	atOwner.Known.Learn(engine, limit, time.Now(), time.Now())
+	granted := 0
+	for i := range 10 {
+		node := limitedNode(holder, 10)
+		answer := node.Ask(t.Context(), engine, 1000, ratelimit.Ask{Request: string(rune('a' + i))})
+		if answer.Granted {
+			granted++
+		} else {
+			require.Positive(t, answer.In)
+			require.LessOrEqual(t, answer.In, 2*time.Second)
+		}
+	}
+	require.LessOrEqual(t, granted, 1)
+	later := time.Now().Add(time.Second)
+	atOwner.Known.Learn(engine, notice.RateLimit{}, later, later)
+	for range 10 {
+		require.True(t, limitedNode(holder, 10).Ask(t.Context(), engine, 0.5, ratelimit.Ask{}).Granted)
+	}
+}
+
+// TestPermitsWithoutOwner checks that nodes that don't reach the owner send a small
+// share of a limit, and nothing if they don't know how many nodes there are.
+func TestPermitsWithoutOwner(t *testing.T) {
+	for _, holder := range []holderAt{"", "127.0.0.1:1"} {
+		engine := inventory.Key{ID: "e"}
+		granted := 0
+		for range 100 {
+			node := limitedNode(holder, 100)
+			if node.Ask(t.Context(), engine, 4, ratelimit.Ask{}).Granted {
+				granted++
+			}
+		}
+		require.Less(t, granted, 5)
+		answer := limitedNode(holder, 0).Ask(t.Context(), engine, 1000, ratelimit.Ask{})
+		require.False(t, answer.Granted)
+		require.Equal(t, unknownNodesDelay, answer.In)
+	}
+}
--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -69,7 +69,7 @@
 	err := errNoPeer
 	for _, peer := range c.randomPeers(storeAttempts) {
 		var reply StoreReply
-		if err = c.post(ctx, peer, storePath, call, &reply); err == nil {
+		if err = post(ctx, c.HTTP, peer, storePath, call, &reply); err == nil {
 			return reply, nil
 		}
 		if ctx.Err() != nil || !mayRepeat(call, err) {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -40,8 +40,8 @@
 
 // Key identifies one incarnation of an endpoint.
 type Key struct {
-	ID          string
-	StartedAtMS int64
+	ID          string `json:"id"`
+	StartedAtMS int64  `json:"born,omitempty"`
 }
 
 // Key returns the key of the endpoint.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -17,7 +17,6 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
-	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/reload"
@@ -71,6 +70,7 @@
 	relay        *relay.Relay
 	aggregator   *demand.Aggregator
 	meter        *demand.Meter
+	rateLimits   *fleet.RateLimits
 	isolation    isolation.Detector
 	shuttingDown atomic.Bool
 }
@@ -78,7 +78,7 @@
 // New wires a node. watcher watches the settings file.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress, log)
@@ -113,10 +113,17 @@
 		Meter:         n.meter,
 		Owner:         n.owner,
 		Aggregator:    n.aggregator,
+		Limits:        n.rateLimits.Known,
 		ConfigVersion: n.config.Version,
 		HTTP:          fleet.NewHTTP(),
 		Log:           log,
 	}
+	n.rateLimits.Self = self
+	n.rateLimits.Holder = n.keeper
+	n.rateLimits.Lease = n.keeper
+	n.rateLimits.Nodes = n.client.KnownNodes
+	n.rateLimits.HTTP = fleet.NewHTTP()
+	n.rateLimits.Log = log
 	store.SetFallback(n.client)
 	n.followRestores(store.Eras())
 	n.store = store
@@ -129,7 +136,8 @@
 		Adapters:   n.client,
 		Loads:      n.client,
 		Demand:     n.meter,
-		Limits:     notice.NewLimits[inventory.Key](),
+		Limits:     n.rateLimits.Known,
+		Permits:    n.rateLimits,
 		Isolated:   n.isolation.Isolated,
 		Budget:     relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:        log,
@@ -163,6 +171,19 @@
 	}
 }
 
+// peerServer returns the server of the calls of other nodes.
+func (n *Node) peerServer() *fleet.Server {
+	return &fleet.Server{
+		Owner:           n.owner,
+		Aggregator:      n.aggregator,
+		Publisher:       n.publisher(),
+		Store:           n.store,
+		RateLimits:      n.rateLimits,
+		OnConfigVersion: n.config.NotifyVersion,
+		Log:             n.log,
+	}
+}
+
 // storeAge returns the time since the store last confirmed both the endpoints and
 // the configuration, or false if it never did.
 func (n *Node) storeAge() (time.Duration, bool) {
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -11,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
-	"chestnutgauge/internal/fleet"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/opshttp"
 	"chestnutgauge/internal/supervise"
@@ -67,7 +66,7 @@
 	s := n.settings.Load()
 	servers := map[string]http.Handler{
 		s.ReadyListen:                       opshttp.ReadyHandler(platform.ReadyPath, n.ready),
-		n.peerAddress():                     fleet.Handler(n.owner, n.aggregator, n.publisher(), n.store, n.config.NotifyVersion, n.log),
+		n.peerAddress():                     n.peerServer().Handler(),
 		net.JoinHostPort(s.IP, metricsPort): opshttp.Handler(n.ready),
 	}
 	failed = make(chan error, len(servers)+1)
--- a/internal/notice/cooldowns.go
+++ b/internal/notice/cooldowns.go
@@ -85,6 +85,9 @@
 	// Until is the time until which no request may be sent, or zero if one may be
 	// sent now.
 	Until time.Time
+	// AvailableAt is when one is expected to be possible, or zero if one may be sent
+	// now. It is not before Until.
+	AvailableAt time.Time
 	// Limited reports that requests are limited: the endpoint is in cooldown or in
 	// the slow start after it.
 	Limited bool
@@ -101,6 +104,7 @@
 	state := State{Limited: true}
 	if next := known.nextRequest(); next.After(now) {
 		state.Until = next
+		state.AvailableAt = next
 	}
 	return state
 }
--- a/internal/notice/limits.go
+++ b/internal/notice/limits.go
@@ -10,16 +10,16 @@
 // greater one has no effect.
 const MaxRateLimit = 1e6
 
-// LimitState is what a response says of its endpoint's rate limit.
+// LimitState is what is known of an endpoint's rate limit.
 type LimitState int
 
-// What a response can say.
+// States of a limit.
 const (
 	// LimitAbsent means that the endpoint names no limit.
 	LimitAbsent LimitState = iota
 	// LimitNamed means that it names one.
 	LimitNamed
-	// LimitUnknown means that the response says nothing that can be used.
+	// LimitUnknown means that nothing usable was said.
 	LimitUnknown
 )
 
@@ -39,7 +39,7 @@
 	PerSecond float64 `json:"per_second"`
 	// Ended means that the endpoint named a limit before and names none now.
 	Ended bool `json:"ended,omitempty"`
-	// AgeMS is the time since the endpoint last said so, in milliseconds.
+	// AgeMS is the time since the endpoint last said so, in milliseconds, rounded up.
 	AgeMS int64 `json:"age_ms"`
 }
 
@@ -61,6 +61,11 @@
 	own bool
 }
 
+// equal reports whether the endpoint said the same at both times.
+func (l limit) equal(other limit) bool {
+	return l.ended == other.ended && (l.ended || l.perSecond == other.perSecond)
+}
+
 // expired reports whether the statement can be dropped.
 func (l limit) expired(now time.Time) bool {
 	if l.ended {
@@ -81,13 +86,19 @@
 	return &Limits[K]{endpoints: map[K]limit{}}
 }
 
-// Get returns the limit of an endpoint in requests a second, or false if it has
-// none.
-func (l *Limits[K]) Get(key K) (perSecond float64, ok bool) {
+// Get returns the limit of an endpoint in requests a second. The state is
+// LimitAbsent if a limit has ended, and LimitUnknown if none was named.
+func (l *Limits[K]) Get(key K) (perSecond float64, state LimitState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, ok := l.endpoints[key]
-	return known.perSecond, ok && !known.ended
+	switch {
+	case !ok:
+		return 0, LimitUnknown
+	case known.ended:
+		return 0, LimitAbsent
+	}
+	return known.perSecond, LimitNamed
 }
 
 // Learn records what a response says that was received at now, to a request that
@@ -112,19 +123,27 @@
 	return false
 }
 
-// Merge records the statements of another node, received at now, of endpoints of
-// which nothing newer is known.
+// Merge records the statements of another node, received at now, that say something
+// else than what is known and are newer.
 func (l *Limits[K]) Merge(statements []LimitStatement[K], now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range statements {
 		at := now.Add(-time.Duration(max(0, s.AgeMS)) * time.Millisecond)
-		if known, ok := l.endpoints[s.Endpoint]; !ok || at.After(known.at) {
-			l.endpoints[s.Endpoint] = limit{perSecond: s.PerSecond, ended: s.Ended, at: at}
+		told := limit{perSecond: s.PerSecond, ended: s.Ended, at: at}
+		known, ok := l.endpoints[s.Endpoint]
+		if !ok || at.After(known.at) && !told.equal(known) {
+			l.endpoints[s.Endpoint] = told
 		}
 	}
 }
 
+// ageMS returns the time from at until now in milliseconds, rounded up, so that no
+// statement gets younger by being passed on.
+func ageMS(at, now time.Time) int64 {
+	return (now.Sub(at) + time.Millisecond - 1).Milliseconds()
+}
+
 // Own returns what endpoints said to this node and nothing newer is known of, and
 // All what they said to any node.
 func (l *Limits[K]) Own(now time.Time) []LimitStatement[K] {
@@ -147,7 +166,7 @@
 				Endpoint:  key,
 				PerSecond: known.perSecond,
 				Ended:     known.ended,
-				AgeMS:     now.Sub(known.at).Milliseconds(),
+				AgeMS:     ageMS(known.at, now),
 			})
 		}
 	}
--- a/internal/notice/limits_test.go
+++ b/internal/notice/limits_test.go
@@ -22,13 +22,13 @@
 	require.True(t, l.Learn("e", named(2), at(10), at(30)))
 	require.False(t, l.Learn("e", RateLimit{}, at(29), at(40)), "the request was sent before the limit was named")
 	require.False(t, l.Learn("e", RateLimit{State: LimitUnknown}, at(50), at(60)))
-	perSecond, ok := l.Get("e")
-	require.True(t, ok)
+	perSecond, state := l.Get("e")
+	require.Equal(t, LimitNamed, state)
 	require.InDelta(t, 2.0, perSecond, 0)
 	require.True(t, l.Learn("e", RateLimit{}, at(50), at(60)))
 	require.False(t, l.Learn("e", RateLimit{}, at(61), at(62)))
-	_, ok = l.Get("e")
-	require.False(t, ok)
+	_, state = l.Get("e")
+	require.Equal(t, LimitAbsent, state)
 	require.True(t, l.Learn("e", named(2), at(70), at(80)))
 }
 
@@ -47,11 +47,11 @@
 	third := second.Add(time.Second)
 	b.Learn("e", RateLimit{}, third, third)
 	b.Merge(a.Own(third), third)
-	_, ok := b.Get("e")
-	require.False(t, ok, "an older statement counted")
+	_, state := b.Get("e")
+	require.Equal(t, LimitAbsent, state, "an older statement counted")
 	a.Merge(b.Own(third), third)
-	_, ok = a.Get("e")
-	require.False(t, ok)
+	_, state = a.Get("e")
+	require.Equal(t, LimitAbsent, state)
 	require.Empty(t, a.Own(third))
 }
 
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -64,18 +64,9 @@
 func (x *exchange) await(ctx context.Context, w *wait) (*inventory.Endpoint, *Failure) {
 	for {
 		snapshot, changed := x.relay.Inventory.Watch()
-		endpoint, verdict := x.choose(snapshot)
-		if verdict == choose.Found && !w.mayDispatch() {
-			verdict = choose.Full
-		}
-		if verdict == choose.Found {
-			if x.req.Adapter == "" {
-				return endpoint, nil
-			}
-			adapterEndpoint, failure := x.withAdapter(ctx, snapshot, w)
-			if adapterEndpoint != nil || failure != nil {
-				return adapterEndpoint, failure
-			}
+		endpoint, verdict, failure := x.take(ctx, snapshot, w)
+		if endpoint != nil || failure != nil {
+			return endpoint, failure
 		}
 		if verdict != choose.Found {
 			w.blocked(verdict)
@@ -89,6 +80,30 @@
 	}
 }
 
+// take returns an endpoint that can run the request now. Without one, it returns why.
+func (x *exchange) take(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, choose.Verdict, *Failure) {
+	for ctx.Err() == nil {
+		endpoint, verdict := x.choose(snapshot)
+		if verdict != choose.Found {
+			return nil, verdict, nil
+		}
+		if !w.mayDispatch() && !x.rateLimited(endpoint) {
+			return nil, choose.Full, nil
+		}
+		if x.req.Adapter != "" {
+			var failure *Failure
+			endpoint, failure = x.withAdapter(ctx, snapshot, w)
+			if endpoint == nil {
+				return nil, choose.Found, failure
+			}
+		}
+		if x.permitted(ctx, endpoint, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
+			return endpoint, choose.Found, nil
+		}
+	}
+	return nil, choose.Ejected, nil
+}
+
 func pollInterval(verdict choose.Verdict) time.Duration {
 	if verdict == choose.Absent {
 		return modelPollInterval
@@ -175,7 +190,16 @@
 	candidates := x.candidateList(snapshot, now)
 	x.markCached(candidates)
 	x.recordCandidates(candidates, now)
-	request := choose.Request{
+	chosen, verdict := x.relay.chooser.Choose(x.choiceRequest(now), candidates, newRand())
+	if verdict != choose.Found {
+		return nil, verdict
+	}
+	return snapshot.Endpoint(chosen.Name), verdict
+}
+
+// choiceRequest describes the request for the choice of an endpoint.
+func (x *exchange) choiceRequest(now time.Time) choose.Request {
+	return choose.Request{
 		Now:          now,
 		DataCentre:   x.relay.DataCentre,
 		Tokens:       max(1, x.req.MaxTokens),
@@ -183,15 +207,10 @@
 		MaxPause:     x.route.MaxGap,
 		Choosers:     x.relay.Budget.Nodes(),
 	}
-	chosen, verdict := x.relay.chooser.Choose(request, candidates, newRand())
-	if verdict != choose.Found {
-		return nil, verdict
-	}
-	return snapshot.Endpoint(chosen.Name), verdict
 }
 
 // candidateList returns the endpoints that serve the request's model, and records
-// their cooldowns.
+// which of them are throttled.
 func (x *exchange) candidateList(snapshot *inventory.Snapshot, now time.Time) []choose.Candidate {
 	endpoints := snapshot.Service(x.service.Name)
 	candidates := make([]choose.Candidate, 0, len(endpoints))
@@ -201,7 +220,7 @@
 			continue
 		}
 		candidate := x.candidate(e, now)
-		state := x.relay.cooldowns.State(e.Key(), now)
+		state := x.throttle(e, now)
 		if state.Until.After(candidate.EjectedUntil) {
 			candidate.EjectedUntil = state.Until
 		}
--- a/internal/relay/adapters.go
+++ b/internal/relay/adapters.go
@@ -58,7 +58,7 @@
 // endpoint again.
 func (x *exchange) withAdapter(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, *Failure) {
 	known := x.knownAdapter(snapshot)
-	if known != nil && !x.pauses(known) && !x.relay.inCooldown(known, time.Now()) {
+	if known != nil && !x.pauses(known) && !x.throttled(known, time.Now()) {
 		return known, nil
 	}
 	need := demand.AdapterNeed{Service: x.service.Name, Model: x.req.Model, Adapter: x.req.Adapter}
@@ -79,7 +79,7 @@
 	switch {
 	case e == nil || e.Leaving:
 		return nil, nil
-	case x.relay.inCooldown(e, time.Now()):
+	case x.throttled(e, time.Now()):
 		return x.retryAdapter(ctx)
 	}
 	return e, nil
@@ -118,11 +118,11 @@
 // adapter. If there is none, it waits before the next attempt.
 func (x *exchange) withoutAdapterLoad(ctx context.Context, snapshot *inventory.Snapshot, known *inventory.Endpoint) (*inventory.Endpoint, *Failure) {
 	now := time.Now()
-	if known != nil && !x.relay.inCooldown(known, now) {
+	if known != nil && !x.throttled(known, now) {
 		return known, nil
 	}
 	for _, e := range snapshot.Service(x.service.Name) {
-		if x.usable(e) && !x.relay.inCooldown(e, now) && slices.Contains(e.Models[x.req.Model], x.req.Adapter) {
+		if x.usable(e) && !x.throttled(e, now) && slices.Contains(e.Models[x.req.Model], x.req.Adapter) {
 			return e, nil
 		}
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -54,7 +54,10 @@
 	cooldownEnd time.Time
 	// limited reports that all of them that are not being drained are in cooldown
 	// or in the slow start after it.
-	limited  bool
+	limited bool
+	// permits are the expected permits for endpoints with a rate limit that granted
+	// none yet.
+	permits  map[inventory.Key]expectedPermit
 	progress progress
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -12,6 +12,8 @@
 	cooldownsTotal   = metrics.NewCounter(`chestnut_cooldowns_total`)
 	cooldownRefusals = metrics.NewCounter(`chestnut_cooldown_refusals_total`)
 	rateLimitChanges = metrics.NewCounter(`chestnut_rate_limit_changes_total`)
+	permitsGranted   = metrics.NewCounter(`chestnut_permits_total{result="granted"}`)
+	permitsDelayed   = metrics.NewCounter(`chestnut_permits_total{result="not_yet"}`)
 	resumesTotal     = metrics.NewCounter(`chestnut_relay_resumes_total`)
 	requestSeconds   = metrics.NewHistogram(`chestnut_relay_request_seconds`)
 	firstSeconds     = metrics.NewHistogram(`chestnut_relay_first_byte_seconds`)
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -20,13 +20,15 @@
 	r.learnRateLimit(s)
 }
 
-// learnRateLimit records what an endpoint says of its rate limit.
+// learnRateLimit records what an endpoint says of its rate limit. The owner is told at
+// once.
 func (r *Relay) learnRateLimit(s *sending) {
 	says := s.reply.RateLimit
 	if !r.Limits.Learn(s.endpoint.Key(), says, s.started, time.Now()) {
 		return
 	}
 	rateLimitChanges.Inc()
+	r.Demand.RequestReport()
 	r.Log.Info("rate limit of endpoint", "endpoint", s.endpoint.ID, "born", s.endpoint.StartedAtMS,
 		"limited", says.State == notice.LimitNamed, "per_second", says.PerSecond)
 }
@@ -51,11 +53,6 @@
 		"asked_ms", asked.Milliseconds(), "left_ms", end.Sub(now).Milliseconds())
 }
 
-// inCooldown reports whether an endpoint may get no request now.
-func (r *Relay) inCooldown(endpoint *inventory.Endpoint, now time.Time) bool {
-	return !r.cooldowns.State(endpoint.Key(), now).Until.IsZero()
-}
-
 // recordCooldowns records which of a request's candidates are in cooldown, given
 // the state of each.
 func (x *exchange) recordCooldowns(candidates []choose.Candidate, states []notice.State, now time.Time) {
@@ -73,8 +70,8 @@
 			continue
 		}
 		x.cooling++
-		if x.cooldownEnd.IsZero() || states[i].Until.Before(x.cooldownEnd) {
-			x.cooldownEnd = states[i].Until
+		if x.cooldownEnd.IsZero() || states[i].AvailableAt.Before(x.cooldownEnd) {
+			x.cooldownEnd = states[i].AvailableAt
 		}
 	}
 	if x.cooling < staying {
--- /dev/null
+++ b/internal/relay/permits.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/ratelimit"
+)
+
+// expectedPermit is the permit for an endpoint with a rate limit that a request was
+// not granted yet.
+type expectedPermit struct {
+	// askAt is when the request asks again, availableAt when it expects the permit.
+	askAt       time.Time
+	availableAt time.Time
+}
+
+// throttle returns what holds for a request at an endpoint that asked for fewer
+// requests: its cooldown at this node, and its rate limit for all nodes.
+func (x *exchange) throttle(endpoint *inventory.Endpoint, now time.Time) notice.State {
+	state := x.relay.cooldowns.State(endpoint.Key(), now)
+	permit, ok := x.permits[endpoint.Key()]
+	if !ok || !permit.askAt.After(now) {
+		return state
+	}
+	state.Limited = true
+	state.Until = latest(state.Until, permit.askAt)
+	state.AvailableAt = latest(state.AvailableAt, permit.availableAt)
+	return state
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// throttled reports whether an endpoint may not get the request now.
+func (x *exchange) throttled(endpoint *inventory.Endpoint, now time.Time) bool {
+	return !x.throttle(endpoint, now).Until.IsZero()
+}
+
+// rateLimited reports whether an endpoint names a rate limit, so that the owner
+// decides on the order of the requests to it.
+func (x *exchange) rateLimited(endpoint *inventory.Endpoint) bool {
+	_, state := x.relay.Limits.Get(endpoint.Key())
+	return state == notice.LimitNamed
+}
+
+// permitted reports whether the request may be sent to an endpoint now. If not, the
+// endpoint is throttled for the request until it is to ask again. maxWait is how
+// long the request can wait for a permit.
+func (x *exchange) permitted(ctx context.Context, endpoint *inventory.Endpoint, priority int, maxWait time.Duration) bool {
+	key := endpoint.Key()
+	perSecond, state := x.relay.Limits.Get(key)
+	if state != notice.LimitNamed {
+		return true
+	}
+	answer := x.relay.Permits.Ask(ctx, key, perSecond, ratelimit.Ask{
+		Request:  x.req.ID,
+		Priority: priority,
+		Waited:   time.Since(x.req.Arrived),
+		MaxWait:  maxWait,
+	})
+	if answer.Granted {
+		permitsGranted.Inc()
+		delete(x.permits, key)
+		return true
+	}
+	permitsDelayed.Inc()
+	x.relay.Log.Info("permit not granted", "request_id", x.req.ID, "endpoint", endpoint.ID, "per_second", perSecond,
+		"priority", priority, "in_ms", answer.In.Milliseconds(), "max_wait_ms", maxWait.Milliseconds())
+	if x.permits == nil {
+		x.permits = map[inventory.Key]expectedPermit{}
+	}
+	now := time.Now()
+	x.permits[key] = expectedPermit{askAt: now.Add(answer.Recheck()), availableAt: now.Add(answer.In)}
+	return false
+}
+
+// permitWait returns how long the request can wait for a permit for an endpoint: not
+// at all if another one can take it now.
+func (x *exchange) permitWait(snapshot *inventory.Snapshot, endpoint *inventory.Endpoint, w *wait) time.Duration {
+	if w.mayDispatch() && x.hasOther(snapshot, endpoint) {
+		return 0
+	}
+	return max(0, time.Until(x.latestDispatch(queueWaitFraction)))
+}
+
+// hasOther reports whether another endpoint can take the request now.
+func (x *exchange) hasOther(snapshot *inventory.Snapshot, endpoint *inventory.Endpoint) bool {
+	now := time.Now()
+	others := slices.DeleteFunc(x.candidateList(snapshot, now), func(c choose.Candidate) bool { return c.Name == endpoint.ID })
+	_, verdict := x.relay.chooser.Choose(x.choiceRequest(now), others, newRand())
+	return verdict == choose.Found
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,7 +35,9 @@
 	Demand     *demand.Meter
 	// Limits are the rate limits of endpoints.
 	Limits *notice.Limits[inventory.Key]
-	Budget Budget
+	// Permits grants the requests to endpoints that name a rate limit.
+	Permits Permits
+	Budget  Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/ratelimit"
 )
 
 // behaviour is what a fake endpoint does with one attempt.
@@ -146,12 +147,22 @@
 		Loads:     noLoads{},
 		Demand:    demand.NewMeter("n"),
 		Limits:    notice.NewLimits[inventory.Key](),
+		Permits:   ownLimiter{ratelimit.NewLimiter[inventory.Key]()},
 		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
 		Isolated:  func() bool { return false },
 		Log:       slog.New(slog.DiscardHandler),
 	})
 }
 
+// ownLimiter grants permits as the owner does.
+type ownLimiter struct {
+	limiter *ratelimit.Limiter[inventory.Key]
+}
+
+func (l ownLimiter) Ask(_ context.Context, endpoint inventory.Key, perSecond float64, ask ratelimit.Ask) ratelimit.Answer {
+	return l.limiter.Ask(endpoint, perSecond, ask, time.Now())
+}
+
 func request(kind, model string) *Request {
 	now := time.Now()
 	return &Request{ID: "r", Method: http.MethodPost, Path: "/" + kind + "/x", Target: "/" + kind + "/x", Host: "h", Model: model, Arrived: now, Deadline: now.Add(4 * time.Second)}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/ratelimit"
 )
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -121,6 +122,13 @@
 	EnsureAdapter(ctx context.Context, need demand.AdapterNeed) (engine string, ready time.Time, err error)
 }
 
+// Permits grants permits for requests to endpoints that name a rate limit.
+type Permits interface {
+	// Ask asks for a permit to send a request to an endpoint whose limit is
+	// perSecond.
+	Ask(ctx context.Context, endpoint inventory.Key, perSecond float64, ask ratelimit.Ask) ratelimit.Answer
+}
+
 // Loads predicts when a model that no engine holds will be loaded.
 type Loads interface {
 	// Expected returns when an engine is expected to hold the model. ok is
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 	if x.route.Resumable && x.possibleRuns+1 < x.route.MaxEndpoints {
 		successor := *x
 		successor.tried = append(slices.Clone(x.tried), s.endpoint.ID)
+		successor.permits = maps.Clone(x.permits)
 		d.open = func(lastEvent string) *sending { return successor.openSuccessor(ctx, lastEvent) }
 	}
 	s.reply.Body = d
@@ -55,13 +57,13 @@
 
 // openSuccessor sends the request to another endpoint that can take it now, and
 // returns the attempt if its stream begins. It returns nil otherwise, or without a
-// retry in the budget.
+// permit or a retry in the budget.
 func (x *exchange) openSuccessor(ctx context.Context, lastEvent string) *sending {
 	endpoint, verdict := x.choose(x.relay.Inventory.Current())
 	if verdict != choose.Found || x.req.Adapter != "" && !slices.Contains(endpoint.Models[x.req.Model], x.req.Adapter) {
 		return nil
 	}
-	if !x.budget().Spend() {
+	if !x.permitted(ctx, endpoint, resumedPriority, 0) || !x.budget().Spend() {
 		return nil
 	}
 	x.tried = append(x.tried, endpoint.ID)
