Bound the head of a response

A peer whose response has a head without end fills memory up to the 10 MB that net/http reads by default, for each request: too much for a VM of 144 MB.

All HTTP clients read at most 64 KiB of a head, interim responses included. Ruled out: bodies, which are read in bounded pieces, and trailers, which net/http bounds.

--- a/internal/engine/httpengine/httpengine.go
+++ b/internal/engine/httpengine/httpengine.go
@@ -109,10 +109,14 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     settings.IdleTimeout,
+
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	}
 	unpooled := &http.Transport{
 		DialContext:       dialer.DialContext,
 		DisableKeepAlives: true,
+
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	}
 	return &Client{
 		base:        "http://" + address,
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -52,9 +52,15 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      transportBuffer,
 		WriteBufferSize:     transportBuffer,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
+// MaxHeadBytes bounds the status line and header of a response, including interim
+// ones, in bytes.
+const MaxHeadBytes = 64 << 10
+
 // transportBuffer is the size of a connection's buffers, in bytes.
 const transportBuffer = 2 << 10
 
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -124,8 +124,8 @@
 	}
 	return &Caller{
 		settings: settings,
-		pooled:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: settings.IdleTimeout}},
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		pooled:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: settings.IdleTimeout, MaxResponseHeaderBytes: httpclient.MaxHeadBytes}},
+		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httpclient.MaxHeadBytes}},
 	}
 }
 
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -33,6 +33,8 @@
 		DialContext:         netcount.Dial(&net.Dialer{Timeout: time.Second}, netcount.Platform),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
 	}
 	return &Client{
 		base: "http://" + address,
