Send a refused request elsewhere though the refusal has no end

The body of a refusal was read for up to 1 MiB without a time limit before the request was sent to another endpoint, so a body without end, or one that stalls, held it until its deadline: a refusal in place of an answer.

At most 64 KiB are read for at most 0.1 s, only so that the connection can be used again; then the attempt is closed. TestRefusalWithoutEnd failed with "not answered in time".

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -254,7 +254,7 @@
 	x.relay.recordReply(s)
 	switch {
 	case s.reply.NotRun:
-		return x.notRun(s.endpoint, s.reply)
+		return x.notRun(s)
 	case x.isStream(s.reply):
 		detector := x.detectStalls(ctx, s)
 		result := x.forwardStream(ctx, s.endpoint, s.reply, s.started)
@@ -309,15 +309,15 @@
 }
 
 // notRun handles an endpoint's statement that it did not run the request.
-func (x *exchange) notRun(endpoint *inventory.Endpoint, reply *Reply) attemptResult {
-	if reply.WrongEndpoint {
-		x.relay.adapters.remove(x.req.Model, x.req.Adapter, endpoint.ID)
-		x.lacksModel(endpoint)
+func (x *exchange) notRun(s *sending) attemptResult {
+	if s.reply.WrongEndpoint {
+		x.relay.adapters.remove(x.req.Model, x.req.Adapter, s.endpoint.ID)
+		x.lacksModel(s.endpoint)
 	} else {
-		x.relay.loads.Busy(endpoint.ID, time.Now())
+		x.relay.loads.Busy(s.endpoint.ID, time.Now())
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxBufferedBody))
-	return attemptResult{run: outcome.NotRun, cause: statusError(reply.Status)}
+	s.drain()
+	return attemptResult{run: outcome.NotRun, cause: statusError(s.reply.Status)}
 }
 
 // maxBufferedBody is the number of bytes of a response that are buffered before
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,6 +84,28 @@
 	return &Reply{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
 }
 
+// endlessRefusal is a refusal whose body ends only with the attempt.
+func endlessRefusal(ctx context.Context, attempt Attempt) (*Reply, error) {
+	reply, err := notRun(ctx, attempt)
+	reply.Body = endlessBody{ctx}
+	return reply, err
+}
+
+// endlessBody is a body that sends a byte a second until its attempt ends.
+type endlessBody struct {
+	ctx context.Context
+}
+
+func (b endlessBody) Read(p []byte) (int, error) {
+	if !pause.For(b.ctx, time.Second) {
+		return 0, b.ctx.Err()
+	}
+	p[0] = 'a'
+	return 1, nil
+}
+
+func (endlessBody) Close() error { return nil }
+
 func noConnection(context.Context, Attempt) (*Reply, error) {
 	return nil, &SendError{Err: errors.New("connection refused")}
 }
@@ -499,3 +521,14 @@
 		})
 	}
 }
+
+// TestRefusalWithoutEnd guards against a refusal whose body has no end, which would
+// hold the request until its deadline: it is sent to another endpoint at once.
+func TestRefusalWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{next: []behaviour{endlessRefusal, answer(200, eventOne)}}
+		started := time.Now()
+		require.Nil(t, newRelay(endpoints).Serve(t.Context(), request("once", "m"), &fakeAnswer{}))
+		require.Less(t, time.Since(started), time.Second)
+	})
+}
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"chestnutgauge/internal/inventory"
@@ -57,6 +58,21 @@
 	}
 }
 
+// Limits of what is read of a body that is not used, so that its connection can be
+// used again.
+const (
+	maxDrainedBody = 64 << 10
+	drainTimeout   = 100 * time.Millisecond
+)
+
+// drain reads the rest of the body, unless it is too long or comes too slowly.
+func (s *sending) drain() {
+	timer := time.AfterFunc(drainTimeout, s.cancel)
+	defer timer.Stop()
+	// The outcome only decides whether the connection is used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(s.reply.Body, maxDrainedBody))
+}
+
 // close ends the attempt.
 func (s *sending) close() {
 	s.cancel()
