--- a/internal/relay/cooldown_test.go
+++ b/internal/relay/cooldown_test.go
@@ -201,3 +201,62 @@
 		require.GreaterOrEqual(t, failure.RetryAfter, 10*time.Second)
 	})
 }
+
+// restingEngines refuse all requests, each time for the same time.
+type restingEngines struct {
+	cooldown time.Duration
+
+	mu       sync.Mutex
+	sent     map[string][]time.Time
+	refusals map[string][]time.Time
+}
+
+func (s *restingEngines) Refuses(context.Context, *inventory.Endpoint) bool { return false }
+
+func (s *restingEngines) Send(ctx context.Context, to *inventory.Endpoint, _ *Request, attempt Attempt) (*Reply, error) {
+	s.mu.Lock()
+	s.sent[to.ID] = append(s.sent[to.ID], time.Now())
+	s.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	s.mu.Lock()
+	s.refusals[to.ID] = append(s.refusals[to.ID], time.Now())
+	s.mu.Unlock()
+	return refusesFor(s.cooldown)(ctx, attempt)
+}
+
+// TestCooldownOfBusyNode guards against a busy node that sends requests to engines
+// that have just asked it for a pause, one after the other, and again and again.
+func TestCooldownOfBusyNode(t *testing.T) {
+	const (
+		cooldown = 3 * time.Second
+		// underWay is the time within which requests may arrive that were sent
+		// before.
+		underWay = 500 * time.Millisecond
+		most     = 2
+	)
+	synctest.Test(t, func(t *testing.T) {
+		engines := &restingEngines{cooldown: cooldown, sent: map[string][]time.Time{}, refusals: map[string][]time.Time{}}
+		r := newRelay(engines)
+		var all sync.WaitGroup
+		for i := range 400 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 25 * time.Millisecond)
+				for _, kind := range []string{"repeat", "once", "stream", "resume"} {
+					require.NotNil(t, r.Serve(t.Context(), request(kind, "m"), &fakeAnswer{}))
+				}
+			})
+		}
+		all.Wait()
+		for id, refusals := range engines.refusals {
+			for _, refused := range refusals {
+				n := 0
+				for _, at := range engines.sent[id] {
+					if at.After(refused.Add(underWay)) && at.Before(refused.Add(cooldown)) {
+						n++
+					}
+				}
+				require.LessOrEqual(t, n, most, "engine %s, pause from %v", id, refused)
+			}
+		}
+	})
+}
