Admit a request after a cooldown and count it in one step

An engine in need would get a burst at the end of the pause that it asked for.

Whether a request may be sent and its count are one step now (notice.TrySend), as a permit already is.

--- a/internal/notice/cooldowns.go
+++ b/internal/notice/cooldowns.go
@@ -70,14 +70,21 @@
 	return end
 }
 
-// Sent counts a request that is sent to an endpoint.
-func (c *Cooldowns[K]) Sent(key K, now time.Time) {
+// TrySend reports whether a request may be sent to an endpoint now, and counts it if
+// so.
+func (c *Cooldowns[K]) TrySend(key K, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known, ok := c.endpoints[key]; ok && !now.Before(known.end) {
-		known.sent++
-		c.endpoints[key] = known
+	known, ok := c.endpoints[key]
+	if !ok || known.over(now) {
+		return true
+	}
+	if known.nextRequest().After(now) {
+		return false
 	}
+	known.sent++
+	c.endpoints[key] = known
+	return true
 }
 
 // State is what holds for an endpoint at a time.
--- a/internal/notice/cooldowns_test.go
+++ b/internal/notice/cooldowns_test.go
@@ -23,8 +23,9 @@
 	for step := range slowStartSteps {
 		now := end.Add(time.Duration(step) * slowStartStep)
 		for ; c.State(key, now).Until.IsZero(); sent++ {
-			c.Sent(key, now)
+			require.True(t, c.TrySend(key, now))
 		}
+		require.False(t, c.TrySend(key, now))
 		require.Equal(t, 1<<step, sent)
 		require.Equal(t, now.Add(slowStartStep), c.State(key, now).Until)
 	}
@@ -39,7 +40,7 @@
 	require.Equal(t, end, c.Start("e", time.Second, start.Add(time.Second), 0))
 	end = c.Start("e", 4*time.Second, start.Add(time.Second), 0)
 	require.Equal(t, start.Add(5*time.Second), end)
-	c.Sent("e", end)
+	require.True(t, c.TrySend("e", end))
 	end = c.Start("e", time.Second, end, 1)
 	require.Equal(t, start.Add(6*time.Second+endJitter), end)
 	require.Equal(t, end, c.State("e", start.Add(6*time.Second)).Until)
@@ -71,7 +72,9 @@
 			if now.Before(noRequestBefore) {
 				t.Fatalf("request allowed %v too early", noRequestBefore.Sub(now))
 			}
-			c.Sent("e", now)
+			if !c.TrySend("e", now) {
+				t.Fatalf("request not allowed at %v", now)
+			}
 			if rapid.Bool().Draw(t, "refused") {
 				asked := time.Duration(rapid.IntRange(1, 400).Draw(t, "asked_s")) * time.Second
 				c.Start("e", asked, now, rapid.Float64Range(0, 1).Draw(t, "jitter"))
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -97,7 +97,7 @@
 				return nil, choose.Found, failure
 			}
 		}
-		if x.permitted(ctx, endpoint, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
+		if x.admitted(ctx, endpoint, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
 			return endpoint, choose.Found, nil
 		}
 	}
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -52,9 +52,15 @@
 	return state == notice.LimitNamed
 }
 
-// permitted reports whether the request may be sent to an endpoint now. If not, the
-// endpoint is throttled for the request until it is to ask again. maxWait is how
-// long the request can wait for a permit.
+// admitted reports whether the request may be sent to an endpoint now, and counts it
+// there if so. Another request may have been admitted since the endpoint was chosen.
+func (x *exchange) admitted(ctx context.Context, endpoint *inventory.Endpoint, priority int, maxWait time.Duration) bool {
+	return x.permitted(ctx, endpoint, priority, maxWait) && x.relay.cooldowns.TrySend(endpoint.Key(), time.Now())
+}
+
+// permitted reports whether the rate limit of an endpoint, if it names one, leaves
+// room for the request now. If not, the endpoint is throttled for the request until it
+// is to ask again. maxWait is how long the request can wait for a permit.
 func (x *exchange) permitted(ctx context.Context, endpoint *inventory.Endpoint, priority int, maxWait time.Duration) bool {
 	key := endpoint.Key()
 	perSecond, state := x.relay.Limits.Get(key)
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -46,7 +46,6 @@
 func (x *exchange) occupy(endpoint *inventory.Endpoint, now time.Time) (release func()) {
 	r := x.relay
 	r.loads.Begin(endpoint.ID, now)
-	r.cooldowns.Sent(endpoint.Key(), now)
 	if x.req.Model != "" {
 		r.Demand.Begin(x.service.Name, x.req.Model, x.req.Adapter, endpoint.ID)
 	}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -63,7 +63,7 @@
 	if verdict != choose.Found || x.req.Adapter != "" && !slices.Contains(endpoint.Models[x.req.Model], x.req.Adapter) {
 		return nil
 	}
-	if !x.permitted(ctx, endpoint, resumedPriority, 0) || !x.budget().Spend() {
+	if !x.admitted(ctx, endpoint, resumedPriority, 0) || !x.budget().Spend() {
 		return nil
 	}
 	x.tried = append(x.tried, endpoint.ID)
