Choose an endpoint's last place for one request only

The engine queues what it has no place for, or turns it away.

A request is counted at the endpoint in the step that admits it, which checks the endpoint's room once more (load.TryBegin).

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -132,6 +132,19 @@
 	t.get(name).add(now, 1)
 }
 
+// TryBegin counts a request that starts at an endpoint if it has room: if it runs
+// fewer requests than limit as far as is known. A limit of 0 is none.
+func (t *Tracker) TryBegin(name string, limit int, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.get(name)
+	if limit > 0 && float64(e.inFlight)+e.expectedOtherLoad(now)+1 > float64(limit) {
+		return false
+	}
+	e.add(now, 1)
+	return true
+}
+
 // End counts a request that ended at an endpoint.
 func (t *Tracker) End(name string, now time.Time) {
 	t.mu.Lock()
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// take returns an endpoint that can run the request now. Without one, it returns why.
+// take returns an endpoint that can run the request now, at which it is counted.
+// Without one, it returns why.
 func (x *exchange) take(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, choose.Verdict, *Failure) {
 	for ctx.Err() == nil {
 		endpoint, verdict := x.choose(snapshot)
@@ -90,14 +91,16 @@
 		if !w.mayDispatch() && !x.rateLimited(endpoint) {
 			return nil, choose.Full, nil
 		}
+		limit := endpoint.Slots
 		if x.req.Adapter != "" {
 			var failure *Failure
 			endpoint, failure = x.withAdapter(ctx, snapshot, w)
 			if endpoint == nil {
 				return nil, choose.Found, failure
 			}
+			limit = 0
 		}
-		if x.admitted(ctx, endpoint, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
+		if x.admitted(ctx, endpoint, limit, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
 			return endpoint, choose.Found, nil
 		}
 	}
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -78,7 +78,6 @@
 		var callers sync.WaitGroup
 		for range 6 {
 			callers.Go(func() { _ = r.Serve(t.Context(), request("repeat", "m"), &fakeAnswer{}) })
-			time.Sleep(time.Millisecond)
 		}
 		callers.Wait()
 		require.Equal(t, 2, sender.sent)
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -54,8 +54,21 @@
 
 // admitted reports whether the request may be sent to an endpoint now, and counts it
 // there if so. Another request may have been admitted since the endpoint was chosen.
-func (x *exchange) admitted(ctx context.Context, endpoint *inventory.Endpoint, priority int, maxWait time.Duration) bool {
-	return x.permitted(ctx, endpoint, priority, maxWait) && x.relay.cooldowns.TrySend(endpoint.Key(), time.Now())
+// limit is the number of requests that the endpoint runs at once, or 0 if that does
+// not matter.
+func (x *exchange) admitted(ctx context.Context, endpoint *inventory.Endpoint, limit, priority int, maxWait time.Duration) bool {
+	if !x.permitted(ctx, endpoint, priority, maxWait) {
+		return false
+	}
+	now := time.Now()
+	if !x.relay.loads.TryBegin(endpoint.ID, limit, now) {
+		return false
+	}
+	if !x.relay.cooldowns.TrySend(endpoint.Key(), now) {
+		x.relay.loads.End(endpoint.ID, now)
+		return false
+	}
+	return true
 }
 
 // permitted reports whether the rate limit of an endpoint, if it names one, leaves
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -20,14 +20,14 @@
 	release   func()
 }
 
-// open sends the request to an endpoint and waits for the status and header of
+// open sends the request to an endpoint that it was admitted to, and waits for the status and header of
 // its response, which continues a stream after lastEvent. The attempt must be
 // closed unless there is an error.
 func (x *exchange) open(ctx context.Context, endpoint *inventory.Endpoint, lastEvent string) (*sending, error) {
 	r := x.relay
 	attemptsTotal.Inc()
 	s := &sending{endpoint: endpoint, started: time.Now(), lastEvent: lastEvent}
-	s.release = x.occupy(endpoint, s.started)
+	s.release = x.occupy(endpoint)
 	ctx, s.cancel = context.WithCancel(ctx)
 	attempt := Attempt{Deadline: x.deadline, Priority: x.route.Priority, LastEvent: lastEvent}
 	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
@@ -42,10 +42,10 @@
 	return s, nil
 }
 
-// occupy counts the request at an endpoint until the returned function is called.
-func (x *exchange) occupy(endpoint *inventory.Endpoint, now time.Time) (release func()) {
+// occupy counts the request, which was admitted to an endpoint, in the demand there.
+// The returned function ends both.
+func (x *exchange) occupy(endpoint *inventory.Endpoint) (release func()) {
 	r := x.relay
-	r.loads.Begin(endpoint.ID, now)
 	if x.req.Model != "" {
 		r.Demand.Begin(x.service.Name, x.req.Model, x.req.Adapter, endpoint.ID)
 	}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -63,7 +63,11 @@
 	if verdict != choose.Found || x.req.Adapter != "" && !slices.Contains(endpoint.Models[x.req.Model], x.req.Adapter) {
 		return nil
 	}
-	if !x.admitted(ctx, endpoint, resumedPriority, 0) || !x.budget().Spend() {
+	if !x.admitted(ctx, endpoint, endpoint.Slots, resumedPriority, 0) {
+		return nil
+	}
+	if !x.budget().Spend() {
+		x.relay.loads.End(endpoint.ID, time.Now())
 		return nil
 	}
 	x.tried = append(x.tried, endpoint.ID)
