Leave time for the direct call beside nodes that don't answer

Cause: after a failed call a node reads the store through other nodes first, and such a call had no time limit of its own. The node that stood still took the whole 1.5 s of the read, twice in a row, and the direct call was never made. Ruled out: stale reads of the store, which the other nodes had as well.

A read through another node now has 0.4 s beyond its wait. Writes are not limited: their outcome is unknown once they are given up. TestReadBesideSilentPeers failed with "context deadline exceeded".

--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"chestnutgauge/internal/era"
 	"chestnutgauge/internal/httpclient"
@@ -17,6 +18,8 @@
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Body   []byte `json:"body"`
+	// Wait is how long the store may wait before it answers.
+	Wait time.Duration `json:"-"`
 }
 
 // StoreReply is the store's response.
@@ -44,6 +47,10 @@
 // storeAttempts limits the number of nodes through which one call is attempted.
 const storeAttempts = 2
 
+// peerReadTimeout bounds a read through one other node, in addition to its wait, so
+// that one that does not answer leaves time for another way.
+const peerReadTimeout = 400 * time.Millisecond
+
 // ErrNotMade means that a call did not reach the store. After any other error the
 // outcome of the call is unknown.
 var ErrNotMade = errors.New("fleet: the call to the store was not made")
@@ -69,7 +76,7 @@
 	err := errNoPeer
 	for _, peer := range c.randomPeers(storeAttempts) {
 		var reply StoreReply
-		if err = post(ctx, c.HTTP, peer, storePath, call, &reply); err == nil {
+		if reply, err = c.storeCallThrough(ctx, peer, call); err == nil {
 			return reply, nil
 		}
 		if ctx.Err() != nil || !mayRepeat(call, err) {
@@ -79,6 +86,18 @@
 	return StoreReply{}, err
 }
 
+// storeCallThrough makes a call through one other node. Only reads have a time limit
+// of their own: the outcome of a write that is given up is unknown.
+func (c *Client) storeCallThrough(ctx context.Context, peer string, call StoreCall) (reply StoreReply, err error) {
+	if call.Method == http.MethodGet {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, peerReadTimeout+call.Wait)
+		defer cancel()
+	}
+	err = post(ctx, c.HTTP, peer, storePath, call, &reply)
+	return reply, err
+}
+
 // randomPeers returns at most limit other nodes, chosen at random.
 func (c *Client) randomPeers(limit int) []string {
 	c.mu.Lock()
--- a/internal/fleet/storecall_test.go
+++ b/internal/fleet/storecall_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -53,3 +55,29 @@
 		})
 	}
 }
+
+// silentPeer is a node that accepts calls and does not answer them.
+func silentPeer(t *testing.T) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// TestReadBesideSilentPeers guards against a read that spends all its time on other
+// nodes that don't answer, though the store would answer this one.
+func TestReadBesideSilentPeers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	served := false
+	caller := NewStoreCaller(func(ctx context.Context, _ StoreCall) (StoreReply, error) {
+		return StoreReply{Status: http.StatusOK, Processed: served}, ctx.Err()
+	})
+	_, err := caller.Direct(ctx, StoreCall{Method: http.MethodGet})
+	require.NoError(t, err)
+	caller.SetFallback(&Client{Self: "self", HTTP: NewHTTP(), peers: []string{silentPeer(t), silentPeer(t)}})
+	served = true
+	reply, err := caller.Call(ctx, StoreCall{Method: http.MethodGet})
+	require.NoError(t, err)
+	require.True(t, reply.Processed)
+}
