Split the relay's exchange, and put all throttling of an endpoint together

What makes an endpoint unavailable for a request (cooldown, missing permit) was spread over notices.go and permits.go, under names that speak of cooldowns only: throttle.go holds it now. No behaviour changes; the tests of the package pass.

--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -149,7 +149,7 @@
 	if queued {
 		latest = x.latestDispatch(queueWaitFraction)
 	}
-	if verdict != choose.Absent && x.cooldownEnd.IsZero() {
+	if verdict != choose.Absent && x.throttleEnd.IsZero() {
 		return latest, time.Time{}
 	}
 	loadedAt, expected := x.expectedLoad()
@@ -159,7 +159,7 @@
 	if verdict == choose.Absent {
 		return latest, loadedAt
 	}
-	if x.cooldownEnd.After(latest) {
+	if x.throttleEnd.After(latest) {
 		cooldownRefusals.Inc()
 	}
 	return latest, x.availableAt()
@@ -230,7 +230,7 @@
 		candidates = append(candidates, candidate)
 		states = append(states, state)
 	}
-	x.recordCooldowns(candidates, states, now)
+	x.recordThrottles(candidates, states, now)
 	return candidates
 }
 
--- /dev/null
+++ b/internal/relay/fakes_test.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/ratelimit"
+)
+
+// behaviour is what a fake endpoint does with one attempt.
+type behaviour func(ctx context.Context, attempt Attempt) (*Reply, error)
+
+// fakeEndpoints responds to attempts in the order in which they are sent,
+// whatever the endpoint.
+type fakeEndpoints struct {
+	mu          sync.Mutex
+	next        []behaviour
+	attempts    []Attempt
+	endpointIDs []string
+	// refusesConnections reports whether the endpoints refuse connections
+	// afterwards.
+	refusesConnections bool
+}
+
+func (f *fakeEndpoints) Refuses(context.Context, *inventory.Endpoint) bool {
+	return f.refusesConnections
+}
+
+func (f *fakeEndpoints) Send(ctx context.Context, to *inventory.Endpoint, _ *Request, attempt Attempt) (*Reply, error) {
+	f.mu.Lock()
+	f.attempts = append(f.attempts, attempt)
+	f.endpointIDs = append(f.endpointIDs, to.ID)
+	do := f.next[0]
+	f.next = f.next[1:]
+	f.mu.Unlock()
+	return do(ctx, attempt)
+}
+
+// truncatedBody is a body whose connection is reset at its end.
+type truncatedBody struct {
+	io.Reader
+}
+
+var errReset = errors.New("connection reset")
+
+func (b truncatedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errReset
+	}
+	return n, err
+}
+
+func answer(status int, body string) behaviour {
+	return func(context.Context, Attempt) (*Reply, error) {
+		return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: -1}, nil
+	}
+}
+
+func truncated(status int, body string) behaviour {
+	return func(context.Context, Attempt) (*Reply, error) {
+		return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(truncatedBody{strings.NewReader(body)}), Length: -1}, nil
+	}
+}
+
+func notRun(context.Context, Attempt) (*Reply, error) {
+	return &Reply{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+}
+
+// endlessRefusal is a refusal whose body ends only with the attempt.
+func endlessRefusal(ctx context.Context, attempt Attempt) (*Reply, error) {
+	reply, err := notRun(ctx, attempt)
+	reply.Body = endlessBody{ctx}
+	return reply, err
+}
+
+// endlessBody is a body that sends a byte a second until its attempt ends.
+type endlessBody struct {
+	ctx context.Context
+}
+
+func (b endlessBody) Read(p []byte) (int, error) {
+	if !pause.For(b.ctx, time.Second) {
+		return 0, b.ctx.Err()
+	}
+	p[0] = 'a'
+	return 1, nil
+}
+
+func (endlessBody) Close() error { return nil }
+
+func noConnection(context.Context, Attempt) (*Reply, error) {
+	return nil, &SendError{Err: errors.New("connection refused")}
+}
+
+func noResponse(context.Context, Attempt) (*Reply, error) {
+	return nil, &SendError{Sent: true, Err: errReset}
+}
+
+func hang(ctx context.Context, _ Attempt) (*Reply, error) {
+	<-ctx.Done()
+	return nil, &SendError{Sent: true, Err: ctx.Err()}
+}
+
+// fakeAnswer records what the caller receives.
+type fakeAnswer struct {
+	status int
+	body   strings.Builder
+}
+
+func (a *fakeAnswer) Begin(reply *Reply, _ int) { a.status = reply.Status }
+func (a *fakeAnswer) Write(data []byte) error {
+	_, err := a.body.Write(data)
+	return err
+}
+func (a *fakeAnswer) Flush() error { return nil }
+
+type noLoads struct{}
+
+func (noLoads) Expected(string, string) (time.Time, bool) { return time.Time{}, false }
+
+func (noLoads) EnsureAdapter(context.Context, demand.AdapterNeed) (string, time.Time, error) {
+	return "", time.Time{}, errors.New("no owner")
+}
+
+// newRelay returns a relay with three endpoints that all hold model m.
+func newRelay(sender Sender) *Relay {
+	routes := []*catalog.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.AtMostOnce},
+		{Name: "repeat", Host: "h", Prefix: "/repeat/", Kind: catalog.Idempotent},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: catalog.Stream, Resumable: true},
+	}
+	for _, route := range routes {
+		route.Timeout = 5 * time.Second
+		route.MaxEndpoints = 3
+		route.Targets = []catalog.Target{{Service: "s", Weight: 1}}
+	}
+	engine := &catalog.Engine{Models: map[string]catalog.Model{"m": {Name: "m"}, "rare": {Name: "rare"}}}
+	c := catalog.New(1, routes, []*catalog.Service{{Name: "s", Engine: engine}}, catalog.Limits{})
+	inv := inventory.New()
+	var endpoints []*inventory.Endpoint
+	for _, id := range []string{"a", "b", "c"} {
+		endpoints = append(endpoints, &inventory.Endpoint{ID: id, Service: "s", Slots: 4, Models: map[string][]string{"m": nil}})
+	}
+	inv.Replace(endpoints)
+	return New(Dependencies{
+		Catalog:   func() *catalog.Catalog { return c },
+		Inventory: inv,
+		Sender:    sender,
+		Adapters:  noLoads{},
+		Loads:     noLoads{},
+		Demand:    demand.NewMeter("n"),
+		Limits:    notice.NewLimits[inventory.Key](),
+		Permits:   ownLimiter{ratelimit.NewLimiter[inventory.Key]()},
+		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
+		Isolated:  func() bool { return false },
+		Log:       slog.New(slog.DiscardHandler),
+	})
+}
+
+// ownLimiter grants permits as the owner does.
+type ownLimiter struct {
+	limiter *ratelimit.Limiter[inventory.Key]
+}
+
+func (l ownLimiter) Ask(_ context.Context, endpoint inventory.Key, perSecond float64, ask ratelimit.Ask) ratelimit.Answer {
+	return l.limiter.Ask(endpoint, perSecond, ask, time.Now())
+}
+
+func request(kind, model string) *Request {
+	now := time.Now()
+	return &Request{ID: "r", Method: http.MethodPost, Path: "/" + kind + "/x", Target: "/" + kind + "/x", Host: "h", Model: model, Arrived: now, Deadline: now.Add(4 * time.Second)}
+}
+
+const (
+	eventOne = "id: 1\ndata: a\n\n"
+	eventTwo = "id: 2\ndata: b\n\n"
+)
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/outcome"
+)
+
+// maxBufferedBody is the number of bytes of a response that are buffered before
+// it is forwarded. The rest of a longer response is forwarded as it arrives.
+const maxBufferedBody = 1 << 20
+
+// forwardBuffered reads a response to its end, or until the buffer is full, and
+// forwards it.
+func (x *exchange) forwardBuffered(ctx context.Context, endpoint *inventory.Endpoint, reply *Reply, started time.Time) attemptResult {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody))
+	if err != nil {
+		return x.bodyLost(ctx, endpoint, err)
+	}
+	buffered := &bufferedReply{Reply: *reply, body: body}
+	whole := len(body) < maxBufferedBody
+	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() {
+		result := attemptResult{run: outcome.Ran, cause: statusError(reply.Status)}
+		if whole {
+			result.reply = buffered
+		}
+		return result
+	}
+	if x.started {
+		// The caller already has the start of a stream, which can't be followed
+		// by another response.
+		return attemptResult{run: outcome.Ran, cause: statusError(reply.Status), truncated: true}
+	}
+	took := time.Since(started)
+	x.relay.loads.Answered(endpoint.ID, took, 1, 0)
+	firstSeconds.Update(time.Since(x.req.Arrived).Seconds())
+	if reply.Status < http.StatusBadRequest {
+		x.relay.suspects.Answered(x.digest())
+	}
+	if !whole {
+		return x.forwardRest(ctx, endpoint, buffered)
+	}
+	x.forward(buffered)
+	return attemptResult{done: true}
+}
+
+// bodyLost handles a response whose connection was lost before its end.
+func (x *exchange) bodyLost(ctx context.Context, endpoint *inventory.Endpoint, err error) attemptResult {
+	if ctx.Err() == nil {
+		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
+		x.relay.connectionLost(endpoint, x.digest())
+	}
+	return attemptResult{run: outcome.Ran, truncated: x.started, cause: err}
+}
+
+// forwardRest forwards a response that fills the buffer, and then what follows
+// as it arrives.
+func (x *exchange) forwardRest(ctx context.Context, endpoint *inventory.Endpoint, buffered *bufferedReply) attemptResult {
+	x.started = true
+	x.status = buffered.Status
+	x.answer.Begin(&buffered.Reply, int(buffered.Length))
+	x.progress.sent.record(time.Now())
+	if err := x.answer.Write(buffered.body); err != nil {
+		return attemptResult{run: outcome.Ran, truncated: true, cause: err}
+	}
+	chunk := make([]byte, streamBuffer)
+	for {
+		n, err := buffered.Body.Read(chunk)
+		if n > 0 {
+			if err := x.answer.Write(chunk[:n]); err != nil {
+				return attemptResult{run: outcome.Ran, truncated: true, cause: err}
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return attemptResult{done: true}
+		case err != nil:
+			return x.bodyLost(ctx, endpoint, err)
+		}
+	}
+}
+
+// forward forwards a response that was read completely.
+func (x *exchange) forward(reply *bufferedReply) {
+	x.started = true
+	x.status = reply.Status
+	x.answer.Begin(&reply.Reply, len(reply.body))
+	x.progress.sent.record(time.Now())
+	if err := x.answer.Write(reply.body); err != nil {
+		x.relay.Log.Info("caller disconnected while an error response was forwarded", "request_id", x.req.ID, "error", err)
+	}
+}
+
+// bufferedReply is a response that was read completely.
+type bufferedReply struct {
+	Reply
+	body []byte
+}
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -19,32 +19,6 @@
 	availableAt time.Time
 }
 
-// throttle returns what holds for a request at an endpoint that asked for fewer
-// requests: its cooldown at this node, and its rate limit for all nodes.
-func (x *exchange) throttle(endpoint *inventory.Endpoint, now time.Time) notice.State {
-	state := x.relay.cooldowns.State(endpoint.Key(), now)
-	permit, ok := x.permits[endpoint.Key()]
-	if !ok || !permit.askAt.After(now) {
-		return state
-	}
-	state.Limited = true
-	state.Until = latest(state.Until, permit.askAt)
-	state.AvailableAt = latest(state.AvailableAt, permit.availableAt)
-	return state
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// throttled reports whether an endpoint may not get the request now.
-func (x *exchange) throttled(endpoint *inventory.Endpoint, now time.Time) bool {
-	return !x.throttle(endpoint, now).Until.IsZero()
-}
-
 // rateLimited reports whether an endpoint names a rate limit, so that the owner
 // decides on the order of the requests to it.
 func (x *exchange) rateLimited(endpoint *inventory.Endpoint) bool {
