--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -102,7 +102,7 @@
 	return &Inventory{
 		current: build(0, map[string]*Endpoint{}, nil),
 		changed: make(chan struct{}),
-		removed: removals{startedAtMS: map[string]int64{}},
+		removed: removals{last: map[string]removal{}},
 	}
 }
 
@@ -181,8 +181,8 @@
 func (i *Inventory) Removed(id string) (startedAtMS int64, removed bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	startedAtMS, removed = i.removed.startedAtMS[id]
-	return startedAtMS, removed
+	last, removed := i.removed.last[id]
+	return last.startedAtMS, removed
 }
 
 // publish publishes a snapshot of the endpoints. The caller holds mu.
--- a/internal/inventory/restore_test.go
+++ b/internal/inventory/restore_test.go
@@ -181,7 +181,27 @@
 	startedAtMS, removed := inventory.Removed(fmt.Sprint(maxRemovals))
 	require.True(t, removed)
 	require.EqualValues(t, maxRemovals, startedAtMS)
-	require.LessOrEqual(t, len(inventory.removed.startedAtMS), maxRemovals)
+	require.LessOrEqual(t, len(inventory.removed.last), maxRemovals)
+}
+
+// TestRemovedTwice guards against an endpoint that is forgotten as removed when only
+// the first of its two removals has become old.
+func TestRemovedTwice(t *testing.T) {
+	inventory := New()
+	remove := func(id string) {
+		inventory.Change([]*Endpoint{{ID: id, StartedAtMS: 7}}, nil)
+		inventory.Change(nil, []string{id})
+	}
+	remove("twice")
+	remove("twice")
+	for n := range maxRemovals - 1 {
+		remove(fmt.Sprint(n))
+	}
+	_, removed := inventory.Removed("twice")
+	require.True(t, removed)
+	remove("another")
+	_, removed = inventory.Removed("twice")
+	require.False(t, removed)
 }
 
 // restorable is a store with entries that can be copied and restored, and a node
