Accept pending connections also after a pause of a closing listener

It now counts its waits of 20 ms, which don't go on while the process is suspended. TestListenerSuspendedWhileClosing failed before.

--- a/internal/httpserver/lateinput_test.go
+++ b/internal/httpserver/lateinput_test.go
@@ -82,7 +82,7 @@
 		defer conn.Close()
 	}
 	require.NoError(t, listener.Close())
-	time.Sleep(closeTimeout + 10*time.Millisecond)
+	time.Sleep(maxCloseWaits*acceptTimeout + 10*time.Millisecond)
 	for range pendingConns {
 		conn, err := listener.Accept()
 		require.NoError(t, err, "a pending connection was reset")
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -15,9 +16,10 @@
 	// acceptTimeout is how long a closing listener waits for each pending
 	// connection.
 	acceptTimeout = 20 * time.Millisecond
-	// closeTimeout bounds the closing of a listener that continues to receive
-	// connections.
-	closeTimeout = 500 * time.Millisecond
+	// maxCloseWaits bounds the number of these waits, for a listener that continues
+	// to receive connections. Unlike a time, it does not run out while the process is
+	// suspended.
+	maxCloseWaits = 25
 )
 
 // Listener accepts the pending connections when it is closed, and only then
@@ -28,10 +30,10 @@
 // is closed.
 type Listener struct {
 	*net.TCPListener
-	// closing is when Close was first called, draining when Accept first found it
-	// so.
-	closing  monotime.Mark
-	draining monotime.Mark
+	// closing is when Close was first called.
+	closing monotime.Mark
+	// waits is the number of waits of Accept since then.
+	waits atomic.Int32
 }
 
 // Listen listens on a TCP address, "host:port".
@@ -61,13 +63,9 @@
 	return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
 }
 
-// pending reports whether connections are pending and Accept has not returned
-// them for closeTimeout since Close. The time while the process could not accept
-// does not count.
+// pending reports whether connections are pending that Accept may still return.
 func (l *Listener) pending() bool {
-	now := monotime.Now()
-	l.draining.SetFirst(now)
-	if age, ok := l.draining.Age(now); !ok || age > closeTimeout {
+	if l.waits.Add(1) > maxCloseWaits {
 		return false
 	}
 	raw, err := l.SyscallConn()
