Count the age of a table from the call if the process was suspended

An answer that took longer than its call may take counts from the call. The age also counted from the end of the pause after a change, up to 0.6 s later than the answer; it no longer does. TestAgeAfterSuspension failed before (1 ms instead of 5 s).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -190,7 +190,6 @@
 		case err == nil:
 			last = &next
 			backoff = backoffMin
-			f.confirmedAt.Set(f.clock())
 			f.recordRecovered()
 		case errors.Is(err, ErrHistoryGone):
 			f.Log.Info("store history gone; reading the whole table", "table", f.Name, "after", last)
@@ -256,6 +255,7 @@
 	limited, cancel := context.WithTimeout(ctx, changesWait+changesSlack)
 	defer cancel()
 	notified := f.cancelOnNotify(limited, cancel)
+	sentAt := f.clock()
 	rows, err := f.Source.Changes(limited, last.Version, changesWait)
 	if notified() {
 		return f.readAll(ctx)
@@ -267,6 +267,7 @@
 		f.restored.Store(true)
 		return f.readAll(ctx)
 	}
+	f.recordConfirmed(sentAt, changesWait+changesSlack)
 	if len(rows.Rows) > 0 {
 		f.Update(rows.Rows)
 		pause.For(ctx, f.batchPause())
@@ -274,6 +275,17 @@
 	return rows.Position, nil
 }
 
+// recordConfirmed records that the store answered a call that was sent at sentAt. If
+// it took longer than its limit, the process was suspended meanwhile, and the answer
+// may be as old as the call.
+func (f *Follower) recordConfirmed(sentAt, limit time.Duration) {
+	now := f.clock()
+	if now-sentAt > limit {
+		now = sentAt
+	}
+	f.confirmedAt.Set(now)
+}
+
 // batchPause returns the pause after a change.
 func (f *Follower) batchPause() time.Duration {
 	if isTrue(f.IsOwner) {
@@ -318,6 +330,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	sentAt := f.clock()
 	rows, err := f.Source.Read(ctx)
 	if err != nil {
 		if restored {
@@ -325,6 +338,7 @@
 		}
 		return era.Position{}, err
 	}
+	f.recordConfirmed(sentAt, readTimeout)
 	if f.lost {
 		f.lastOutage.Store(int64(f.OutageDuration()))
 		f.recoveredAt.Set(f.clock())
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -353,3 +354,27 @@
 		require.GreaterOrEqual(t, age, 10*time.Second-bound)
 	})
 }
+
+// TestAgeAfterSuspension guards against an answer that counts as new although the
+// process was suspended between its arrival and its reading.
+func TestAgeAfterSuspension(t *testing.T) {
+	const suspended = 5 * time.Second
+	var jump atomic.Int64
+	set := func(f *Follower) {
+		clock := f.clock
+		f.clock = func() time.Duration { return clock() + time.Duration(jump.Load()) }
+	}
+	runFollower(t, set, func(_ *fakeSource, f *Follower, _ func() []string) {
+		time.Sleep(changesWait / 2)
+		jump.Store(int64(suspended))
+		time.Sleep(changesWait/2 + time.Millisecond)
+		synctest.Wait()
+		age, known := f.Age()
+		require.True(t, known)
+		require.GreaterOrEqual(t, age, suspended)
+		time.Sleep(changesWait)
+		synctest.Wait()
+		age, _ = f.Age()
+		require.Less(t, age, changesWait)
+	})
+}
