Tell requests that a rate limit refuses different times to come back

All requests that could not wait for a permit were told the same time, the one at which the next permit is expected: they would come back at once, and all but one be refused again. Times are told at the rate of the limit now, up to 5 s ahead, and a request that goes to another endpoint takes none.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -25,6 +25,9 @@
 	lateAskTime = 150 * time.Millisecond
 	// minWait is the shortest time after which a permit is expected.
 	minWait = time.Millisecond
+	// maxReturnDelay bounds the time by which the returns of requests that can't wait
+	// long enough are spread.
+	maxReturnDelay = 5 * time.Second
 	// idleRetention is how long the state of an endpoint is kept that no request
 	// asks for.
 	idleRetention = time.Minute
@@ -49,7 +52,8 @@
 // Answer is the answer to an Ask.
 type Answer struct {
 	Granted bool
-	// In is the time after which a permit is expected, if none is granted.
+	// In is the time after which a permit is expected, if none is granted. Requests
+	// that can't wait for so long are told different times.
 	In time.Duration
 }
 
@@ -78,6 +82,8 @@
 	permits   float64
 	updatedAt time.Time
 	waiters   []waiter
+	// returnAt is the latest time that a request was told that can't wait for it.
+	returnAt time.Time
 }
 
 // refill adds the permits since the last update.
@@ -103,6 +109,16 @@
 	return n
 }
 
+// delayReturn returns the time after which a request that expects a permit after in,
+// and can't wait for it, should come back: requests that are told to come back do so at
+// the rate of the limit, not all at once.
+func (b *bucket) delayReturn(in time.Duration, now time.Time) time.Duration {
+	next := b.returnAt.Add(seconds(1 / b.perSecond)).Sub(now)
+	delay := max(in, min(next, maxReturnDelay))
+	b.returnAt = now.Add(delay)
+	return delay
+}
+
 // Limiter grants permits for the requests to endpoints. For each of them it is a
 // token bucket whose permits go to the most urgent request first. Its methods are
 // safe for concurrent use.
@@ -131,9 +147,12 @@
 		return Answer{Granted: true}
 	}
 	answer := Answer{In: max(minWait, seconds(missing/b.perSecond))}
-	if answer.In <= ask.MaxWait {
+	switch {
+	case answer.In <= ask.MaxWait:
 		w.expires = now.Add(answer.Recheck() + lateAskTime)
 		b.waiters = append(b.waiters, w)
+	case ask.MaxWait > 0:
+		answer.In = b.delayReturn(answer.In, now)
 	}
 	return answer
 }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -151,6 +151,24 @@
 	require.Greater(t, len(s.waited[0]), 2*len(s.waited[5]))
 }
 
+// TestLimiterSpreadsReturns guards against callers that are all told to come back at
+// the same time.
+func TestLimiterSpreadsReturns(t *testing.T) {
+	l := NewLimiter[string]()
+	told := map[time.Duration]bool{}
+	for i := range 8 {
+		answer := l.Ask("e", 2, Ask{Request: fmt.Sprint(i), MaxWait: time.Millisecond}, start)
+		require.False(t, answer.Granted)
+		require.LessOrEqual(t, answer.In, maxReturnDelay)
+		told[answer.In] = true
+	}
+	require.Len(t, told, 8)
+	in := l.Ask("e", 2, Ask{Request: "elsewhere"}, start).In
+	require.Equal(t, 500*time.Millisecond, in, "one that goes elsewhere is told when a permit is expected")
+	later := start.Add(10 * time.Second)
+	require.True(t, l.Ask("e", 2, Ask{Request: "later"}, later).Granted)
+}
+
 // TestLimiterChangesOwner checks that a new owner, which does not know what others
 // granted, keeps the bound.
 func TestLimiterChangesOwner(t *testing.T) {
