Look for another endpoint only if one names a rate limit

Read in the review of the change: each request computed whether another endpoint could take it, a second choice of an endpoint, though only requests to endpoints with a rate limit need that.

--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -77,9 +77,9 @@
 }
 
 // permitWait returns how long the request can wait for a permit for an endpoint: not
-// at all if another one can take it now.
+// at all if it needs none, or if another endpoint can take it now.
 func (x *exchange) permitWait(snapshot *inventory.Snapshot, endpoint *inventory.Endpoint, w *wait) time.Duration {
-	if w.mayDispatch() && x.hasOther(snapshot, endpoint) {
+	if !x.rateLimited(endpoint) || w.mayDispatch() && x.hasOther(snapshot, endpoint) {
 		return 0
 	}
 	return max(0, time.Until(x.latestDispatch(queueWaitFraction)))
