Send rate limits between nodes only when they have changed

Both sides name the version of the limits that they have received, and send those only if theirs is another. A node sends its own again after a failed report, since the owner may have started again. TestLimitsVersion, TestLimitsAreTold.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -126,8 +126,12 @@
 	// Drains are the node's drain marks of endpoints whose entries don't show them
 	// as leaving.
 	Drains []inventory.DrainMark `json:"drains,omitempty"`
-	// Limits are the rate limits that endpoints named to the node.
+	// Limits are the rate limits that endpoints named to the node, if the owner has
+	// not received them.
 	Limits []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
+	// LimitsVersion is the version of the owner's rate limits that the node has
+	// received, 0 if none.
+	LimitsVersion int64 `json:"limits_version,omitempty"`
 }
 
 // Meter measures the demand at a node. Its methods are safe for concurrent use.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -46,6 +46,13 @@
 	lastResponseAt time.Time
 	// lastOwner is the owner that sent the response received at lastResponseAt.
 	lastOwner string
+	// limitsReceived is the version of the owner's rate limits that this node has
+	// received, limitsSent that of its own ones that limitsSentTo has received, which
+	// is empty after a failed report: the owner may have started again. Only Run uses
+	// them.
+	limitsReceived int64
+	limitsSent     int64
+	limitsSentTo   string
 	// failing is true if the last report failed; only Run uses it.
 	failing bool
 }
@@ -131,9 +138,9 @@
 	now := time.Now()
 	report := c.Meter.Report(now)
 	report.Drains = c.Owner.Inventory.Current().UnlistedDrains(now)
-	report.Limits = c.Limits.Own(now)
 	report.ConfigVersion = c.ConfigVersion()
 	holder := c.Holder.Holder()
+	ownLimits := c.addLimits(&report, holder, now)
 	var response DemandResponse
 	switch holder {
 	case "":
@@ -142,13 +149,28 @@
 		response = acceptReport(c.Owner, c.Aggregator, c.Limits, report)
 	default:
 		if err := c.call(ctx, holder, demandPath, report, &response); err != nil {
+			c.limitsSentTo = ""
 			return err
 		}
 	}
+	c.limitsSent, c.limitsSentTo = ownLimits, holder
+	c.limitsReceived = response.LimitsVersion
 	c.storeResponse(holder, response)
 	return nil
 }
 
+// addLimits adds the rate limits to a report that the owner has not received, and
+// returns the version of this node's own ones.
+func (c *Client) addLimits(report *demand.Report, holder string, now time.Time) (version int64) {
+	report.LimitsVersion = c.limitsReceived
+	known := int64(0)
+	if holder == c.limitsSentTo {
+		known = c.limitsSent
+	}
+	report.Limits, version = c.Limits.OwnSince(known, now)
+	return version
+}
+
 func (c *Client) storeResponse(from string, response DemandResponse) {
 	now := time.Now()
 	c.Limits.Merge(response.Limits, now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,8 +32,10 @@
 	// Peers are the addresses of the nodes that report demand.
 	Peers    []string   `json:"peers"`
 	Expected []Expected `json:"expected"`
-	// Limits are the rate limits that endpoints named to any node.
-	Limits []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
+	// Limits are the rate limits that endpoints named to any node, if the reporting
+	// node does not have this version of them.
+	Limits        []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
+	LimitsVersion int64                                  `json:"limits_version"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -115,7 +117,8 @@
 	if urgent {
 		engineOwner.Notify()
 	}
-	response := DemandResponse{Peers: aggregator.Nodes(now), Limits: limits.All(now)}
+	response := DemandResponse{Peers: aggregator.Nodes(now)}
+	response.Limits, response.LimitsVersion = limits.AllSince(report.LimitsVersion, now)
 	for key, in := range engineOwner.Expected(now) {
 		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, InMS: in.Milliseconds()})
 	}
--- a/internal/fleet/ratelimits_test.go
+++ b/internal/fleet/ratelimits_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
@@ -32,11 +34,49 @@
 	limits.Lease = heldLease{}
 	limits.Log = discard
 	engineOwner := owner.New(owner.Dependencies{Inventory: inventory.New(), Lease: heldLease{}, Log: discard})
-	server := httptest.NewServer((&Server{Owner: engineOwner, Publisher: &Publisher{}, RateLimits: limits, Log: discard}).Handler())
+	server := httptest.NewServer((&Server{Owner: engineOwner, Publisher: &Publisher{}, Aggregator: demand.NewAggregator(), RateLimits: limits, OnConfigVersion: func(int64) {}, Log: discard}).Handler())
 	t.Cleanup(server.Close)
 	return holderAt(strings.TrimPrefix(server.URL, "http://")), limits
 }
 
+// TestLimitsAreTold checks that the owner learns the limits that endpoints named to a
+// node, and tells them to the others, once unless it may have started again.
+func TestLimitsAreTold(t *testing.T) {
+	holder, atOwner := serveRateLimits(t)
+	engine := inventory.Key{ID: "e", StartedAtMS: 7}
+	newClient := func(name string) *Client {
+		return &Client{
+			Self:          name,
+			Holder:        holder,
+			Meter:         demand.NewMeter(name),
+			Limits:        notice.NewLimits[inventory.Key](),
+			Owner:         owner.New(owner.Dependencies{Inventory: inventory.New(), Log: discard}),
+			HTTP:          NewHTTP(),
+			Log:           discard,
+			ConfigVersion: func() int64 { return 1 },
+		}
+	}
+	node, other := newClient("node"), newClient("other")
+	now := time.Now()
+	node.Limits.Learn(engine, notice.RateLimit{State: notice.LimitNamed, PerSecond: 2}, now, now)
+	require.NoError(t, node.report(t.Context()))
+	perSecond, state := atOwner.Known.Get(engine)
+	require.Equal(t, notice.LimitNamed, state)
+	require.InDelta(t, 2.0, perSecond, 0)
+	require.NoError(t, other.report(t.Context()))
+	_, state = other.Limits.Get(engine)
+	require.Equal(t, notice.LimitNamed, state)
+
+	var report demand.Report
+	node.addLimits(&report, string(holder), now)
+	require.Empty(t, report.Limits)
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	require.Error(t, node.report(stopped))
+	node.addLimits(&report, string(holder), now)
+	require.Len(t, report.Limits, 1)
+}
+
 // TestPermitsOfOneOwner checks that nodes share what the owner grants, by the newest
 // limit that it knows, and that it grants all without one.
 func TestPermitsOfOneOwner(t *testing.T) {
--- a/internal/notice/limits.go
+++ b/internal/notice/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -79,11 +80,14 @@
 type Limits[K comparable] struct {
 	mu        sync.Mutex
 	endpoints map[K]limit
+	// version increases with each change. It starts at random, so that those of two
+	// processes differ.
+	version int64
 }
 
 // NewLimits returns Limits without an entry.
 func NewLimits[K comparable]() *Limits[K] {
-	return &Limits[K]{endpoints: map[K]limit{}}
+	return &Limits[K]{endpoints: map[K]limit{}, version: 1 + rand.Int64N(1<<62)}
 }
 
 // Get returns the limit of an endpoint in requests a second. The state is
@@ -109,18 +113,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, ok := l.endpoints[key]
+	told := limit{at: now, own: true}
 	switch says.State {
 	case LimitNamed:
-		l.endpoints[key] = limit{perSecond: says.PerSecond, at: now, own: true}
-		return !ok || known.ended || known.perSecond != says.PerSecond
+		told.perSecond = says.PerSecond
 	case LimitAbsent:
+		told.ended = true
 		if !ok || !sentAt.After(known.at) {
 			return false
 		}
-		l.endpoints[key] = limit{ended: true, at: now, own: true}
-		return !known.ended
+	default:
+		return false
 	}
-	return false
+	changed = !ok || !told.equal(known)
+	if changed || !known.own {
+		l.version++
+	}
+	l.endpoints[key] = told
+	return changed
 }
 
 // Merge records the statements of another node, received at now, that say something
@@ -134,6 +144,7 @@
 		known, ok := l.endpoints[s.Endpoint]
 		if !ok || at.After(known.at) && !told.equal(known) {
 			l.endpoints[s.Endpoint] = told
+			l.version++
 		}
 	}
 }
@@ -144,20 +155,24 @@
 	return (now.Sub(at) + time.Millisecond - 1).Milliseconds()
 }
 
-// Own returns what endpoints said to this node and nothing newer is known of, and
-// All what they said to any node.
-func (l *Limits[K]) Own(now time.Time) []LimitStatement[K] {
-	return l.statements(now, func(known limit) bool { return known.own })
+// OwnSince returns what endpoints said to this node and nothing newer is known of, and
+// the version of that. It returns no statements if version is that one.
+func (l *Limits[K]) OwnSince(version int64, now time.Time) ([]LimitStatement[K], int64) {
+	return l.since(version, now, func(known limit) bool { return known.own })
 }
 
-// All returns what endpoints said to any node.
-func (l *Limits[K]) All(now time.Time) []LimitStatement[K] {
-	return l.statements(now, func(limit) bool { return true })
+// AllSince returns what endpoints said to any node, and the version of that. It returns
+// no statements if version is that one.
+func (l *Limits[K]) AllSince(version int64, now time.Time) ([]LimitStatement[K], int64) {
+	return l.since(version, now, func(limit) bool { return true })
 }
 
-func (l *Limits[K]) statements(now time.Time, include func(limit) bool) []LimitStatement[K] {
+func (l *Limits[K]) since(version int64, now time.Time, include func(limit) bool) ([]LimitStatement[K], int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if version == l.version {
+		return nil, version
+	}
 	maps.DeleteFunc(l.endpoints, func(_ K, known limit) bool { return known.expired(now) })
 	var out []LimitStatement[K]
 	for key, known := range l.endpoints {
@@ -170,5 +185,5 @@
 			})
 		}
 	}
-	return out
+	return out, l.version
 }
--- a/internal/notice/limits_test.go
+++ b/internal/notice/limits_test.go
@@ -7,6 +7,17 @@
 	"github.com/stretchr/testify/require"
 )
 
+// own and all return the statements of a node's limits.
+func own(l *Limits[string], now time.Time) []LimitStatement[string] {
+	statements, _ := l.OwnSince(0, now)
+	return statements
+}
+
+func all(l *Limits[string], now time.Time) []LimitStatement[string] {
+	statements, _ := l.AllSince(0, now)
+	return statements
+}
+
 func named(perSecond float64) RateLimit {
 	return RateLimit{State: LimitNamed, PerSecond: perSecond}
 }
@@ -38,21 +49,21 @@
 	a, b := NewLimits[string](), NewLimits[string]()
 	a.Learn("e", named(3), start, start)
 	second := start.Add(time.Second)
-	b.Merge(a.Own(second), second)
+	b.Merge(own(a, second), second)
 	perSecond, _ := b.Get("e")
 	require.InDelta(t, 3.0, perSecond, 0)
-	require.Empty(t, b.Own(second))
-	require.Len(t, b.All(second), 1)
+	require.Empty(t, own(b, second))
+	require.Len(t, all(b, second), 1)
 
 	third := second.Add(time.Second)
 	b.Learn("e", RateLimit{}, third, third)
-	b.Merge(a.Own(third), third)
+	b.Merge(own(a, third), third)
 	_, state := b.Get("e")
 	require.Equal(t, LimitAbsent, state, "an older statement counted")
-	a.Merge(b.Own(third), third)
+	a.Merge(own(b, third), third)
 	_, state = a.Get("e")
 	require.Equal(t, LimitAbsent, state)
-	require.Empty(t, a.Own(third))
+	require.Empty(t, own(a, third))
 }
 
 // TestLimitsExpire checks that limits of endpoints that are gone are dropped.
@@ -61,7 +72,29 @@
 	l.Learn("gone", named(3), start, start)
 	l.Learn("ended", named(3), start, start)
 	l.Learn("ended", RateLimit{}, start.Add(1), start.Add(1))
-	require.Len(t, l.All(start.Add(time.Second)), 2)
-	require.Len(t, l.All(start.Add(endedLimitRetention+time.Second)), 1)
-	require.Empty(t, l.All(start.Add(limitRetention+time.Second)))
+	require.Len(t, all(l, start.Add(time.Second)), 2)
+	require.Len(t, all(l, start.Add(endedLimitRetention+time.Second)), 1)
+	require.Empty(t, all(l, start.Add(limitRetention+time.Second)))
+}
+
+// TestLimitsVersion guards against messages that repeat all limits though none has
+// changed.
+func TestLimitsVersion(t *testing.T) {
+	l := NewLimits[string]()
+	l.Learn("e", named(3), start, start)
+	statements, version := l.AllSince(0, start)
+	require.Len(t, statements, 1)
+	l.Learn("e", named(3), start, start.Add(time.Second))
+	statements, same := l.AllSince(version, start.Add(time.Second))
+	require.Empty(t, statements)
+	require.Equal(t, version, same)
+	l.Learn("e", named(2), start, start.Add(time.Second))
+	statements, next := l.OwnSince(version, start.Add(time.Second))
+	require.Len(t, statements, 1)
+	require.NotEqual(t, version, next)
+	l.Merge([]LimitStatement[string]{{Endpoint: "other", PerSecond: 1}}, start)
+	_, merged := l.AllSince(next, start)
+	require.NotEqual(t, next, merged)
+	_, other := NewLimits[string]().AllSince(0, start)
+	require.NotEqual(t, version, other)
 }
