--- a/internal/fleet/ratelimits.go
+++ b/internal/fleet/ratelimits.go
@@ -117,10 +117,12 @@
 		MaxWaitMS: ask.MaxWait.Milliseconds(),
 	}
 	var response permitResponse
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	limited, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	if err := post(ctx, r.HTTP, holder, permitPath, request, &response); err != nil {
-		r.setFailed(holder, time.Now())
+	if err := post(limited, r.HTTP, holder, permitPath, request, &response); err != nil {
+		if ctx.Err() == nil {
+			r.setFailed(holder, time.Now())
+		}
 		return ratelimit.Answer{}, err
 	}
 	return ratelimit.Answer{Granted: response.Granted, In: time.Duration(response.InMS) * time.Millisecond}, nil
--- a/internal/fleet/ratelimits_test.go
+++ b/internal/fleet/ratelimits_test.go
@@ -121,3 +121,14 @@
 		require.Equal(t, unknownNodesDelay, answer.In)
 	}
 }
+
+// TestPermitOfCancelledRequest guards against an owner that counts as failed because a
+// caller left while its request asked for a permit.
+func TestPermitOfCancelledRequest(t *testing.T) {
+	holder, _ := serveRateLimits(t)
+	node := limitedNode(holder, 10)
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	node.Ask(cancelled, inventory.Key{ID: "e"}, 4, ratelimit.Ask{})
+	require.False(t, node.failed(string(holder), time.Now()))
+}
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -20,9 +20,9 @@
 	release   func()
 }
 
-// open sends the request to an endpoint that it was admitted to, and waits for the status and header of
-// its response, which continues a stream after lastEvent. The attempt must be
-// closed unless there is an error.
+// open sends the request to an endpoint that it was admitted to, and waits for the
+// status and header of the response, which continues a stream after lastEvent. The
+// attempt must be closed unless there is an error.
 func (x *exchange) open(ctx context.Context, endpoint *inventory.Endpoint, lastEvent string) (*sending, error) {
 	r := x.relay
 	attemptsTotal.Inc()
