Log the versions of endpoints and the attempts that callers resume

No line named the software version of an endpoint, or the attempt that a caller's one resumes, so the logs could not tell which resumptions go wrong.

Added: the version in the inventory and in the lines 'endpoint entry' and 'request sent', and resumes in the latter.

--- a/internal/inventory/entries.go
+++ b/internal/inventory/entries.go
@@ -84,7 +84,7 @@
 			e.log.Warn("endpoint entry not usable", "endpoint", row.Key, "store_position", row.Position, "error", err)
 			continue
 		}
-		e.log.Info("endpoint entry", "endpoint", endpoint.ID, "service", endpoint.Service, "leaving", endpoint.Leaving,
+		e.log.Info("endpoint entry", "endpoint", endpoint.ID, "service", endpoint.Service, "version", endpoint.Version, "leaving", endpoint.Leaving,
 			"models", len(endpoint.Models), "store_position", row.Position)
 		put = append(put, endpoint)
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -23,7 +23,10 @@
 	Service     string `json:"service"`
 	Address     string `json:"address"`
 	DataCentre  string `json:"dc"`
-	Slots       int    `json:"slots,omitempty"`
+	// Version is the version of the endpoint's software. It is empty if the entry has
+	// none.
+	Version string `json:"version,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
 	// Leaving means that the endpoint gets no new requests.
 	Leaving bool `json:"leaving,omitempty"`
 	// Models are the models that the engine holds, each with its adapters.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -43,6 +43,9 @@
 	Prompt       []PromptPart
 	// LastEvent is the id of the event after which a stream is resumed.
 	LastEvent string
+	// Resumes is the id of the caller's attempt that brought the first event of the
+	// stream that this one resumes, or empty.
+	Resumes string
 }
 
 // Attempt describes one attempt to send a request.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -46,8 +46,8 @@
 		r.waiting.add(s, waitingAttempt{request: x.identity, cancel: cancel})
 	}
 	attempt := Attempt{Deadline: x.deadline, Priority: x.route.Priority, LastEvent: lastEvent}
-	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
-		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent)
+	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
+		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes)
 	reply, err := r.Sender.Send(ctx, endpoint, x.req, attempt)
 	if err != nil {
 		r.waiting.remove(s)
