--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -89,6 +89,11 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// HasTarget reports whether the route sends requests to a service.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // Model is a model that the engines of a service may load.
 type Model struct {
 	Name      string
--- a/internal/demand/aggregator.go
+++ b/internal/demand/aggregator.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"chestnutgauge/internal/inventory"
 )
 
 // Total is the demand for a model summed over all nodes.
@@ -20,6 +22,9 @@
 	Cooldown     time.Duration
 	// Waiting is the number of requests that no engine can run now.
 	Waiting int
+	// WaitingAt is the number of further ones that need an engine of a software version,
+	// by that version.
+	WaitingAt map[string]int
 	// Running is the number of running requests by engine id.
 	Running map[string]int
 }
@@ -68,12 +73,23 @@
 	return urgent
 }
 
-// waiting returns the number of waiting requests by model.
-func waiting(report Report) map[ModelKey]int {
-	out := map[ModelKey]int{}
+// waitingKey identifies requests that wait for the same: a model, on an engine that meets
+// a requirement.
+type waitingKey struct {
+	model    ModelKey
+	required inventory.Requirement
+}
+
+// waiting returns the numbers of waiting requests.
+func waiting(report Report) map[waitingKey]int {
+	out := map[waitingKey]int{}
 	for _, m := range report.Models {
+		key := ModelKey{m.Service, m.Model}
 		if m.Waiting > 0 {
-			out[ModelKey{m.Service, m.Model}] = m.Waiting
+			out[waitingKey{model: key}] = m.Waiting
+		}
+		for version, n := range m.WaitingAt {
+			out[waitingKey{key, inventory.OnlyVersion(version)}] = n
 		}
 	}
 	return out
@@ -128,6 +144,7 @@
 		total := t.Models[key]
 		if total.Running == nil {
 			total.Running = map[string]int{}
+			total.WaitingAt = map[string]int{}
 		}
 		total.Rate += m.Rate
 		total.TokenRate += m.TokenRate
@@ -137,6 +154,9 @@
 			total.CooldownRate += m.Rate
 			total.Cooldown = max(total.Cooldown, left)
 		}
+		for version, n := range m.WaitingAt {
+			total.WaitingAt[version] += n
+		}
 		for engine, n := range m.Running {
 			total.Running[engine] += n
 		}
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -19,6 +19,12 @@
 	Model   string
 }
 
+// LoadKey identifies the loads of a model on engines of a software version.
+type LoadKey struct {
+	ModelKey
+	Version string
+}
+
 // Model is the demand for a model at one node.
 type Model struct {
 	Service string `json:"service"`
@@ -36,6 +42,9 @@
 	CooldownMS int64 `json:"cooldown_ms,omitempty"`
 	// Waiting is the number of requests that no engine can run now.
 	Waiting int `json:"waiting"`
+	// WaitingAt is the number of further ones that need an engine of a software version,
+	// by that version.
+	WaitingAt map[string]int `json:"waiting_at,omitempty"`
 	// Running is the number of running requests by engine id.
 	Running map[string]int `json:"running,omitempty"`
 }
@@ -55,6 +64,7 @@
 	// updatedAt is when the averages were last updated.
 	updatedAt time.Time
 	waiting   int
+	waitingAt map[string]int
 	running   map[string]int
 	// cooldownEnd is the end of the cooldown of all engines that hold the model, as
 	// of cooldownSeen.
@@ -89,9 +99,21 @@
 	m.updatedAt = now
 }
 
+// addWaiting adds n to the number of requests that wait.
+func (m *meter) addWaiting(required inventory.Requirement, n int) {
+	if !required.Required {
+		m.waiting += n
+		return
+	}
+	m.waitingAt[required.Version] += n
+	if m.waitingAt[required.Version] <= 0 {
+		delete(m.waitingAt, required.Version)
+	}
+}
+
 // idle reports whether the model can be omitted from reports.
 func (m *meter) idle() bool {
-	return m.rate < minReportedRate && m.waiting == 0 && len(m.running) == 0
+	return m.rate < minReportedRate && m.waiting == 0 && len(m.waitingAt) == 0 && len(m.running) == 0
 }
 
 // AdapterUse identifies an adapter in use on an engine.
@@ -109,6 +131,8 @@
 	// Avoid is the id of an engine that is used only if no other one holds the
 	// model, or empty.
 	Avoid string `json:"avoid,omitempty"`
+	// Required restricts the engines.
+	Required inventory.Requirement `json:"required,omitzero"`
 }
 
 // Report is the demand at one node.
@@ -209,7 +233,7 @@
 	key := ModelKey{service, model}
 	entry, ok := m.models[key]
 	if !ok {
-		entry = &meter{updatedAt: time.Now(), running: map[string]int{}}
+		entry = &meter{updatedAt: time.Now(), waitingAt: map[string]int{}, running: map[string]int{}}
 		m.models[key] = entry
 	}
 	return entry
@@ -249,11 +273,11 @@
 	}
 }
 
-// AddWaiting adds n, which may be negative, to the number of requests that wait
-// for a model.
-func (m *Meter) AddWaiting(service, model string, n int) {
+// AddWaiting adds n, which may be negative, to the number of requests that wait for a
+// model, on an engine that meets a requirement.
+func (m *Meter) AddWaiting(service, model string, required inventory.Requirement, n int) {
 	m.mu.Lock()
-	m.model(service, model).waiting += n
+	m.model(service, model).addWaiting(required, n)
 	m.mu.Unlock()
 	if n > 0 {
 		m.RequestReport()
@@ -320,6 +344,7 @@
 			TokenRate:  entry.tokenRate,
 			LateRate:   entry.lateRate,
 			Waiting:    entry.waiting,
+			WaitingAt:  maps.Clone(entry.waitingAt),
 			CooldownMS: entry.cooldown(now).Milliseconds(),
 			Running:    maps.Clone(entry.running),
 		})
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -46,9 +46,10 @@
 	HTTP          *http.Client
 	Log           *slog.Logger
 
-	mu             sync.Mutex
-	peers          []string
-	expected       map[demand.ModelKey]time.Time
+	mu    sync.Mutex
+	peers []string
+	// expected holds, by model and software version, when loads should complete.
+	expected       map[demand.ModelKey]map[string]time.Time
 	lastResponseAt time.Time
 	// lastOwner is the owner that sent the response received at lastResponseAt.
 	lastOwner string
@@ -102,10 +103,17 @@
 
 // Expected implements relay.Loads. The result is valid for expectedTTL after
 // the owner's last response.
-func (c *Client) Expected(service, model string) (time.Time, bool) {
+func (c *Client) Expected(service, model string, required inventory.Requirement) (at time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.expected[demand.ModelKey{Service: service, Model: model}]
+	for version, loadedAt := range c.expected[demand.ModelKey{Service: service, Model: model}] {
+		if required.Required && version != required.Version {
+			continue
+		}
+		if !ok || loadedAt.Before(at) {
+			at, ok = loadedAt, true
+		}
+	}
 	return at, ok && time.Since(c.lastResponseAt) < expectedTTL
 }
 
@@ -115,7 +123,7 @@
 		err := c.report(ctx)
 		c.logReportState(err)
 		if err != nil {
-			c.Suspects.exchange(ctx, c.others(), time.Now())
+			c.Suspects.exchange(ctx, c.Others(), time.Now())
 		}
 		if !pause.For(ctx, minReportInterval) || !pause.Either(ctx, c.Meter.Urgent(), c.Suspects.Known.OwnChanged(), reportInterval-minReportInterval) {
 			break
@@ -154,7 +162,7 @@
 		return errNoOwner
 	case c.Self:
 		if c.sent.to != c.Self {
-			go c.Suspects.ask(ctx, c.others())
+			go c.Suspects.ask(ctx, c.Others())
 		}
 		response = acceptReport(c.Owner, c.Aggregator, c.Limits, c.Suspects.Known, report)
 	default:
@@ -199,8 +207,8 @@
 	return slices.Clone(c.peers)
 }
 
-// others returns the addresses of the other nodes that this one or the last owner knew.
-func (c *Client) others() []string {
+// Others returns the addresses of the other nodes that this one or the last owner knew.
+func (c *Client) Others() []string {
 	known := c.Addresses()
 	if c.LastNodes != nil {
 		known = append(known, c.LastNodes()...)
@@ -218,10 +226,13 @@
 	defer c.mu.Unlock()
 	c.lastResponseAt, c.lastOwner = now, from
 	c.peers = response.Peers
-	c.expected = make(map[demand.ModelKey]time.Time, len(response.Expected))
+	c.expected = make(map[demand.ModelKey]map[string]time.Time, len(response.Expected))
 	for _, e := range response.Expected {
 		key := demand.ModelKey{Service: e.Service, Model: e.Model}
-		c.expected[key] = now.Add(time.Duration(e.InMS) * time.Millisecond)
+		if c.expected[key] == nil {
+			c.expected[key] = map[string]time.Time{}
+		}
+		c.expected[key][e.Version] = now.Add(time.Duration(e.InMS) * time.Millisecond)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,8 @@
 type Expected struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
+	// Version is the software version of the engine.
+	Version string `json:"version,omitempty"`
 	InMS    int64  `json:"in_ms"`
 }
 
@@ -67,6 +69,7 @@
 	Store      Store
 	RateLimits *RateLimits
 	Suspects   *Suspects
+	Origins    *Origins
 	// OnConfigVersion is called with the version of the configuration in force at
 	// each node that reports demand.
 	OnConfigVersion func(version int64)
@@ -83,6 +86,8 @@
 	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
 	mux.HandleFunc("POST "+trialPath, s.Suspects.serveTrial)
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
+	mux.HandleFunc("POST "+originsPath, s.Origins.serveStore)
+	mux.HandleFunc("POST "+findOriginPath, s.Origins.serveFind)
 	return mux
 }
 
@@ -130,7 +135,7 @@
 	response.Limits, response.LimitsVersion = limits.AllSince(report.LimitsVersion, now)
 	response.Suspects, response.SuspectsVersion = suspects.AllSince(report.SuspectsVersion, now)
 	for key, in := range engineOwner.Expected(now) {
-		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, InMS: in.Milliseconds()})
+		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, Version: key.Version, InMS: in.Milliseconds()})
 	}
 	return response
 }
--- /dev/null
+++ b/internal/fleet/origins.go
@@ -0,0 +1,330 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/rendezvous"
+	"chestnutgauge/internal/streamorigin"
+)
+
+// Paths of the calls about the origins of streams.
+const (
+	originsPath    = "/v1/stream-origins"
+	findOriginPath = "/v1/stream-origin"
+)
+
+// Replication of the origins of streams.
+const (
+	// originReplicas is the number of other nodes that keep the origin of a stream.
+	originReplicas = 3
+	// firstAsked is the number of nodes that are asked first for the origin of a stream.
+	// The node that began it, and nodes that another one does not know, shift its replicas.
+	firstAsked = originReplicas + 2
+	// maxAsked bounds the nodes that are asked afterwards.
+	maxAsked = 32
+	// originBatchDelay is the time in which origins for the same node are collected.
+	originBatchDelay = 5 * time.Millisecond
+	// maxOriginBatch bounds the origins in a call, maxQueuedOrigins those that wait for one.
+	maxOriginBatch   = 256
+	maxQueuedOrigins = 4096
+	// originTimeout bounds a call.
+	originTimeout = 300 * time.Millisecond
+)
+
+// Timing of the history of versions.
+const (
+	// observeInterval is the longest time between two observations.
+	observeInterval = 250 * time.Millisecond
+	// accountInterval is the time after which a node that has just started asks another
+	// one for its history again.
+	accountInterval = time.Second
+)
+
+// findOriginRequest asks for the origin of a stream. An empty stream asks for the history
+// only.
+type findOriginRequest struct {
+	Stream string `json:"stream,omitempty"`
+}
+
+// findOriginResponse is a node's answer: the origin, if it knows it, and its history.
+type findOriginResponse struct {
+	Known   bool                 `json:"known,omitempty"`
+	Origin  streamorigin.Origin  `json:"origin,omitzero"`
+	Account streamorigin.Account `json:"account"`
+}
+
+// storeOriginsRequest stores the origins of streams at another node.
+type storeOriginsRequest struct {
+	Records []streamorigin.Record `json:"records"`
+}
+
+// Origins keeps the origins of streams at the node at which they began and at
+// originReplicas others, which are chosen by a hash of the stream's id. Its methods are
+// safe for concurrent use.
+type Origins struct {
+	// Nodes returns the addresses of the other nodes.
+	Nodes     func() []string
+	Inventory *inventory.Inventory
+	// Current reports whether the inventory is up to date.
+	Current func() bool
+	HTTP    *http.Client
+	Log     *slog.Logger
+
+	known   *streamorigin.Registry
+	history *streamorigin.History
+	// queued signals that queue has an entry.
+	queued chan struct{}
+	mu     sync.Mutex
+	// queue holds the origins to be stored at other nodes.
+	queue []streamorigin.Record
+}
+
+// NewOrigins returns Origins without an entry. The exported fields must be set before the
+// first call.
+func NewOrigins() *Origins {
+	return &Origins{
+		known:   streamorigin.NewRegistry(),
+		history: streamorigin.NewHistory(),
+		queued:  make(chan struct{}, 1),
+	}
+}
+
+// Len returns the number of streams whose origin this node keeps.
+func (o *Origins) Len() int {
+	return o.known.Len()
+}
+
+// Record implements relay.Origins. Other nodes are told soon afterwards, unless only one
+// version can have begun any stream of the service.
+func (o *Origins) Record(stream string, origin streamorigin.Origin, lifetime time.Duration) {
+	now := time.Now()
+	if !o.known.PutOwn(stream, origin, lifetime, now) || o.history.OnlyVersion(origin.Service, now) {
+		return
+	}
+	o.enqueue(streamorigin.Record{Stream: stream, Origin: origin, LeftMS: lifetime.Milliseconds()})
+}
+
+// enqueue has origins stored at other nodes.
+func (o *Origins) enqueue(records ...streamorigin.Record) {
+	o.mu.Lock()
+	room := max(0, maxQueuedOrigins-len(o.queue))
+	taken := records[:min(room, len(records))]
+	o.queue = append(o.queue, taken...)
+	o.mu.Unlock()
+	originsDropped.Add(len(records) - len(taken))
+	select {
+	case o.queued <- struct{}{}:
+	default:
+	}
+}
+
+// RunReplication stores the origins of this node's streams at other nodes until ctx ends.
+func (o *Origins) RunReplication(ctx context.Context) error {
+	for {
+		select {
+		case <-o.queued:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !pause.For(ctx, originBatchDelay) {
+			return ctx.Err()
+		}
+		o.replicate(ctx)
+	}
+}
+
+// replicate sends what is queued, in one call to each node.
+func (o *Origins) replicate(ctx context.Context) {
+	o.mu.Lock()
+	queue := o.queue
+	o.queue = nil
+	o.mu.Unlock()
+	nodes := o.Nodes()
+	batches := map[string][]streamorigin.Record{}
+	for _, record := range queue {
+		for _, node := range firstOf(rendezvous.Rank(record.Stream, nodes), originReplicas) {
+			batches[node] = append(batches[node], record)
+		}
+	}
+	for node, records := range batches {
+		for batch := range slices.Chunk(records, maxOriginBatch) {
+			go o.store(ctx, node, batch)
+		}
+	}
+}
+
+// store stores origins at a node.
+func (o *Origins) store(ctx context.Context, node string, records []streamorigin.Record) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	var response struct{}
+	if err := post(ctx, o.HTTP, node, originsPath, storeOriginsRequest{Records: records}, &response); err != nil {
+		originStoresFailed.Inc()
+		o.Log.Info("stream origins not stored", "node", node, "streams", len(records), "error", err)
+	}
+}
+
+// Find implements relay.Origins. It asks the nodes that should know the stream, and then
+// others if none of them does.
+func (o *Origins) Find(ctx context.Context, stream, service string, lifetime time.Duration) streamorigin.Decision {
+	evidence := streamorigin.Evidence{Service: service}
+	asked := 0
+	evidence.Origin, evidence.Found = o.known.Get(stream, time.Now())
+	if !evidence.Found {
+		evidence.Origin, evidence.Found, asked = o.askNodes(ctx, stream)
+	}
+	evidence.Versions, evidence.Observed = o.history.Seen(service, lifetime, time.Now())
+	decision := streamorigin.Decide(evidence, lifetime)
+	countOrigin(decision.Source)
+	o.Log.Info("origin of a stream", "stream", stream, "service", decision.Origin.Service, "version", decision.Origin.Version,
+		"source", string(decision.Source), "nodes_asked", asked, "versions_served", len(evidence.Versions),
+		"observed_ms", evidence.Observed.Milliseconds())
+	return decision
+}
+
+// askNodes asks the nodes that should know the origin of a stream, and then others if none
+// of them does. It returns the number of nodes that were asked.
+func (o *Origins) askNodes(ctx context.Context, stream string) (origin streamorigin.Origin, found bool, asked int) {
+	ranked := rendezvous.Rank(stream, o.Nodes())
+	first := firstOf(ranked, firstAsked)
+	if origin, found = o.askAtOnce(ctx, stream, first); found {
+		return origin, true, len(first)
+	}
+	others := firstOf(ranked[len(first):], maxAsked)
+	origin, found = o.askAtOnce(ctx, stream, others)
+	return origin, found, len(first) + len(others)
+}
+
+// askAtOnce asks nodes at the same time, and returns the first origin that one of them
+// knows.
+func (o *Origins) askAtOnce(ctx context.Context, stream string, nodes []string) (streamorigin.Origin, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan findOriginResponse, len(nodes))
+	for _, node := range nodes {
+		go func() {
+			// The zero answer of a node that can't be asked knows no origin.
+			response, _ := o.askNode(ctx, node, stream)
+			answers <- response
+		}()
+	}
+	for range nodes {
+		if response := <-answers; response.Known {
+			return response.Origin, true
+		}
+	}
+	return streamorigin.Origin{}, false
+}
+
+// askNode asks a node for the origin of a stream, and learns its history.
+func (o *Origins) askNode(ctx context.Context, node, stream string) (findOriginResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	var response findOriginResponse
+	if err := post(ctx, o.HTTP, node, findOriginPath, findOriginRequest{Stream: stream}, &response); err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			o.Log.Info("origin of a stream not asked for", "node", node, "stream", stream, "error", err)
+		}
+		return findOriginResponse{}, err
+	}
+	o.history.Merge(response.Account, time.Now())
+	return response, nil
+}
+
+// RunHistory records which versions serve until ctx ends. A node that has just started
+// first asks others for what they have seen.
+func (o *Origins) RunHistory(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return o.observe(ctx) })
+	group.Go(func() error { return o.learnHistory(ctx) })
+	return group.Wait()
+}
+
+// observe records which versions serve. When a second version of a service appears, other
+// nodes are told of the streams that have begun before.
+func (o *Origins) observe(ctx context.Context) error {
+	only := map[string]bool{}
+	for {
+		snapshot, changed := o.Inventory.Watch()
+		now := time.Now()
+		serving := serving(snapshot)
+		o.history.Observe(serving, o.Current(), now)
+		for origin := range serving {
+			before := only[origin.Service]
+			only[origin.Service] = o.history.OnlyVersion(origin.Service, now)
+			if before && !only[origin.Service] {
+				o.enqueue(o.known.Own(origin.Service, now)...)
+			}
+		}
+		if !pause.Until(ctx, changed, observeInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// learnHistory asks other nodes for their histories until a few have answered.
+func (o *Origins) learnHistory(ctx context.Context) error {
+	for answered := 0; answered < originReplicas; {
+		if !pause.For(ctx, accountInterval) {
+			return ctx.Err()
+		}
+		for _, node := range firstOf(o.Nodes(), originReplicas) {
+			if _, err := o.askNode(ctx, node, ""); err == nil {
+				answered++
+			}
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// serving returns the origins that the endpoints of a snapshot stand for.
+func serving(snapshot *inventory.Snapshot) map[streamorigin.Origin]bool {
+	out := map[streamorigin.Origin]bool{}
+	snapshot.Each(func(e *inventory.Endpoint) {
+		out[streamorigin.Origin{Service: e.Service, Version: e.Version}] = true
+	})
+	return out
+}
+
+// serveStore serves the origins that another node stores here.
+func (o *Origins) serveStore(w http.ResponseWriter, r *http.Request) {
+	var request storeOriginsRequest
+	if !decodeBody(w, r, &request) {
+		return
+	}
+	now := time.Now()
+	for _, record := range request.Records {
+		o.known.Put(record, now)
+	}
+	writeJSON(w, struct{}{}, o.Log)
+}
+
+// serveFind serves another node's question for an origin.
+func (o *Origins) serveFind(w http.ResponseWriter, r *http.Request) {
+	var request findOriginRequest
+	if !decodeBody(w, r, &request) {
+		return
+	}
+	now := time.Now()
+	response := findOriginResponse{Account: o.history.Account(now)}
+	if request.Stream != "" {
+		response.Origin, response.Known = o.known.Get(request.Stream, now)
+	}
+	writeJSON(w, response, o.Log)
+}
+
+// firstOf returns the first n elements, or all if there are fewer.
+func firstOf(nodes []string, n int) []string {
+	return nodes[:min(n, len(nodes))]
+}
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -90,6 +90,7 @@
 	meter        *demand.Meter
 	rateLimits   *fleet.RateLimits
 	suspects     *fleet.Suspects
+	origins      *fleet.Origins
 	isolation    isolation.Detector
 	shuttingDown atomic.Bool
 }
@@ -97,7 +98,7 @@
 // New wires a node. watcher watches the settings file.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress, log)
@@ -151,6 +152,11 @@
 	n.suspects.HTTP = fleet.NewHTTP()
 	n.suspects.Log = log
 	n.follower.Suspects = n.suspects
+	n.origins.Nodes = n.client.Others
+	n.origins.Inventory = n.inventory
+	n.origins.Current = n.inventoryCurrent
+	n.origins.HTTP = fleet.NewHTTP()
+	n.origins.Log = log
 	store.SetFallback(n.client)
 	n.followRestores(store.Eras())
 	n.store = store
@@ -168,6 +174,7 @@
 		Permits:    n.rateLimits,
 		Suspects:   n.suspects.Known,
 		Trials:     n.suspects,
+		Origins:    n.origins,
 		Isolated:   n.isolation.Isolated,
 		Budget:     relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:        log,
@@ -211,11 +218,23 @@
 		Store:           n.store,
 		RateLimits:      n.rateLimits,
 		Suspects:        n.suspects,
+		Origins:         n.origins,
 		OnConfigVersion: n.config.NotifyVersion,
 		Log:             n.log,
 	}
 }
 
+// inventoryCurrent reports whether the owner, or the store, has just confirmed what this
+// node knows of the endpoints.
+func (n *Node) inventoryCurrent() bool {
+	age, known := n.entries.StoreAge()
+	return !n.entries.Incomplete() && (n.follower.Fresh() || known && age < maxInventoryAge)
+}
+
+// maxInventoryAge is the age up to which what the store told of the endpoints counts as
+// current.
+const maxInventoryAge = 1500 * time.Millisecond
+
 // storeAge returns the time since the store last confirmed both the endpoints and
 // the configuration, or false if it never did.
 func (n *Node) storeAge() (time.Duration, bool) {
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -35,6 +35,7 @@
 		return 0
 	})
 	metrics.GetOrCreateGauge("chestnut_suspects", func() float64 { return float64(n.suspects.Known.Len()) })
+	metrics.GetOrCreateGauge("chestnut_stream_origins", func() float64 { return float64(n.origins.Len()) })
 	metrics.GetOrCreateGauge("chestnut_store_era", func() float64 { return float64(n.store.Eras().Era()) })
 	metrics.GetOrCreateGauge("chestnut_store_position_age_seconds", n.storePositionAge)
 }
@@ -125,6 +126,8 @@
 	supervise.Add(tree, "owner", n.owner.Run)
 	supervise.Add(tree, "demand", n.client.Run)
 	supervise.Add(tree, "withdrawals", n.relay.RunWithdrawals)
+	supervise.Add(tree, "stream origins", n.origins.RunReplication)
+	supervise.Add(tree, "version history", n.origins.RunHistory)
 	supervise.Add(tree, "inventory", n.follower.Run)
 	supervise.Add(tree, "isolation", n.watchIsolation)
 	supervise.Add(tree, "settings", func(ctx context.Context) error { return n.watcher.Run(ctx, n.readSettings) })
--- a/internal/owner/adapters.go
+++ b/internal/owner/adapters.go
@@ -141,7 +141,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	endpoints := o.Inventory.Current().Service(need.Service)
-	trackers := avoidEngine(o.enginesWithModel(endpoints, need.Model), need.Avoid)
+	trackers := avoidEngine(o.enginesWithModel(endpoints, need.Model, need.Required), need.Avoid)
 	for _, tracker := range trackers {
 		if _, ok := tracker.Models[need.Model].Adapters[need.Adapter]; ok {
 			tracker.Models[need.Model].Adapters[need.Adapter] = now
@@ -178,13 +178,13 @@
 	return others
 }
 
-// enginesWithModel returns the trackers of engines that have a model loaded,
-// are not leaving and are not unloading it.
-func (o *Owner) enginesWithModel(endpoints []*inventory.Endpoint, model string) []*orders.Tracker {
+// enginesWithModel returns the trackers of engines that meet a requirement, have a model
+// loaded, are not leaving and are not unloading it.
+func (o *Owner) enginesWithModel(endpoints []*inventory.Endpoint, model string, required inventory.Requirement) []*orders.Tracker {
 	var out []*orders.Tracker
 	for _, e := range endpoints {
 		tracker := o.trackers[e.Key()]
-		if tracker == nil || e.Leaving || tracker.Models[model] == nil {
+		if tracker == nil || e.Leaving || !required.Allows(e) || tracker.Models[model] == nil {
 			continue
 		}
 		if p := tracker.Pending; p != nil && p.Order.Unload && p.Order.Model == model {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -58,7 +58,7 @@
 	storeLimits  map[string]*storeLimiter
 	storeLoading map[inventory.Key]storeLoad
 	// expected holds the times at which loads in progress should complete.
-	expected     map[demand.ModelKey]time.Time
+	expected     map[demand.LoadKey]time.Time
 	adapterLoads map[demand.AdapterNeed]*adapterLoad
 }
 
@@ -138,7 +138,7 @@
 	}
 	snapshot := o.Inventory.Current()
 	o.syncTrackers(snapshot, now)
-	o.expected = map[demand.ModelKey]time.Time{}
+	o.expected = map[demand.LoadKey]time.Time{}
 	for name, service := range c.Services {
 		if service.Engine == nil {
 			continue
@@ -155,7 +155,7 @@
 	o.drains = map[inventory.Key]drain{}
 	o.storeLimits = map[string]*storeLimiter{}
 	o.storeLoading = map[inventory.Key]storeLoad{}
-	o.expected = map[demand.ModelKey]time.Time{}
+	o.expected = map[demand.LoadKey]time.Time{}
 	o.adapterLoads = map[demand.AdapterNeed]*adapterLoad{}
 	o.Log.Info("ownership of engines acquired", "fence", fence)
 }
@@ -195,7 +195,7 @@
 			go o.report(ctx, tracker)
 		}
 		if !e.Leaving {
-			o.recordExpected(service, tracker)
+			o.recordExpected(service, e, tracker)
 		}
 	}
 	if o.Incomplete != nil && o.Incomplete() {
@@ -208,9 +208,10 @@
 }
 
 // recordExpected records when a load in progress should complete.
-func (o *Owner) recordExpected(service *catalog.Service, tracker *orders.Tracker) {
+func (o *Owner) recordExpected(service *catalog.Service, e *inventory.Endpoint, tracker *orders.Tracker) {
 	if p := tracker.Pending; p != nil && !p.Order.Unload {
-		o.expected[demand.ModelKey{Service: service.Name, Model: p.Order.Model}] = p.DueAt
+		model := demand.ModelKey{Service: service.Name, Model: p.Order.Model}
+		o.expected[demand.LoadKey{ModelKey: model, Version: e.Version}] = p.DueAt
 	}
 }
 
@@ -229,6 +230,7 @@
 				TokenRate:    total.TokenRate,
 				LateRate:     total.LateRate,
 				Waiting:      total.Waiting,
+				WaitingAt:    total.WaitingAt,
 				CooldownRate: total.CooldownRate,
 				Cooldown:     total.Cooldown,
 				Running:      total.RunningSum(),
@@ -250,6 +252,7 @@
 	}
 	engine := swap.Engine{
 		ID:         e.ID,
+		Version:    e.Version,
 		MemoryMB:   service.Engine.MemoryMB,
 		Copies:     map[string]swap.Copy{},
 		Ready:      tracker.Ready(),
@@ -297,7 +300,7 @@
 		}
 		order := orders.Order{Unload: step.Unload, Model: step.Model}
 		tracker.Sent(order, now, step.LoadTime)
-		o.recordExpected(service, tracker)
+		o.recordExpected(service, e, tracker)
 		o.Log.Info("order sent", "endpoint", e.ID, "unload", step.Unload, "model", step.Model, "for", step.Target,
 			"from_store", step.FromStore, "expected_ms", step.LoadTime.Milliseconds(), "accepted", tracker.Accepted, "fence", o.fence)
 		go o.order(ctx, tracker, order, tracker.Accepted, o.fence)
@@ -358,10 +361,10 @@
 
 // Expected returns, for each model being loaded, the time until the load should
 // complete.
-func (o *Owner) Expected(now time.Time) map[demand.ModelKey]time.Duration {
+func (o *Owner) Expected(now time.Time) map[demand.LoadKey]time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := make(map[demand.ModelKey]time.Duration, len(o.expected))
+	out := make(map[demand.LoadKey]time.Duration, len(o.expected))
 	for key, at := range o.expected {
 		out[key] = max(0, at.Sub(now))
 	}
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -64,6 +64,9 @@
 			return nil, failure
 		}
 		snapshot, changed := x.relay.Inventory.Watch()
+		if failure := x.refuseWithoutVersion(snapshot); failure != nil {
+			return nil, failure
+		}
 		endpoint, verdict, failure := x.take(ctx, snapshot, w)
 		if endpoint != nil || failure != nil {
 			return endpoint, failure
@@ -212,14 +215,14 @@
 	}
 }
 
-// candidateList returns the endpoints that serve the request's model, and records
+// candidateList returns the endpoints that can serve the request, and records
 // which of them are throttled.
 func (x *exchange) candidateList(snapshot *inventory.Snapshot, now time.Time) []choose.Candidate {
 	endpoints := snapshot.Service(x.service.Name)
 	candidates := make([]choose.Candidate, 0, len(endpoints))
 	states := make([]notice.State, 0, len(endpoints))
 	for _, e := range endpoints {
-		if x.req.Model != "" && !x.relay.stale.holds(e, x.req.Model, now) {
+		if !x.eligible(e, now) {
 			continue
 		}
 		candidate := x.candidate(e, now)
--- a/internal/relay/adapters.go
+++ b/internal/relay/adapters.go
@@ -61,7 +61,7 @@
 	if known != nil && !x.pauses(known) && !x.throttled(known, time.Now()) {
 		return known, nil
 	}
-	need := demand.AdapterNeed{Service: x.service.Name, Model: x.req.Model, Adapter: x.req.Adapter}
+	need := demand.AdapterNeed{Service: x.service.Name, Model: x.req.Model, Adapter: x.req.Adapter, Required: x.required}
 	if known != nil {
 		need.Avoid = known.ID
 	}
@@ -77,7 +77,7 @@
 	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
 	e := x.relay.Inventory.Current().Endpoint(id)
 	switch {
-	case e == nil || e.Leaving:
+	case e == nil || e.Leaving || !x.required.Allows(e):
 		return nil, nil
 	case x.throttled(e, time.Now()):
 		return x.retryAdapter(ctx)
@@ -93,17 +93,20 @@
 		return nil
 	}
 	e := snapshot.Endpoint(known)
-	if e != nil && x.usable(e) {
+	switch {
+	case e != nil && !x.required.Allows(e):
+		return nil
+	case e != nil && x.usable(e):
 		return e
 	}
 	x.relay.adapters.remove(x.req.Model, x.req.Adapter, known)
 	return nil
 }
 
-// usable reports whether an engine holds the request's model, is not leaving and
-// has not failed the request.
+// usable reports whether an engine is eligible for the request, is not leaving and has
+// not failed it.
 func (x *exchange) usable(e *inventory.Endpoint) bool {
-	return x.relay.stale.holds(e, x.req.Model, time.Now()) && !e.Leaving && !slices.Contains(x.tried, e.ID)
+	return x.eligible(e, time.Now()) && !e.Leaving && !slices.Contains(x.tried, e.ID)
 }
 
 // pauses reports whether the streams of an engine pause for longer than the
--- a/internal/relay/cooldown_test.go
+++ b/internal/relay/cooldown_test.go
@@ -31,14 +31,13 @@
 
 // cooldownSender refuses its first request for a time, and then answers all.
 type cooldownSender struct {
+	soundEndpoints
 	cooldown time.Duration
 
 	mu   sync.Mutex
 	sent []time.Time
 }
 
-func (s *cooldownSender) Refuses(context.Context, *inventory.Endpoint) bool { return false }
-
 func (s *cooldownSender) Send(ctx context.Context, _ *inventory.Endpoint, _ *Request, attempt Attempt) (*Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,6 +204,7 @@
 
 // restingEngines refuse all requests, each time for the same time.
 type restingEngines struct {
+	soundEndpoints
 	cooldown time.Duration
 
 	mu       sync.Mutex
@@ -212,8 +212,6 @@
 	refusals map[string][]time.Time
 }
 
-func (s *restingEngines) Refuses(context.Context, *inventory.Endpoint) bool { return false }
-
 func (s *restingEngines) Send(ctx context.Context, to *inventory.Endpoint, _ *Request, attempt Attempt) (*Reply, error) {
 	s.mu.Lock()
 	s.sent[to.ID] = append(s.sent[to.ID], time.Now())
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -25,7 +25,11 @@
 	answer  Answer
 	route   *catalog.Route
 	service *catalog.Service
-	version int64
+	// catalog is the configuration that the request is served by.
+	catalog *catalog.Catalog
+	// required is the version at which the stream goes on that the request has begun or
+	// resumes.
+	required inventory.Requirement
 	// deadline is when the request times out.
 	deadline time.Time
 
@@ -131,6 +135,9 @@
 }
 
 func (x *exchange) runAttempts(ctx context.Context) *Failure {
+	if failure := x.followOrigin(ctx); failure != nil {
+		return failure
+	}
 	for {
 		endpoint, failure := x.acquire(ctx)
 		if failure != nil {
@@ -250,6 +257,8 @@
 	switch {
 	case s.reply.NotRun:
 		return x.notRun(s)
+	case x.isStream(s.reply) && !x.verified(ctx, s):
+		return attemptResult{run: outcome.Ran, truncated: x.started, cause: errOtherIncarnation}
 	case x.isStream(s.reply):
 		detector := x.detectStalls(ctx, s)
 		result := x.forwardStream(ctx, s)
@@ -314,6 +323,10 @@
 	return attemptResult{run: outcome.NotRun, cause: statusError(s.reply.Status)}
 }
 
+// errOtherIncarnation is the cause of attempts that reached another incarnation of an
+// endpoint than the one that may go on with the stream.
+var errOtherIncarnation = errors.New("relay: another incarnation of the endpoint")
+
 type statusError int
 
 // Error implements error.
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -23,6 +23,8 @@
 	ReasonFull               Reason = "endpoints are full"
 	ReasonTimeout            Reason = "not answered in time"
 	ReasonTruncated          Reason = "answer broken off"
+	ReasonUnknownVersion     Reason = "version of the stream not known"
+	ReasonNoVersion          Reason = "no endpoint of the stream's version"
 	ReasonCrashes            Reason = "request crashes endpoints"
 	ReasonCallerDisconnected Reason = "caller gone"
 	ReasonShuttingDown       Reason = "node is shutting down"
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -16,6 +16,7 @@
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/ratelimit"
+	"chestnutgauge/internal/streamorigin"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -32,6 +33,15 @@
 	// refusesConnections reports whether the endpoints refuse connections
 	// afterwards.
 	refusesConnections bool
+	// restarted holds the start times of endpoints that have restarted under their ids.
+	restarted map[string]int64
+}
+
+func (f *fakeEndpoints) StartedAt(_ context.Context, to *inventory.Endpoint) (int64, error) {
+	if at, ok := f.restarted[to.ID]; ok {
+		return at, nil
+	}
+	return to.StartedAtMS, nil
 }
 
 func (f *fakeEndpoints) Refuses(context.Context, *inventory.Endpoint) bool {
@@ -48,6 +58,15 @@
 	return do(ctx, attempt)
 }
 
+// soundEndpoints accept connections and have not restarted.
+type soundEndpoints struct{}
+
+func (soundEndpoints) Refuses(context.Context, *inventory.Endpoint) bool { return false }
+
+func (soundEndpoints) StartedAt(_ context.Context, to *inventory.Endpoint) (int64, error) {
+	return to.StartedAtMS, nil
+}
+
 // truncatedBody is a body whose connection is reset at its end.
 type truncatedBody struct {
 	io.Reader
@@ -84,6 +103,13 @@
 	}
 }
 
+// truncatedReader is truncated with what a reader gives as the body.
+func truncatedReader(body io.Reader) behaviour {
+	return func(context.Context, Attempt) (*Reply, error) {
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(truncatedBody{body}), Length: -1}, nil
+	}
+}
+
 // slowly is a complete answer with a pause between two parts.
 func slowly(first string, delay time.Duration, second string) behaviour {
 	return func(ctx context.Context, _ Attempt) (*Reply, error) {
@@ -168,7 +194,9 @@
 
 type noLoads struct{}
 
-func (noLoads) Expected(string, string) (time.Time, bool) { return time.Time{}, false }
+func (noLoads) Expected(string, string, inventory.Requirement) (time.Time, bool) {
+	return time.Time{}, false
+}
 
 func (noLoads) EnsureAdapter(context.Context, demand.AdapterNeed) (string, time.Time, error) {
 	return "", time.Time{}, errors.New("no owner")
@@ -206,6 +234,7 @@
 		Permits:   ownLimiter{ratelimit.NewLimiter[inventory.Key]()},
 		Suspects:  suspect.NewRegistry(),
 		Trials:    &ownTrials{},
+		Origins:   &ownOrigins{known: streamorigin.NewRegistry()},
 		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
 		Isolated:  func() bool { return false },
 		Log:       slog.New(slog.DiscardHandler),
@@ -221,6 +250,26 @@
 	return l.limiter.Ask(endpoint, perSecond, ask, time.Now())
 }
 
+// ownOrigins keeps the origins of streams at one node.
+type ownOrigins struct {
+	known *streamorigin.Registry
+	// onlyVersion, unless it is empty, is the only version that has ever served.
+	onlyVersion string
+}
+
+func (o *ownOrigins) Record(stream string, origin streamorigin.Origin, lifetime time.Duration) {
+	o.known.PutOwn(stream, origin, lifetime, time.Now())
+}
+
+func (o *ownOrigins) Find(_ context.Context, stream, service string, lifetime time.Duration) streamorigin.Decision {
+	evidence := streamorigin.Evidence{Service: service, Observed: lifetime}
+	evidence.Origin, evidence.Found = o.known.Get(stream, time.Now())
+	if o.onlyVersion != "" {
+		evidence.Versions = []string{o.onlyVersion}
+	}
+	return streamorigin.Decide(evidence, lifetime)
+}
+
 // ownTrials grants trials as the owner does.
 type ownTrials struct {
 	trials suspect.Trials
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -84,12 +84,11 @@
 // leavingSender answers each request after half a second, and says with its first
 // response that the endpoint is leaving.
 type leavingSender struct {
+	soundEndpoints
 	mu             sync.Mutex
 	sent, complete int
 }
 
-func (s *leavingSender) Refuses(context.Context, *inventory.Endpoint) bool { return false }
-
 func (s *leavingSender) Send(ctx context.Context, _ *inventory.Endpoint, _ *Request, _ Attempt) (*Reply, error) {
 	s.mu.Lock()
 	s.sent++
--- a/internal/relay/permits_test.go
+++ b/internal/relay/permits_test.go
@@ -19,6 +19,7 @@
 
 // limitedEngines answer all requests. Engine a names a limit in its responses.
 type limitedEngines struct {
+	soundEndpoints
 	mu        sync.Mutex
 	perSecond float64
 	sent      map[string][]time.Time
@@ -28,8 +29,6 @@
 	return &limitedEngines{perSecond: perSecond, sent: map[string][]time.Time{}}
 }
 
-func (s *limitedEngines) Refuses(context.Context, *inventory.Endpoint) bool { return false }
-
 func (s *limitedEngines) Send(ctx context.Context, to *inventory.Endpoint, _ *Request, attempt Attempt) (*Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,7 @@
 	// Suspects are the requests that were on endpoints when these crashed.
 	Suspects *suspect.Registry
 	Trials   Trials
+	Origins  Origins
 	Budget   Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
@@ -143,7 +144,7 @@
 	if route == nil {
 		return nil, refuse(ReasonNoRoute, 0)
 	}
-	name := route.Pick(splitPoint(req.ID))
+	name := route.Pick(splitPoint(req.stream()))
 	service := c.Services[name]
 	if service == nil {
 		return nil, refuse(ReasonNoEndpoint, notReadyRetryAfter)
@@ -152,7 +153,7 @@
 	if req.Deadline.Before(deadline) {
 		deadline = req.Deadline
 	}
-	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, version: c.Version, deadline: deadline}
+	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, deadline: deadline}
 	x.identity = identify(req, name)
 	if service.Engine != nil && req.Model != "" {
 		if _, ok := service.Engine.Models[req.Model]; !ok {
@@ -206,7 +207,7 @@
 	requestSeconds.Update(took.Seconds())
 	attrs := []any{"request_id", req.ID, "took_ms", took.Milliseconds()}
 	if x != nil {
-		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.version,
+		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.catalog.Version,
 			"model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
 		attrs = append(attrs, x.progress.attrs(req.Arrived)...)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -112,6 +112,8 @@
 	// Refuses reports whether the endpoint's address refuses connections, as
 	// after a crash.
 	Refuses(ctx context.Context, to *inventory.Endpoint) bool
+	// StartedAt asks an engine when it started, in Unix milliseconds.
+	StartedAt(ctx context.Context, to *inventory.Endpoint) (ms int64, err error)
 }
 
 // Answer receives the response for the caller.
@@ -146,9 +148,9 @@
 
 // Loads predicts when a model that no engine holds will be loaded.
 type Loads interface {
-	// Expected returns when an engine is expected to hold the model. ok is
-	// false if that is unknown.
-	Expected(service, model string) (at time.Time, ok bool)
+	// Expected returns when an engine of the required version is expected to hold the
+	// model. ok is false if that is unknown.
+	Expected(service, model string, required inventory.Requirement) (at time.Time, ok bool)
 }
 
 // Budget bounds the retries of a service over all nodes.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -18,9 +18,12 @@
 	// or empty.
 	lastEvent string
 	// alone means that the request is the only suspect on the endpoint.
-	alone   bool
-	cancel  context.CancelFunc
-	release func()
+	alone bool
+	// unverified means that the response continues a stream that has begun, and that it is
+	// not known yet whether it comes from the incarnation of the endpoint's entry.
+	unverified bool
+	cancel     context.CancelFunc
+	release    func()
 	// cause returns why the attempt was cancelled, or nil.
 	cause func() error
 }
@@ -37,7 +40,7 @@
 func (x *exchange) open(ctx context.Context, endpoint *inventory.Endpoint, lastEvent string) (*sending, error) {
 	r := x.relay
 	attemptsTotal.Inc()
-	s := &sending{endpoint: endpoint, started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil}
+	s := &sending{endpoint: endpoint, started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
 	s.release = x.occupy(endpoint)
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
--- a/internal/relay/stale_test.go
+++ b/internal/relay/stale_test.go
@@ -68,7 +68,9 @@
 	at time.Time
 }
 
-func (l lateLoad) Expected(string, string) (time.Time, bool) { return l.at, true }
+func (l lateLoad) Expected(string, string, inventory.Requirement) (time.Time, bool) {
+	return l.at, true
+}
 
 // TestEngineWithoutModelRefusal checks that a request is refused at once, with
 // the time until the model is loaded, if that is after its deadline.
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -11,6 +11,7 @@
 
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
 )
 
@@ -49,6 +50,8 @@
 		successor := *x
 		successor.tried = append(slices.Clone(x.tried), s.endpoint.ID)
 		successor.permits = maps.Clone(x.permits)
+		// The stalled stream may begin while the successor is opened.
+		successor.required = inventory.OnlyVersion(s.endpoint.Version)
 		d.open = func(lastEvent string) *sending { return successor.openSuccessor(ctx, lastEvent) }
 	}
 	s.reply.Body = d
@@ -77,7 +80,7 @@
 		x.relay.Log.Info("stalled stream not continued", "request_id", x.req.ID, "endpoint", endpoint.ID, "error", err)
 		return nil
 	}
-	if s.reply.NotRun || !x.isStream(s.reply) {
+	if s.reply.NotRun || !x.isStream(s.reply) || !x.verified(ctx, s) {
 		x.relay.Log.Info("stalled stream not continued", "request_id", x.req.ID, "endpoint", endpoint.ID, "status", s.reply.Status)
 		x.relay.recordReply(s)
 		s.close()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,7 +23,7 @@
 		if n > 0 {
 			times.record(time.Now())
 			times.reads++
-			forwarded, err := x.forwardEvents(s.reply, buffer[:n])
+			forwarded, err := x.forwardEvents(s, buffer[:n])
 			if err != nil {
 				return attemptResult{run: outcome.Ran, truncated: true, cause: err}
 			}
@@ -44,7 +44,7 @@
 
 // forwardEvents forwards the complete events that end within data, and reports whether
 // there were any.
-func (x *exchange) forwardEvents(reply *Reply, data []byte) (forwarded bool, err error) {
+func (x *exchange) forwardEvents(s *sending, data []byte) (forwarded bool, err error) {
 	complete := x.events.Add(data)
 	if len(complete) == 0 {
 		if x.events.Full() {
@@ -52,17 +52,18 @@
 		}
 		return false, nil
 	}
-	return true, x.forwardBytes(reply, complete)
+	return true, x.forwardBytes(s, complete)
 }
 
 var errEventTooLong = errors.New("server-sent event exceeds the size limit")
 
-func (x *exchange) forwardBytes(reply *Reply, data []byte) error {
+func (x *exchange) forwardBytes(s *sending, data []byte) error {
 	if !x.started {
 		x.started = true
-		x.status = reply.Status
+		x.begunAt(s.endpoint)
+		x.status = s.reply.Status
 		firstSeconds.Update(time.Since(x.req.Arrived).Seconds())
-		x.answer.Begin(reply, -1)
+		x.answer.Begin(s.reply, -1)
 	}
 	x.progress.sent.record(time.Now())
 	if err := x.answer.Write(data); err != nil {
@@ -97,7 +98,7 @@
 
 // streamComplete ends the response with a complete stream.
 func (x *exchange) streamComplete(s *sending, times streamTimings) attemptResult {
-	if err := x.forwardBytes(s.reply, nil); err != nil {
+	if err := x.forwardBytes(s, nil); err != nil {
 		return attemptResult{run: outcome.Ran, truncated: true, cause: err}
 	}
 	if !times.first.IsZero() {
--- a/internal/relay/throttle.go
+++ b/internal/relay/throttle.go
@@ -95,7 +95,7 @@
 	if x.req.Model == "" {
 		return time.Time{}, false
 	}
-	at, ok = x.relay.Loads.Expected(x.service.Name, x.req.Model)
+	at, ok = x.relay.Loads.Expected(x.service.Name, x.req.Model, x.required)
 	if !ok {
 		return time.Time{}, false
 	}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -41,9 +41,9 @@
 	req := waitqueue.Request{
 		Priority:   w.x.route.Priority,
 		Arrived:    w.x.req.Arrived,
-		Restricted: len(w.x.tried) > 0 || w.x.req.Adapter != "",
+		Restricted: len(w.x.tried) > 0 || w.x.req.Adapter != "" || w.x.required.Required,
 	}
-	if w.x.started {
+	if w.x.required.Required {
 		req.Priority = resumedPriority
 	}
 	if target := w.x.route.TargetLatency; target > 0 {
@@ -76,7 +76,7 @@
 	w.reason = waitReasons[verdict]
 	if !w.counted && w.key.Model != "" {
 		w.counted = true
-		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, 1)
+		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, w.x.required, 1)
 	}
 	if w.waiter == nil && verdict != choose.Absent {
 		w.enqueue()
@@ -98,7 +98,7 @@
 		w.waiter.Remove(time.Now(), dispatched)
 	}
 	if w.counted {
-		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, -1)
+		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, w.x.required, -1)
 		modelWaitSeconds.Update(time.Since(w.startTime).Seconds())
 	}
 	if w.reason != "" {
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -17,14 +17,13 @@
 
 // slowEndpoints respond to each request after a delay.
 type slowEndpoints struct {
+	soundEndpoints
 	latency time.Duration
 
 	mu  sync.Mutex
 	ids []string
 }
 
-func (s *slowEndpoints) Refuses(context.Context, *inventory.Endpoint) bool { return false }
-
 func (s *slowEndpoints) Send(ctx context.Context, _ *inventory.Endpoint, req *Request, _ Attempt) (*Reply, error) {
 	s.mu.Lock()
 	s.ids = append(s.ids, req.ID)
@@ -191,12 +190,12 @@
 	at time.Time
 }
 
-func (l loadsIn) Expected(string, string) (time.Time, bool) { return l.at, true }
+func (l loadsIn) Expected(string, string, inventory.Requirement) (time.Time, bool) { return l.at, true }
 
 // staleLoads is an owner whose last prediction is no longer valid.
 type staleLoads struct{ noLoads }
 
-func (staleLoads) Expected(string, string) (time.Time, bool) {
+func (staleLoads) Expected(string, string, inventory.Requirement) (time.Time, bool) {
 	return time.Now().Add(time.Minute), false
 }
 
--- /dev/null
+++ b/internal/streamorigin/decide.go
@@ -0,0 +1,46 @@
+package streamorigin
+
+import "time"
+
+// Evidence is what is known of the origin of a stream.
+type Evidence struct {
+	// Found means that Origin was recorded for the stream.
+	Found  bool
+	Origin Origin
+	// Service is the service that the stream is of if no origin was recorded, Versions
+	// are those of its versions that served while the stream can have begun.
+	Service  string
+	Versions []string
+	// Observed is for how long all versions that served are known.
+	Observed time.Duration
+}
+
+// Source says what a decision rests on.
+type Source string
+
+// Sources of decisions.
+const (
+	// SourceRecord means that the origin was recorded.
+	SourceRecord Source = "record"
+	// SourceOnlyVersion means that only one version can have begun the stream.
+	SourceOnlyVersion Source = "only_version"
+	// SourceUnknown means that the origin is not known.
+	SourceUnknown Source = "unknown"
+)
+
+// Decision is the origin of a stream. It has a meaning unless Source is SourceUnknown.
+type Decision struct {
+	Origin Origin
+	Source Source
+}
+
+// Decide returns the origin of a stream that can have begun within a time before now.
+func Decide(e Evidence, lifetime time.Duration) Decision {
+	if e.Found {
+		return Decision{Origin: e.Origin, Source: SourceRecord}
+	}
+	if len(e.Versions) != 1 || e.Observed < lifetime {
+		return Decision{Source: SourceUnknown}
+	}
+	return Decision{Origin: Origin{Service: e.Service, Version: e.Versions[0]}, Source: SourceOnlyVersion}
+}
--- /dev/null
+++ b/internal/streamorigin/history.go
@@ -0,0 +1,143 @@
+package streamorigin
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Limits of a history.
+const (
+	// maxGap is how long the list of endpoints may be out of date without a version having
+	// come and gone unseen: endpoints are listed for longer than that, as they are started
+	// before they serve and drained before they leave.
+	maxGap = 2 * time.Second
+	// retention is how long a version is remembered that no endpoint has any more.
+	retention = 5 * time.Minute
+)
+
+// History is which versions of each service have served, and since when that is known.
+// Its methods are safe for concurrent use.
+type History struct {
+	mu sync.Mutex
+	// since is when the history begins, confirmedAt when the list of endpoints was last
+	// known to be current. Both are zero before the first time.
+	since, confirmedAt time.Time
+	// lastSeen is when a version was last seen, by service and version.
+	lastSeen map[string]map[string]time.Time
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History {
+	return &History{lastSeen: map[string]map[string]time.Time{}}
+}
+
+// Account is a node's history, for other nodes.
+type Account struct {
+	// ObservedMS is for how long the node has known all versions, in milliseconds.
+	ObservedMS int64 `json:"observed_ms"`
+	// AgesMS are the times since each version was last seen, in milliseconds, by service
+	// and version.
+	AgesMS map[string]map[string]int64 `json:"ages_ms"`
+}
+
+// Observe records the origins that endpoints stand for now. current means that the list
+// of endpoints is up to date.
+func (h *History) Observe(serving map[Origin]bool, current bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if current {
+		if h.since.IsZero() || now.Sub(h.confirmedAt) > maxGap {
+			h.since = now
+		}
+		h.confirmedAt = now
+	}
+	for origin := range serving {
+		h.saw(origin, now)
+	}
+	for service, versions := range h.lastSeen {
+		maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > retention })
+		if len(versions) == 0 {
+			delete(h.lastSeen, service)
+		}
+	}
+}
+
+// saw records when an origin was last seen. The caller holds mu.
+func (h *History) saw(origin Origin, at time.Time) {
+	versions := h.lastSeen[origin.Service]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		h.lastSeen[origin.Service] = versions
+	}
+	if at.After(versions[origin.Version]) {
+		versions[origin.Version] = at
+	}
+}
+
+// Seen returns the versions of a service that may have served within a time before now,
+// sorted, and for how long the history has been complete, which is 0 if it is out of date.
+// A version may have served for up to maxGap after it was last seen.
+func (h *History) Seen(service string, within time.Duration, now time.Time) (versions []string, observed time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for version, at := range h.lastSeen[service] {
+		if now.Sub(at) <= within+maxGap {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions, h.observed(now)
+}
+
+// OnlyVersion reports whether a single version of a service can have begun any stream that
+// is recorded now, so that nobody needs to be told which one did.
+func (h *History) OnlyVersion(service string, now time.Time) bool {
+	versions, observed := h.Seen(service, MaxLifetime, now)
+	return len(versions) == 1 && observed >= MaxLifetime
+}
+
+// observed returns for how long the history has been complete. The caller holds mu.
+func (h *History) observed(now time.Time) time.Duration {
+	if h.since.IsZero() || now.Sub(h.confirmedAt) > maxGap {
+		return 0
+	}
+	return now.Sub(h.since)
+}
+
+// Account returns the history for another node.
+func (h *History) Account(now time.Time) Account {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	account := Account{ObservedMS: h.observed(now).Milliseconds(), AgesMS: map[string]map[string]int64{}}
+	for service, versions := range h.lastSeen {
+		ages := map[string]int64{}
+		for version, at := range versions {
+			ages[version] = now.Sub(at).Milliseconds()
+		}
+		account.AgesMS[service] = ages
+	}
+	return account
+}
+
+// Merge adds another node's account, received at now. A history that is complete now
+// then goes back as far as the account.
+func (h *History) Merge(account Account, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, ages := range account.AgesMS {
+		for version, age := range ages {
+			h.saw(Origin{Service: service, Version: version}, now.Add(-milliseconds(age)))
+		}
+	}
+	began := now.Add(-milliseconds(account.ObservedMS))
+	if h.observed(now) > 0 && began.Before(h.since) {
+		h.since = began
+	}
+}
+
+// milliseconds converts a number of milliseconds, at least 0, to a duration.
+func milliseconds(n int64) time.Duration {
+	return time.Duration(max(0, n)) * time.Millisecond
+}
--- a/internal/swap/copies.go
+++ b/internal/swap/copies.go
@@ -47,6 +47,9 @@
 	// number of requests that engines are running.
 	Waiting int
 	Running int
+	// WaitingAt is the number of further requests that need an engine of a software
+	// version, by that version.
+	WaitingAt map[string]int
 }
 
 // RequiredCopies returns the number of copies that a model's demand requires.
--- a/internal/swap/evict.go
+++ b/internal/swap/evict.go
@@ -41,7 +41,7 @@
 	for name, loaded := range e.Copies {
 		size := p.Models[name].WeightsMB + loaded.AdapterMB
 		free -= size
-		if value, evictable := p.value(name, loaded); evictable && name != model.Name {
+		if value, evictable := p.value(e, name, loaded); evictable && name != model.Name {
 			candidates = append(candidates, victim{model: name, freesMB: size, value: value})
 		}
 	}
@@ -64,7 +64,7 @@
 
 // value returns the cost of evicting a copy, in seconds of expected reloads
 // over the horizon, and whether the copy may be evicted at all.
-func (p *planner) value(name string, loaded Copy) (float64, bool) {
+func (p *planner) value(e *Engine, name string, loaded Copy) (float64, bool) {
 	d := p.Demand[name]
 	if loaded.Running > 0 || p.Now.Sub(loaded.Since) < minResidency {
 		return 0, false
@@ -73,6 +73,9 @@
 	if d.Waiting > 0 && copies <= 1 {
 		return 0, false
 	}
+	if d.WaitingAt[e.Version] > 0 && p.available[modelVersion{name, e.Version}] <= 1 {
+		return 0, false
+	}
 	value := max(d.Rate, unknownRate) / float64(max(copies, 1)) * horizon.Seconds() * p.Models[name].DiskLoad.Seconds()
 	if copies > max(1, RequiredCopies(d)) {
 		value *= spareWeight
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -22,7 +22,9 @@
 
 // Engine is one engine in a snapshot.
 type Engine struct {
-	ID       string
+	ID string
+	// Version is the version of its software.
+	Version  string
 	MemoryMB float64
 	Copies   map[string]Copy
 	// Ready reports whether the engine can accept an order now. The copies of an
@@ -75,6 +77,10 @@
 	// being loaded or waiting for unloads.
 	copies  map[string]int
 	pending map[string]int
+	// available is the number of copies, loaded or pending, by model and version.
+	available map[modelVersion]int
+	// versions holds the software versions of engines that may get models.
+	versions map[string]bool
 	// draining is the number of copies by model on engines that leave for good.
 	draining map[string]int
 	// cooling holds the models that get a second copy because the engine with the
@@ -94,14 +100,17 @@
 
 // Plan returns the next orders, at most one per engine.
 func Plan(state State) []Step {
-	p := &planner{State: state, copies: map[string]int{}, pending: map[string]int{}, draining: map[string]int{}, cooling: map[string]bool{}, assigned: map[string]bool{}, reserved: map[string]bool{}, storeLoadsLeft: state.StoreLoads, cachedElsewhere: map[string]int{}}
+	p := &planner{State: state, copies: map[string]int{}, pending: map[string]int{}, available: map[modelVersion]int{}, versions: map[string]bool{}, draining: map[string]int{}, cooling: map[string]bool{}, assigned: map[string]bool{}, reserved: map[string]bool{}, storeLoadsLeft: state.StoreLoads, cachedElsewhere: map[string]int{}}
 	for _, e := range state.Engines {
 		p.count(e)
 	}
 	p.reserveForDrains()
 	p.continueDrains()
+	for _, load := range p.versionLoads() {
+		p.scheduleLoad(load)
+	}
 	for _, model := range p.modelsToLoad() {
-		p.scheduleLoad(model)
+		p.scheduleLoad(neededLoad{model: model})
 	}
 	p.fillFreeMemory()
 	return p.steps
@@ -116,8 +125,10 @@
 	if e.Leaving {
 		return
 	}
+	p.versions[e.Version] = true
 	for model := range e.Copies {
 		p.copies[model]++
+		p.available[modelVersion{model, e.Version}]++
 	}
 	for model := range cached(e) {
 		if _, loaded := e.Copies[model]; !loaded && e.Loading != model {
@@ -125,13 +136,19 @@
 		}
 	}
 	if e.Loading != "" {
-		p.pending[e.Loading]++
+		p.addPending(e.Loading, e.Version)
 	}
 	if e.DrainedFor != "" && e.DrainedFor != e.Loading {
-		p.pending[e.DrainedFor]++
+		p.addPending(e.DrainedFor, e.Version)
 	}
 }
 
+// addPending counts a copy that will be loaded on an engine of a version.
+func (p *planner) addPending(model, version string) {
+	p.pending[model]++
+	p.available[modelVersion{model, version}]++
+}
+
 // continueDrains plans the next step of engines that are being drained for a
 // model.
 func (p *planner) continueDrains() {
@@ -170,33 +187,35 @@
 	p.steps = append(p.steps, step)
 }
 
-// scheduleLoad plans the load of a model on the engine where it costs least.
-func (p *planner) scheduleLoad(model catalog.Model) {
+// scheduleLoad plans a load on the engine where it costs least.
+func (p *planner) scheduleLoad(load neededLoad) {
+	model := load.model
 	var best *Engine
 	var lowest float64
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		cost, ok := p.cost(e, model)
+		cost, ok := p.cost(e, load)
 		if ok && (best == nil || cost < lowest) {
 			best, lowest = e, cost
 		}
 	}
 	if best != nil && p.advance(best, model) {
-		p.pending[model.Name]++
+		p.addPending(model.Name, best.Version)
 	}
 }
 
-// cost returns the cost of loading a model on an engine, in seconds, or false
-// if the engine cannot load it now.
-func (p *planner) cost(e *Engine, model catalog.Model) (float64, bool) {
-	if !e.Ready || e.Leaving || p.assigned[e.ID] || e.DrainedFor != "" {
+// cost returns the cost of a load on an engine, in seconds, or false if the engine cannot
+// load the model now.
+func (p *planner) cost(e *Engine, load neededLoad) (float64, bool) {
+	model := load.model
+	if !load.allows(e) || !e.Ready || e.Leaving || p.assigned[e.ID] || e.DrainedFor != "" {
 		return 0, false
 	}
 	if _, loaded := e.Copies[model.Name]; loaded {
 		return 0, false
 	}
 	duration, fromStore := loadTime(e, model)
-	if fromStore && (p.storeLoadsLeft <= 0 || p.cachesSuffice(model.Name)) {
+	if fromStore && (p.storeLoadsLeft <= 0 || !load.versioned && p.cachesSuffice(model.Name)) {
 		return 0, false
 	}
 	if p.cooling[model.Name] && !p.Demand[model.Name].servesCooldown(duration) {
@@ -223,7 +242,7 @@
 				continue
 			}
 			if p.advance(e, model) {
-				p.pending[name]++
+				p.addPending(name, e.Version)
 				break
 			}
 		}
