--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -22,10 +22,16 @@
 	maxIdlePerHost    = 16
 )
 
+// Dial establishes a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Wrap changes how connections are established.
+type Wrap func(Dial) Dial
+
 // NewTransport returns an HTTP transport whose connections detect an
 // unresponsive peer within about userTimeout. connectTimeout bounds the
 // establishing of a connection.
-func NewTransport(connectTimeout, userTimeout time.Duration) *http.Transport {
+func NewTransport(connectTimeout, userTimeout time.Duration, wraps ...Wrap) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -38,12 +44,22 @@
 			return setUserTimeout(conn, userTimeout)
 		},
 	}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, discardOnClose(conn)
+		return conn, discardOnClose(conn)
+	}
+	for _, wrap := range wraps {
+		connect = wrap(connect)
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := connect(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn}, nil
 	}
 	return &http.Transport{
 		DialContext:         dial,
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -13,6 +13,7 @@
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/fleet"
+	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
@@ -95,8 +96,9 @@
 	shuttingDown atomic.Bool
 }
 
-// New wires a node. watcher watches the settings file.
-func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger) *Node {
+// New wires a node. watcher watches the settings file. Connections to endpoints are
+// established as endpointDial says.
+func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger, endpointDial ...httpclient.Wrap) *Node {
 	debug.SetGCPercent(gcPercent)
 	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins()}
 	n.settings.Store(&s)
@@ -120,7 +122,7 @@
 	n.owner = owner.New(owner.Dependencies{
 		Catalog:    n.config.Get,
 		Inventory:  n.inventory,
-		Engines:    platform.NewEngines(s.VM, n.recordLeaving, log),
+		Engines:    platform.NewEngines(s.VM, n.recordLeaving, log, endpointDial...),
 		Lease:      n.keeper,
 		Demand:     n.aggregator,
 		StoreRate:  owner.StoreRate{Factor: s.StoreLoadFactor, Window: s.StoreLoadWindow},
@@ -166,7 +168,7 @@
 		DataCentre: s.DataCentre,
 		Catalog:    n.config.Get,
 		Inventory:  n.inventory,
-		Sender:     platform.NewSender(log),
+		Sender:     platform.NewSender(log, endpointDial...),
 		Adapters:   n.client,
 		Loads:      n.client,
 		Demand:     n.meter,
