Forward requests through nodes that reach the endpoints

Cause: a node knew one way to an endpoint, its own link. It took the endpoints for failed, ejected them and refused.

Change: a link counts as cut when another node connects to the endpoint and this one does not. Requests whose endpoints are all cut go to another node, which serves them as its own, and forwards them no further. Cut links are probed and used again after successes in a row. An endpoint that another node reaches is not taken for crashed. Retries, permits, cooldowns and suspects count at the node that sends to the endpoint; a request counts in the retry budget only where it is sent.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -192,6 +192,13 @@
 	m.reach[engine] = reach{updatedAt: time.Now(), ok: ok}
 }
 
+// ForgetReach drops the result of the last connection to an engine.
+func (m *Meter) ForgetReach(engine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.reach, engine)
+}
+
 // EachReached calls visit for each engine to which a connection was made within
 // reachTTL, with the result of the last one.
 func (m *Meter) EachReached(now time.Time, visit func(engine string, ok bool)) {
--- /dev/null
+++ b/internal/fleet/detours.go
@@ -0,0 +1,280 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutgauge/internal/detour"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/relay"
+)
+
+// reachPath is the path of the call by which a node asks another one whether it reaches an
+// endpoint.
+const reachPath = "/v1/reach"
+
+// Timing of the checks of links.
+const (
+	// reachTimeout bounds a connection to an endpoint that checks its link.
+	reachTimeout = 400 * time.Millisecond
+	// reachCallTimeout bounds a call to another node that makes one.
+	reachCallTimeout = reachTimeout + 200*time.Millisecond
+	// askedForReach is the number of nodes that are asked whether they reach an endpoint.
+	askedForReach = 3
+	// reachAskInterval is the shortest time between two questions about an endpoint.
+	reachAskInterval = 250 * time.Millisecond
+	// probeInterval is the time between two rounds of probes of cut links.
+	probeInterval = 500 * time.Millisecond
+	// probesInRound bounds the probes in a round, probesAfterRecovery those while links
+	// work again.
+	probesInRound       = 3
+	probesAfterRecovery = 16
+)
+
+// reachRequest asks a node to connect to an endpoint.
+type reachRequest struct {
+	Address string `json:"address"`
+}
+
+// reachResponse is its answer.
+type reachResponse struct {
+	Reached bool `json:"reached"`
+}
+
+// Links makes connections that check links. It is implemented by the sender over a node's
+// own links.
+type Links interface {
+	relay.Sender
+	// Reaches reports whether a connection to an address can be made.
+	Reaches(ctx context.Context, address string) bool
+}
+
+// Detours sends requests over this node's own links, and through other nodes to endpoints
+// that only these reach. It implements relay.Sender and relay.Detours. Its methods are safe
+// for concurrent use.
+type Detours struct {
+	Direct Links
+	// Others returns the addresses of the other nodes.
+	Others    func() []string
+	Inventory *inventory.Inventory
+	// OnCut is called with the id of an endpoint whose link is found cut.
+	OnCut func(endpointID string)
+	HTTP  *http.Client
+	Log   *slog.Logger
+
+	links *detour.Links
+	nodes *detour.Nodes
+
+	mu sync.Mutex
+	// asked is when other nodes were last asked about an endpoint.
+	asked map[inventory.Key]time.Time
+}
+
+// NewDetours returns Detours of which nothing is known. The exported fields must be set
+// before the first call.
+func NewDetours() *Detours {
+	return &Detours{links: detour.NewLinks(), nodes: detour.NewNodes(), asked: map[inventory.Key]time.Time{}}
+}
+
+// Cut implements relay.Detours.
+func (d *Detours) Cut(endpoint inventory.Key, now time.Time) bool {
+	return d.links.Cut(endpoint, now)
+}
+
+// Cuts returns the number of endpoints whose links are cut.
+func (d *Detours) Cuts() int {
+	return d.links.Cuts()
+}
+
+// Node implements relay.Detours.
+func (d *Detours) Node(excluded []string, now time.Time) *inventory.Endpoint {
+	address := d.nodes.Pick(d.Others(), excluded, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
+	if address == "" {
+		return nil
+	}
+	return &inventory.Endpoint{ID: address, Address: address, Node: true}
+}
+
+// Send implements relay.Sender.
+func (d *Detours) Send(ctx context.Context, to *inventory.Endpoint, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
+	if to.Node {
+		return d.forward(ctx, to.Address, req, attempt)
+	}
+	reply, err := d.Direct.Send(ctx, to, req, attempt)
+	switch {
+	case err == nil:
+		d.links.Reached(to.Key(), time.Now())
+	case ctx.Err() == nil:
+		d.Lost(to)
+	}
+	return reply, err
+}
+
+// Refuses implements relay.Sender. An endpoint that another node reaches does not count.
+func (d *Detours) Refuses(ctx context.Context, to *inventory.Endpoint) bool {
+	if !d.Direct.Refuses(ctx, to) {
+		return false
+	}
+	if d.reachedByOthers(ctx, to) {
+		d.cutOff(to)
+		return false
+	}
+	return true
+}
+
+// StartedAt implements relay.Sender.
+func (d *Detours) StartedAt(ctx context.Context, to *inventory.Endpoint) (int64, error) {
+	return d.Direct.StartedAt(ctx, to)
+}
+
+// Lost implements relay.Detours. It finds out whether the link is cut.
+func (d *Detours) Lost(to *inventory.Endpoint) {
+	now := time.Now()
+	if !d.links.Failed(to.Key(), now) || !d.mayAsk(to.Key(), now) {
+		return
+	}
+	go d.checkLink(to)
+}
+
+// mayAsk reports whether other nodes may be asked about an endpoint now.
+func (d *Detours) mayAsk(key inventory.Key, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.asked[key]) < reachAskInterval {
+		return false
+	}
+	d.asked[key] = now
+	return true
+}
+
+// checkLink connects to an endpoint, and has other nodes do so at the same time.
+func (d *Detours) checkLink(to *inventory.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), reachCallTimeout)
+	defer cancel()
+	reachedByOthers := make(chan bool, 1)
+	go func() { reachedByOthers <- d.reachedByOthers(ctx, to) }()
+	if d.Direct.Reaches(ctx, to.Address) {
+		d.links.Reached(to.Key(), time.Now())
+		return
+	}
+	if <-reachedByOthers {
+		d.cutOff(to)
+	}
+}
+
+// cutOff records that other nodes reach an endpoint that this one does not.
+func (d *Detours) cutOff(to *inventory.Endpoint) {
+	d.links.Failed(to.Key(), time.Now())
+	if !d.links.CutOff(to.Key(), time.Now()) {
+		return
+	}
+	linksCut.Inc()
+	d.OnCut(to.ID)
+	d.Log.Info("link to endpoint cut", "endpoint", to.ID, "address", to.Address, "cut_links", d.links.Cuts())
+}
+
+// reachedByOthers reports whether one of some other nodes reaches an endpoint.
+func (d *Detours) reachedByOthers(ctx context.Context, to *inventory.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachCallTimeout)
+	defer cancel()
+	nodes := slices.Clone(d.Others())
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	nodes = firstOf(nodes, askedForReach)
+	answers := make(chan bool, len(nodes))
+	for _, node := range nodes {
+		go func() {
+			var response reachResponse
+			err := post(ctx, d.HTTP, node, reachPath, reachRequest{Address: to.Address}, &response)
+			answers <- err == nil && response.Reached
+		}()
+	}
+	for range nodes {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// serveReach serves another node's question whether this one reaches an endpoint.
+func (d *Detours) serveReach(w http.ResponseWriter, r *http.Request) {
+	var request reachRequest
+	if !decodeBody(w, r, &request) {
+		return
+	}
+	reached := d.known(request.Address) && d.Direct.Reaches(r.Context(), request.Address)
+	writeJSON(w, reachResponse{Reached: reached}, d.Log)
+}
+
+// known reports whether an endpoint has an address.
+func (d *Detours) known(address string) bool {
+	found := false
+	d.Inventory.Current().Each(func(e *inventory.Endpoint) { found = found || e.Address == address })
+	return found
+}
+
+// Run probes cut links until ctx ends, so that they are used again when they work.
+func (d *Detours) Run(ctx context.Context) error {
+	probes := probesInRound
+	for pause.For(ctx, probeInterval) {
+		snapshot := d.Inventory.Current()
+		d.forget(snapshot)
+		probes = d.probe(ctx, snapshot, probes)
+	}
+	return ctx.Err()
+}
+
+// forget drops what is known of endpoints that have gone.
+func (d *Detours) forget(snapshot *inventory.Snapshot) {
+	known := func(key inventory.Key) bool {
+		e := snapshot.Endpoint(key.ID)
+		return e != nil && e.Key() == key
+	}
+	d.links.Retain(known)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key := range d.asked {
+		if !known(key) {
+			delete(d.asked, key)
+		}
+	}
+}
+
+// probe connects to some endpoints whose links are cut, and returns the number of probes in
+// the next round.
+func (d *Detours) probe(ctx context.Context, snapshot *inventory.Snapshot, probes int) int {
+	cut := d.links.CutEndpoints()
+	rand.Shuffle(len(cut), func(i, j int) { cut[i], cut[j] = cut[j], cut[i] })
+	results := make(chan bool, len(cut))
+	probed := cut[:min(probes, len(cut))]
+	for _, key := range probed {
+		go func() { results <- d.probeLink(ctx, snapshot.Endpoint(key.ID)) }()
+	}
+	next := probesInRound
+	for range probed {
+		if <-results {
+			next = probesAfterRecovery
+		}
+	}
+	return next
+}
+
+// probeLink connects to an endpoint whose link is cut, and reports whether that worked.
+func (d *Detours) probeLink(ctx context.Context, e *inventory.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	if e == nil {
+		return false
+	}
+	ok := d.Direct.Reaches(ctx, e.Address)
+	if d.links.Probed(e.Key(), ok, time.Now()) {
+		d.Log.Info("link to endpoint works again", "endpoint", e.ID, "address", e.Address, "cut_links", d.links.Cuts())
+	}
+	return ok
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,8 @@
 	RateLimits *RateLimits
 	Suspects   *Suspects
 	Origins    *Origins
+	Detours    *Detours
+	Forwarder  *Forwarder
 	// OnConfigVersion is called with the version of the configuration in force at
 	// each node that reports demand.
 	OnConfigVersion func(version int64)
@@ -88,6 +90,8 @@
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
 	mux.HandleFunc("POST "+originsPath, s.Origins.serveStore)
 	mux.HandleFunc("POST "+findOriginPath, s.Origins.serveFind)
+	mux.HandleFunc("POST "+reachPath, s.Detours.serveReach)
+	mux.Handle("POST "+forwardPath, s.Forwarder)
 	return mux
 }
 
--- /dev/null
+++ b/internal/fleet/forward.go
@@ -0,0 +1,333 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"chestnutgauge/internal/httpclient"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/relay"
+)
+
+// forwardPath is the path of the call by which a node has another one serve a request.
+const forwardPath = "/v1/forward"
+
+// Headers of the call, and of its response.
+const (
+	// headerForward holds a forwardedRequest. The other headers are the caller's.
+	headerForward = "Chestnut-Forward"
+	// headerForwardReply holds a forwardedReply, if the response is that of an endpoint.
+	headerForwardReply = "Chestnut-Forward-Reply"
+	// headerForwardEnd is a trailer with a forwardEnd. A response without it is incomplete.
+	headerForwardEnd = "Chestnut-Forward-End"
+)
+
+// forwardedRequest describes a caller's request that another node serves.
+type forwardedRequest struct {
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	Target string `json:"target"`
+	Path   string `json:"path"`
+	Host   string `json:"host"`
+	// LeftMS is the time that the caller still waits, in milliseconds.
+	LeftMS       int64              `json:"left_ms"`
+	Model        string             `json:"model,omitempty"`
+	Adapter      string             `json:"adapter,omitempty"`
+	PromptTokens int                `json:"prompt_tokens,omitempty"`
+	MaxTokens    int                `json:"max_tokens,omitempty"`
+	Prompt       []relay.PromptPart `json:"prompt,omitempty"`
+	LastEvent    string             `json:"last_event,omitempty"`
+	Resumes      string             `json:"resumes,omitempty"`
+	// MaxRuns is the number of endpoints on which the request may still run.
+	MaxRuns  int                   `json:"max_runs"`
+	Required inventory.Requirement `json:"required,omitzero"`
+}
+
+// forwardedReply describes an endpoint's response that another node passes on.
+type forwardedReply struct {
+	Status int `json:"status"`
+	// Length is the length of the body, or -1 if it is unknown.
+	Length  int64  `json:"length"`
+	Service string `json:"service,omitempty"`
+	// Version is the software version of the endpoint.
+	Version string `json:"version,omitempty"`
+}
+
+// forwardEnd says how the request ended at the other node.
+type forwardEnd struct {
+	// Runs is the number of endpoints that may have run the request.
+	Runs int `json:"runs"`
+	// Reason is empty if the response is complete.
+	Reason       relay.Reason `json:"reason,omitempty"`
+	Run          outcome.Run  `json:"run,omitempty"`
+	RetryAfterMS int64        `json:"retry_after_ms,omitempty"`
+}
+
+// ofTheNode are the reasons for which another node may serve a request that one did not.
+var ofTheNode = map[relay.Reason]bool{
+	relay.ReasonUnreachable:  true,
+	relay.ReasonShuttingDown: true,
+	relay.ReasonNotReady:     true,
+	relay.ReasonNoRoute:      true,
+	relay.ReasonUnknownModel: true,
+}
+
+// errForwarded is the error of a request that another node could not serve.
+var errForwarded = errors.New("fleet: not served by the other node")
+
+// forward has another node serve a request.
+func (d *Detours) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
+	end := d.nodes.Begin(node)
+	requestsForwarded.Inc()
+	resp, err := d.callForward(ctx, node, req, attempt)
+	if err != nil {
+		end()
+		if ctx.Err() == nil {
+			d.nodes.Failed(node, time.Now())
+		}
+		return nil, &relay.SendError{Sent: !httpclient.NotConnected(err), Err: err}
+	}
+	body := &forwardedBody{response: resp, end: end}
+	var described forwardedReply
+	if text := resp.Header.Get(headerForwardReply); text != "" {
+		if err := json.Unmarshal([]byte(text), &described); err == nil {
+			return forwardReply(resp, described, body), nil
+		}
+	}
+	defer func() { _ = body.Close() }()
+	return nil, d.notForwarded(node, resp)
+}
+
+// callForward makes the call.
+func (d *Detours) callForward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
+	described, err := json.Marshal(forwardedRequest{
+		ID:           req.ID,
+		Method:       req.Method,
+		Target:       req.Target,
+		Path:         req.Path,
+		Host:         req.Host,
+		LeftMS:       time.Until(attempt.Deadline).Milliseconds(),
+		Model:        req.Model,
+		Adapter:      req.Adapter,
+		PromptTokens: req.PromptTokens,
+		MaxTokens:    req.MaxTokens,
+		Prompt:       req.Prompt,
+		LastEvent:    attempt.LastEvent,
+		Resumes:      req.Resumes,
+		MaxRuns:      attempt.MaxRuns,
+		Required:     attempt.Required,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("fleet: encode: %w", err)
+	}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+forwardPath, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, fmt.Errorf("fleet: request: %w", err)
+	}
+	// net/http repeats a request only if it can obtain its body again.
+	call.GetBody = nil
+	call.Header = req.Header.Clone()
+	call.Header.Set(headerForward, string(described))
+	if call.Header.Get("User-Agent") == "" {
+		// An empty value prevents net/http from adding its default.
+		call.Header["User-Agent"] = []string{""}
+	}
+	resp, err := d.HTTP.Do(call)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	return resp, nil
+}
+
+// forwardReply returns an endpoint's response that another node passes on.
+func forwardReply(resp *http.Response, described forwardedReply, body *forwardedBody) *relay.Reply {
+	header := resp.Header.Clone()
+	header.Del(headerForwardReply)
+	header.Del("Trailer")
+	return &relay.Reply{
+		Status:  described.Status,
+		Header:  header,
+		Body:    body,
+		Length:  described.Length,
+		Service: described.Service,
+		Version: described.Version,
+		Runs:    body.runs,
+	}
+}
+
+// notForwarded returns the error of a request that another node did not serve.
+func (d *Detours) notForwarded(node string, resp *http.Response) error {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
+	var ended forwardEnd
+	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil || ended.Reason == "" {
+		d.nodes.Failed(node, time.Now())
+		return &relay.SendError{Sent: true, Err: fmt.Errorf("%w: status %d", errForwarded, resp.StatusCode)}
+	}
+	failed := &relay.SendError{Sent: ended.Run != outcome.NotRun, Runs: ended.Runs, Err: fmt.Errorf("%w: %s", errForwarded, ended.Reason)}
+	switch {
+	case ended.Run != outcome.NotRun:
+	case ofTheNode[ended.Reason]:
+		d.nodes.CutOff(node, time.Now())
+	default:
+		failed.Refusal = &relay.Failure{Reason: ended.Reason, Run: ended.Run, RetryAfter: time.Duration(ended.RetryAfterMS) * time.Millisecond}
+	}
+	return failed
+}
+
+// forwardedBody is the body of a response that another node passes on. It ends with an
+// error unless the other node says that it is complete.
+type forwardedBody struct {
+	response *http.Response
+	end      func()
+	ended    forwardEnd
+}
+
+// Read implements io.Reader.
+func (b *forwardedBody) Read(p []byte) (int, error) {
+	n, err := b.response.Body.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if json.Unmarshal([]byte(b.response.Trailer.Get(headerForwardEnd)), &b.ended) != nil {
+		return n, io.ErrUnexpectedEOF
+	}
+	if b.ended.Reason != "" {
+		return n, fmt.Errorf("%w: %s", errForwarded, b.ended.Reason)
+	}
+	return n, io.EOF
+}
+
+// Close implements io.Closer.
+func (b *forwardedBody) Close() error {
+	if b.end != nil {
+		b.end()
+		b.end = nil
+	}
+	return b.response.Body.Close()
+}
+
+// runs returns the number of endpoints that may have run the request.
+func (b *forwardedBody) runs() int {
+	return max(1, b.ended.Runs)
+}
+
+// Forwarder serves the requests that other nodes forward to this one.
+type Forwarder struct {
+	Serve func(ctx context.Context, req *relay.Request, answer relay.Answer) (runs int, failure *relay.Failure)
+	// Closing reports whether the node shuts down.
+	Closing func() bool
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var described forwardedRequest
+	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &described); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Trailer", headerForwardEnd)
+	answer := &forwardAnswer{w: w, control: http.NewResponseController(w)}
+	var ended forwardEnd
+	if f.Closing() {
+		ended = forwardEnd{Reason: relay.ReasonShuttingDown, Run: outcome.NotRun}
+	} else {
+		runs, failure := f.Serve(r.Context(), described.request(r.Header, body), answer)
+		ended = forwardEnd{Runs: runs}
+		if failure != nil {
+			ended.Reason, ended.Run, ended.RetryAfterMS = failure.Reason, failure.Run, failure.RetryAfter.Milliseconds()
+		}
+	}
+	answer.finish(ended)
+}
+
+// request returns the request for the relay.
+func (f forwardedRequest) request(header http.Header, body []byte) *relay.Request {
+	now := time.Now()
+	header = header.Clone()
+	header.Del(headerForward)
+	header.Del("Content-Length")
+	return &relay.Request{
+		ID:           f.ID,
+		Method:       f.Method,
+		Target:       f.Target,
+		Path:         f.Path,
+		Host:         f.Host,
+		Header:       header,
+		Body:         body,
+		Arrived:      now,
+		Deadline:     now.Add(time.Duration(f.LeftMS) * time.Millisecond),
+		Model:        f.Model,
+		Adapter:      f.Adapter,
+		PromptTokens: f.PromptTokens,
+		MaxTokens:    f.MaxTokens,
+		Prompt:       f.Prompt,
+		LastEvent:    f.LastEvent,
+		Resumes:      f.Resumes,
+		Forwarded:    &relay.Forwarded{MaxRuns: f.MaxRuns, Required: f.Required},
+	}
+}
+
+// forwardAnswer passes a response on to the node that forwarded the request. It implements
+// relay.Answer.
+type forwardAnswer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Begin implements relay.Answer.
+func (a *forwardAnswer) Begin(reply *relay.Reply, length int) {
+	header := a.w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	header.Del("Content-Length")
+	header.Del("Connection")
+	for _, name := range []string{"Content-Type", "Date"} {
+		if header.Get(name) == "" {
+			// A nil value prevents net/http from adding one.
+			header[name] = nil
+		}
+	}
+	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Service: reply.Service, Version: reply.Version})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header.Set(headerForwardReply, string(described))
+	a.w.WriteHeader(http.StatusOK)
+}
+
+// Write implements relay.Answer.
+func (a *forwardAnswer) Write(data []byte) error {
+	_, err := a.w.Write(data)
+	return err
+}
+
+// Flush implements relay.Answer.
+func (a *forwardAnswer) Flush() error {
+	return a.control.Flush()
+}
+
+// finish ends the response, also one that has not begun. The flush makes it a chunked one,
+// which has trailers.
+func (a *forwardAnswer) finish(ended forwardEnd) {
+	if err := a.Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	text, err := json.Marshal(ended)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	a.w.Header().Set(headerForwardEnd, string(text))
+}
--- /dev/null
+++ b/internal/fleet/forward_test.go
@@ -0,0 +1,202 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/relay"
+)
+
+// deadLinks reach no endpoint.
+type deadLinks struct{}
+
+var errDead = errors.New("no link")
+
+func (deadLinks) Send(context.Context, *inventory.Endpoint, *relay.Request, relay.Attempt) (*relay.Reply, error) {
+	return nil, &relay.SendError{Err: errDead}
+}
+func (deadLinks) Refuses(context.Context, *inventory.Endpoint) bool { return true }
+func (deadLinks) StartedAt(context.Context, *inventory.Endpoint) (int64, error) {
+	return 0, errDead
+}
+func (deadLinks) Reaches(context.Context, string) bool { return false }
+
+// serveFunc serves a forwarded request.
+type serveFunc func(ctx context.Context, req *relay.Request, answer relay.Answer) (int, *relay.Failure)
+
+// forwarding returns a node without links, and the address of another one that serves what
+// it forwards.
+func forwarding(t *testing.T, serve serveFunc, closing bool) (*Detours, *inventory.Endpoint) {
+	forwarder := &Forwarder{Serve: serve, Closing: func() bool { return closing }}
+	server := httptest.NewServer((&Server{Publisher: &Publisher{}, RateLimits: NewRateLimits(), Suspects: NewSuspects(), Forwarder: forwarder, Log: discard}).Handler())
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	d := NewDetours()
+	d.Direct = deadLinks{}
+	d.Others = func() []string { return []string{address} }
+	d.Inventory = inventory.New()
+	d.OnCut = func(string) {}
+	d.HTTP = NewHTTP()
+	d.Log = discard
+	return d, d.Node(nil, time.Now())
+}
+
+func forwardedCall() (*relay.Request, relay.Attempt) {
+	req := &relay.Request{
+		ID: "r1", Method: "PUT", Target: "/a%20b?c=d", Path: "/a b", Host: "h.example", Model: "m", Adapter: "x",
+		Header: http.Header{"Chestnutgauge-Request-Id": {"r1"}, "Some": {"1", "2"}}, Body: []byte("body"),
+		PromptTokens: 7, MaxTokens: 9, Prompt: []relay.PromptPart{{ID: "p", Tokens: 3}}, Resumes: "r0",
+	}
+	attempt := relay.Attempt{Deadline: time.Now().Add(time.Minute), LastEvent: "4", MaxRuns: 2, Required: inventory.OnlyVersion("v2")}
+	return req, attempt
+}
+
+// TestForwardedRequestArrivesUnchanged guards against requests that another node serves
+// otherwise than this one would have.
+func TestForwardedRequestArrivesUnchanged(t *testing.T) {
+	var got *relay.Request
+	d, node := forwarding(t, func(_ context.Context, req *relay.Request, answer relay.Answer) (int, *relay.Failure) {
+		got = req
+		answer.Begin(&relay.Reply{Status: 201, Header: http.Header{"Signature": {"s"}}, Service: "s", Version: "v2"}, 4)
+		_ = answer.Write([]byte("done"))
+		return 1, nil
+	}, false)
+	req, attempt := forwardedCall()
+	reply, err := d.Send(t.Context(), node, req, attempt)
+	require.NoError(t, err)
+	body, err := io.ReadAll(reply.Body)
+	require.NoError(t, err)
+	require.NoError(t, reply.Body.Close())
+	require.Equal(t, "done", string(body))
+	require.Equal(t, 201, reply.Status)
+	require.Equal(t, int64(4), reply.Length)
+	require.Equal(t, http.Header{"Signature": {"s"}}, reply.Header)
+	require.Equal(t, "v2", reply.Version)
+	require.Equal(t, 1, reply.Runs())
+
+	require.WithinDuration(t, attempt.Deadline, got.Deadline, time.Second)
+	want := *req
+	want.LastEvent = "4"
+	want.Forwarded = &relay.Forwarded{MaxRuns: 2, Required: attempt.Required}
+	want.Arrived, want.Deadline = got.Arrived, got.Deadline
+	require.Equal(t, &want, got)
+}
+
+// TestForwardedFailures checks what a node learns of requests that another one didn't serve.
+func TestForwardedFailures(t *testing.T) {
+	tests := []struct {
+		name    string
+		failure relay.Failure
+		closing bool
+		sent    bool
+		final   bool
+		// avoided means that the node is not asked again for a time.
+		avoided bool
+	}{
+		{name: "refused", failure: relay.Failure{Reason: relay.ReasonFull, Run: outcome.NotRun, RetryAfter: 1500 * time.Millisecond}, final: true},
+		{name: "cut off as well", failure: relay.Failure{Reason: relay.ReasonUnreachable, Run: outcome.NotRun}, avoided: true},
+		{name: "shutting down", closing: true, avoided: true},
+		{name: "may have run", failure: relay.Failure{Reason: relay.ReasonTruncated, Run: outcome.Unknown}, sent: true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			d, node := forwarding(t, func(context.Context, *relay.Request, relay.Answer) (int, *relay.Failure) {
+				return 2, &tc.failure
+			}, tc.closing)
+			req, attempt := forwardedCall()
+			_, err := d.Send(t.Context(), node, req, attempt)
+			var failed *relay.SendError
+			require.ErrorAs(t, err, &failed)
+			require.Equal(t, tc.sent, failed.Sent)
+			if tc.sent {
+				require.Equal(t, 2, failed.Runs)
+			}
+			require.Equal(t, tc.final, failed.Refusal != nil)
+			if tc.final {
+				require.Equal(t, &tc.failure, failed.Refusal)
+			}
+			require.Equal(t, tc.avoided, d.Node(nil, time.Now()) == nil)
+		})
+	}
+}
+
+// TestForwardedStream guards against streams that another node holds back, ends without a
+// word, or goes on with after the caller has left.
+func TestForwardedStream(t *testing.T) {
+	next, left := make(chan bool), make(chan struct{})
+	d, node := forwarding(t, func(ctx context.Context, _ *relay.Request, answer relay.Answer) (int, *relay.Failure) {
+		answer.Begin(&relay.Reply{Status: 200, Header: http.Header{}}, -1)
+		for <-next {
+			_ = answer.Write([]byte("event"))
+			_ = answer.Flush()
+		}
+		if _, more := <-next; more {
+			return 2, &relay.Failure{Reason: relay.ReasonTruncated, Run: outcome.Unknown}
+		}
+		<-ctx.Done()
+		close(left)
+		return 1, nil
+	}, false)
+	begin := func(ctx context.Context) *relay.Reply {
+		req, attempt := forwardedCall()
+		go func() { next <- true }()
+		reply, err := d.Send(ctx, node, req, attempt)
+		require.NoError(t, err)
+		buffer := make([]byte, 5)
+		_, err = io.ReadFull(reply.Body, buffer)
+		require.NoError(t, err, "an event passes before the next one exists")
+		return reply
+	}
+	reply := begin(t.Context())
+	next <- false
+	next <- true
+	_, err := io.ReadAll(reply.Body)
+	require.ErrorIs(t, err, errForwarded, "broken off at the other node")
+	require.Equal(t, 2, reply.Runs())
+	require.NoError(t, reply.Body.Close())
+
+	ctx, cancel := context.WithCancel(t.Context())
+	reply = begin(ctx)
+	next <- false
+	close(next)
+	cancel()
+	<-left
+	require.NoError(t, reply.Body.Close())
+}
+
+// TestCutNeedsAnotherNode guards against a crash or a restart of all endpoints that is taken
+// for a partition, and against a partition that is taken for crashes.
+func TestCutNeedsAnotherNode(t *testing.T) {
+	for _, reached := range []bool{true, false} {
+		d, _ := forwarding(t, nil, false)
+		other := NewDetours()
+		other.Inventory = inventory.New()
+		other.Inventory.Replace([]*inventory.Endpoint{{ID: "e", Address: "127.0.0.1:1"}})
+		other.Log = discard
+		other.Direct = linksThat{reach: reached}
+		server := httptest.NewServer((&Server{Publisher: &Publisher{}, RateLimits: NewRateLimits(), Suspects: NewSuspects(), Detours: other, Log: discard}).Handler())
+		t.Cleanup(server.Close)
+		d.Others = func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }
+		endpoint := &inventory.Endpoint{ID: "e", Address: "127.0.0.1:1"}
+		require.Equal(t, !reached, d.Refuses(t.Context(), endpoint), "crashed")
+		require.Equal(t, reached, d.Cut(endpoint.Key(), time.Now()), "cut")
+	}
+}
+
+// linksThat reach all endpoints or none.
+type linksThat struct {
+	deadLinks
+	reach bool
+}
+
+func (l linksThat) Reaches(context.Context, string) bool { return l.reach }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -8,6 +8,8 @@
 
 var (
 	originsDropped     = metrics.NewCounter(`chestnut_stream_origins_not_replicated_total{reason="queue_full"}`)
+	linksCut           = metrics.NewCounter(`chestnut_links_cut_total`)
+	requestsForwarded  = metrics.NewCounter(`chestnut_requests_forwarded_total`)
 	originStoresFailed = metrics.NewCounter(`chestnut_stream_origins_not_replicated_total{reason="call_failed"}`)
 )
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -38,6 +38,9 @@
 	OnDisk   []string `json:"-"`
 	// Entry is the position of the store's row that holds this entry.
 	Entry era.Position `json:"entry,omitzero"`
+	// Node means that this is no endpoint but a node that forwards requests to endpoints.
+	// An inventory holds none.
+	Node bool `json:"-"`
 	// unmarked is the endpoint without its drain mark, or nil if it has none.
 	unmarked *Endpoint
 }
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -92,6 +92,7 @@
 	rateLimits   *fleet.RateLimits
 	suspects     *fleet.Suspects
 	origins      *fleet.Origins
+	detours      *fleet.Detours
 	isolation    isolation.Detector
 	shuttingDown atomic.Bool
 }
@@ -100,7 +101,7 @@
 // established as endpointDial says.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger, endpointDial ...httpclient.Wrap) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), detours: fleet.NewDetours()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress, log)
@@ -159,6 +160,12 @@
 	n.origins.Current = n.inventoryCurrent
 	n.origins.HTTP = fleet.NewHTTP()
 	n.origins.Log = log
+	n.detours.Direct = platform.NewSender(log, endpointDial...)
+	n.detours.Others = n.client.Others
+	n.detours.Inventory = n.inventory
+	n.detours.OnCut = n.meter.ForgetReach
+	n.detours.HTTP = fleet.NewHTTP()
+	n.detours.Log = log
 	store.SetFallback(n.client)
 	n.followRestores(store.Eras())
 	n.store = store
@@ -168,7 +175,8 @@
 		DataCentre: s.DataCentre,
 		Catalog:    n.config.Get,
 		Inventory:  n.inventory,
-		Sender:     platform.NewSender(log, endpointDial...),
+		Sender:     n.detours,
+		Detours:    n.detours,
 		Adapters:   n.client,
 		Loads:      n.client,
 		Demand:     n.meter,
@@ -221,6 +229,8 @@
 		RateLimits:      n.rateLimits,
 		Suspects:        n.suspects,
 		Origins:         n.origins,
+		Detours:         n.detours,
+		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
 		Log:             n.log,
 	}
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -74,6 +74,9 @@
 		if verdict != choose.Found {
 			w.blocked(verdict)
 		}
+		if node, failure := x.detour(verdict, time.Now()); node != nil || failure != nil {
+			return node, failure
+		}
 		if failure := x.unsatisfiable(verdict, w); failure != nil {
 			return nil, failure
 		}
@@ -242,7 +245,11 @@
 	x.candidates = len(candidates)
 	x.ejected = 0
 	x.leaving = 0
+	x.cut = 0
 	for _, c := range candidates {
+		if c.Unreachable && !c.Leaving {
+			x.cut++
+		}
 		if c.EjectedUntil.After(now) {
 			x.ejected++
 		}
@@ -262,6 +269,7 @@
 	return choose.Candidate{
 		Name:            e.ID,
 		DataCentre:      e.DataCentre,
+		Unreachable:     x.relay.Detours.Cut(e.Key(), now),
 		Leaving:         e.Leaving,
 		EjectedUntil:    view.EjectedUntil,
 		Tried:           slices.Contains(x.tried, e.ID),
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -53,6 +53,10 @@
 	// drained, and cooling the number that were throttled: in cooldown, or without
 	// a permit for the request.
 	candidates, ejected, leaving, cooling int
+	// cut is the number of candidates that stay and that only other nodes reach.
+	cut int
+	// budgetCounted reports whether the request was counted in the retry budget.
+	budgetCounted bool
 	// throttleEnd is when the first of them should be available if all of them that
 	// are not being drained are throttled, or zero.
 	throttleEnd time.Time
@@ -124,6 +128,10 @@
 	// reply is an endpoint's error response that is forwarded if no retry
 	// follows. It is nil if the response was not read whole.
 	reply *bufferedReply
+	// runs is the number of endpoints that may have run the request if it is more than one.
+	runs int
+	// refusal is the failure of the attempt if that is final.
+	refusal *Failure
 	// successor is an attempt at another endpoint that goes on with the stream. It
 	// is nil if none was opened.
 	successor *sending
@@ -170,8 +178,11 @@
 // afterFailure decides whether a failed attempt is retried. If not, it returns
 // the final failure.
 func (x *exchange) afterFailure(ctx context.Context, endpoint *inventory.Endpoint, result attemptResult) (*Failure, bool) {
+	if result.refusal != nil {
+		return x.withEarlierRun(result.refusal), false
+	}
 	if result.run != outcome.NotRun {
-		x.possibleRuns++
+		x.possibleRuns += max(1, result.runs)
 	}
 	x.tried = append(x.tried, endpoint.ID)
 	if result.unsent {
@@ -205,7 +216,7 @@
 
 // mayRetry reports whether a retry is allowed, regardless of the budget.
 func (x *exchange) mayRetry(ctx context.Context, result attemptResult) bool {
-	if ctx.Err() != nil || x.possibleRuns >= x.route.MaxEndpoints {
+	if ctx.Err() != nil || x.possibleRuns >= x.maxRuns() {
 		return false
 	}
 	return !x.started || x.route.Resumable
@@ -252,8 +263,10 @@
 	defer x.relay.waiting.remove(s)
 	x.endpoint = s.endpoint.ID
 	x.attempts++
-	x.relay.Demand.Reached(s.endpoint.ID, true)
-	x.relay.recordReply(s)
+	if !s.endpoint.Node {
+		x.relay.Demand.Reached(s.endpoint.ID, true)
+		x.relay.recordReply(s)
+	}
 	switch {
 	case s.reply.NotRun:
 		return x.notRun(s)
@@ -300,15 +313,42 @@
 	if run != outcome.NotRun {
 		x.attempts++
 	}
-	if ctx.Err() == nil && !errors.Is(err, errSuspected) {
-		x.relay.loads.Failed(endpoint.ID, time.Now(), rand.Float64())
-		if run == outcome.NotRun {
-			x.relay.Demand.Reached(endpoint.ID, false)
-		} else {
-			x.connectionLost(endpoint, alone, false)
-		}
+	if ctx.Err() == nil && !errors.Is(err, errSuspected) && !endpoint.Node {
+		x.endpointFailed(endpoint, run, alone)
+	}
+	result := attemptResult{run: run, unsent: run == outcome.NotRun, cause: err}
+	if failed != nil {
+		result.runs, result.refusal = failed.Runs, failed.Refusal
+	}
+	return result
+}
+
+// endpointFailed records that an endpoint gave no response.
+func (x *exchange) endpointFailed(endpoint *inventory.Endpoint, run outcome.Run, alone bool) {
+	now := time.Now()
+	x.relay.loads.Failed(endpoint.ID, now, rand.Float64())
+	switch {
+	case run != outcome.NotRun:
+		x.connectionLost(endpoint, alone, false)
+	case !x.relay.Detours.Cut(endpoint.Key(), now):
+		x.relay.Demand.Reached(endpoint.ID, false)
+	}
+}
+
+// interrupted records that the connection to an endpoint, or a node, was lost during a
+// response. begun means that a part of that had arrived. It returns the number of endpoints
+// that may have run the request.
+func (x *exchange) interrupted(s *sending, begun bool) (runs int) {
+	if s.reply.Runs != nil {
+		runs = s.reply.Runs()
+	}
+	if s.endpoint.Node {
+		return runs
 	}
-	return attemptResult{run: run, unsent: run == outcome.NotRun, cause: err}
+	x.relay.loads.Failed(s.endpoint.ID, time.Now(), rand.Float64())
+	x.relay.Detours.Lost(s.endpoint)
+	x.connectionLost(s.endpoint, s.alone, begun)
+	return runs
 }
 
 // notRun handles an endpoint's statement that it did not run the request.
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -25,6 +25,7 @@
 	ReasonTruncated          Reason = "answer broken off"
 	ReasonUnknownVersion     Reason = "version of the stream not known"
 	ReasonNoVersion          Reason = "no endpoint of the stream's version"
+	ReasonUnreachable        Reason = "endpoints can't be reached"
 	ReasonCrashes            Reason = "request crashes endpoints"
 	ReasonCallerDisconnected Reason = "caller gone"
 	ReasonShuttingDown       Reason = "node is shutting down"
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -235,6 +235,7 @@
 		Suspects:  suspect.NewRegistry(),
 		Trials:    &ownTrials{},
 		Origins:   &ownOrigins{known: streamorigin.NewRegistry()},
+		Detours:   noDetours{},
 		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
 		Isolated:  func() bool { return false },
 		Log:       slog.New(slog.DiscardHandler),
@@ -250,6 +251,15 @@
 	return l.limiter.Ask(endpoint, perSecond, ask, time.Now())
 }
 
+// noDetours has working links to all endpoints.
+type noDetours struct{}
+
+func (noDetours) Cut(inventory.Key, time.Time) bool { return false }
+
+func (noDetours) Lost(*inventory.Endpoint) {}
+
+func (noDetours) Node([]string, time.Time) *inventory.Endpoint { return nil }
+
 // ownOrigins keeps the origins of streams at one node.
 type ownOrigins struct {
 	known *streamorigin.Registry
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -25,7 +24,8 @@
 	}
 	buffered := &bufferedReply{Reply: *reply, body: body}
 	whole := len(body) < maxBufferedBody
-	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() {
+	// A node that passes on an error has tried other endpoints.
+	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() && !s.endpoint.Node {
 		result := attemptResult{run: outcome.Ran, cause: statusError(reply.Status)}
 		if whole {
 			result.reply = buffered
@@ -51,11 +51,11 @@
 // bodyLost handles a response whose connection was lost before its end. begun means
 // that a part of its body had arrived.
 func (x *exchange) bodyLost(ctx context.Context, s *sending, begun bool, err error) attemptResult {
+	result := attemptResult{run: outcome.Ran, truncated: x.started, cause: err}
 	if ctx.Err() == nil {
-		x.relay.loads.Failed(s.endpoint.ID, time.Now(), rand.Float64())
-		x.connectionLost(s.endpoint, s.alone, begun)
+		result.runs = x.interrupted(s, begun)
 	}
-	return attemptResult{run: outcome.Ran, truncated: x.started, cause: err}
+	return result
 }
 
 // forwardRest forwards a response that fills the buffer, and then what follows
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,7 @@
 	Suspects *suspect.Registry
 	Trials   Trials
 	Origins  Origins
+	Detours  Detours
 	Budget   Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
@@ -109,6 +110,13 @@
 // Serve serves one request. A nil result means that the caller has the complete
 // response; a failure after the response began means that it was truncated.
 func (r *Relay) Serve(ctx context.Context, req *Request, answer Answer) *Failure {
+	_, failure := r.ServeForwarded(ctx, req, answer)
+	return failure
+}
+
+// ServeForwarded is Serve for a request that another node may have forwarded. It also
+// returns the number of endpoints that may have run it.
+func (r *Relay) ServeForwarded(ctx context.Context, req *Request, answer Answer) (runs int, failure *Failure) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	x, failure := r.begin(req, answer)
@@ -119,7 +127,10 @@
 		failure = &Failure{Reason: ReasonCallerDisconnected, Run: failure.Run, Cause: failure.Cause}
 	}
 	r.logEnd(req, x, failure)
-	return failure
+	if x != nil {
+		runs = x.possibleRuns
+	}
+	return runs, failure
 }
 
 // run runs an exchange until the request's deadline or the shutdown of the
@@ -160,7 +171,10 @@
 			return x, refuse(ReasonUnknownModel, 0)
 		}
 	}
-	x.budget().Request()
+	if req.Forwarded != nil {
+		x.required = req.Forwarded.Required
+		x.demandCounted = true
+	}
 	return x, nil
 }
 
@@ -218,7 +232,7 @@
 	}
 	countFailure(failure.Reason)
 	if x != nil {
-		attrs = append(attrs, "candidates", x.candidates, "spared", x.ejected, "leaving", x.leaving, "cooling", x.cooling)
+		attrs = append(attrs, "candidates", x.candidates, "spared", x.ejected, "cut", x.cut, "leaving", x.leaving, "cooling", x.cooling)
 	}
 	attrs = append(attrs, "reason", string(failure.Reason), "run", string(failure.Run), "retry_after_ms", failure.RetryAfter.Milliseconds())
 	if failure.Cause != nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -46,6 +46,17 @@
 	// Resumes is the id of the caller's attempt that brought the first event of the
 	// stream that this one resumes, or empty.
 	Resumes string
+	// Forwarded is set if another node forwards the request.
+	Forwarded *Forwarded
+}
+
+// Forwarded is what holds for a request that another node forwards. It is forwarded no
+// further.
+type Forwarded struct {
+	// MaxRuns is the number of endpoints on which it may still run.
+	MaxRuns int
+	// Required restricts the endpoints.
+	Required inventory.Requirement
 }
 
 // Attempt describes one attempt to send a request.
@@ -53,6 +64,10 @@
 	Deadline  time.Time
 	Priority  int
 	LastEvent string
+	// MaxRuns is the number of endpoints on which the request may still run, and Required
+	// restricts them, if a node chooses them.
+	MaxRuns  int
+	Required inventory.Requirement
 }
 
 // Load is the load that an endpoint reports with a response.
@@ -87,13 +102,24 @@
 	Cooldown time.Duration
 	// RateLimit is what it states of the number of requests a second that it takes.
 	RateLimit notice.RateLimit
+	// Service and Version are those of the endpoint that began the response, if a node
+	// passes it on, and for a node that it is passed on to.
+	Service string
+	Version string
+	// Runs returns, once the body has ended, the number of endpoints that may have run the
+	// request. Nil means one.
+	Runs func() int
 }
 
 // SendError reports an attempt that got no response.
 type SendError struct {
 	// Sent means that the endpoint may have received the request.
 	Sent bool
-	Err  error
+	// Runs is the number of endpoints that may have run it if it is more than one.
+	Runs int
+	// Refusal is the failure at a node that did not serve the request, if that is final.
+	Refusal *Failure
+	Err     error
 }
 
 // Error implements error.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -41,14 +41,23 @@
 	r := x.relay
 	attemptsTotal.Inc()
 	s := &sending{endpoint: endpoint, started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
-	s.release = x.occupy(endpoint)
+	s.release = func() {}
+	if !endpoint.Node {
+		s.release = x.occupy(endpoint)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
 	s.cause = func() error { return context.Cause(ctx) }
-	if !s.alone && x.route.Repeatable() && x.possibleRuns+1 < x.route.MaxEndpoints {
+	if !s.alone && !endpoint.Node && x.route.Repeatable() && x.possibleRuns+1 < x.maxRuns() {
 		r.waiting.add(s, waitingAttempt{request: x.identity, cancel: cancel})
 	}
-	attempt := Attempt{Deadline: x.deadline, Priority: x.route.Priority, LastEvent: lastEvent}
+	attempt := Attempt{
+		Deadline:  x.deadline,
+		Priority:  x.route.Priority,
+		LastEvent: lastEvent,
+		MaxRuns:   x.maxRuns() - x.possibleRuns,
+		Required:  x.required,
+	}
 	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
 		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes)
 	reply, err := r.Sender.Send(ctx, endpoint, x.req, attempt)
@@ -69,6 +78,10 @@
 // The returned function ends both.
 func (x *exchange) occupy(endpoint *inventory.Endpoint) (release func()) {
 	r := x.relay
+	if !x.budgetCounted {
+		x.budgetCounted = true
+		x.budget().Request()
+	}
 	trial := x.trial
 	x.trial = nil
 	if x.req.Model != "" {
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -46,7 +46,7 @@
 // response has begun, so that a stream that no endpoint continues is left to go on.
 func (x *exchange) detectStalls(ctx context.Context, s *sending) *stallDetector {
 	d := &stallDetector{body: s.reply.Body, timeout: stallTimeout(x.route), cancel: s.cancel, lastEvent: x.lastEvent}
-	if x.route.Resumable && x.possibleRuns+1 < x.route.MaxEndpoints {
+	if x.route.Resumable && x.possibleRuns+1 < x.maxRuns() && !s.endpoint.Node {
 		successor := *x
 		successor.tried = append(slices.Clone(x.tried), s.endpoint.ID)
 		successor.permits = maps.Clone(x.permits)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"chestnutgauge/internal/outcome"
@@ -60,7 +59,7 @@
 func (x *exchange) forwardBytes(s *sending, data []byte) error {
 	if !x.started {
 		x.started = true
-		x.begunAt(s.endpoint)
+		x.begunAt(s)
 		x.status = s.reply.Status
 		firstSeconds.Update(time.Since(x.req.Arrived).Seconds())
 		x.answer.Begin(s.reply, -1)
@@ -125,12 +124,12 @@
 	if s.withdrawn() {
 		return attemptResult{run: outcome.Ran, truncated: x.started, cause: errSuspected}
 	}
+	result := attemptResult{run: outcome.Ran, truncated: x.started, cause: err}
 	if ctx.Err() == nil {
-		x.relay.loads.Failed(s.endpoint.ID, time.Now(), rand.Float64())
-		x.connectionLost(s.endpoint, s.alone, begun)
+		result.runs = x.interrupted(s, begun)
 		if x.route.Resumable {
 			resumesTotal.Inc()
 		}
 	}
-	return attemptResult{run: outcome.Ran, truncated: x.started, cause: err}
+	return result
 }
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -33,7 +33,7 @@
 // followOrigin restricts a stream that the caller resumes to the version that began it.
 // The refusal has no time to come back, since it is unknown whether one will help.
 func (x *exchange) followOrigin(ctx context.Context) *Failure {
-	if x.route.Kind != catalog.Stream || !x.route.Resumable || !x.req.resumes() {
+	if x.route.Kind != catalog.Stream || !x.route.Resumable || !x.req.resumes() || x.req.Forwarded != nil {
 		return nil
 	}
 	decision := x.relay.Origins.Find(ctx, x.req.stream(), x.service.Name, streamorigin.Lifetime(x.route.Timeout))
@@ -64,15 +64,19 @@
 
 // begunAt records that the caller gets the first event of its stream from an endpoint. The
 // stream then goes on only at endpoints of the same version.
-func (x *exchange) begunAt(endpoint *inventory.Endpoint) {
+func (x *exchange) begunAt(s *sending) {
 	if x.route.Kind != catalog.Stream {
 		return
 	}
-	x.required = inventory.OnlyVersion(endpoint.Version)
+	origin := streamorigin.Origin{Service: x.service.Name, Version: s.endpoint.Version}
+	if s.endpoint.Node {
+		origin = streamorigin.Origin{Service: s.reply.Service, Version: s.reply.Version}
+	}
+	s.reply.Service, s.reply.Version = origin.Service, origin.Version
+	x.required = inventory.OnlyVersion(origin.Version)
 	if !x.route.Resumable {
 		return
 	}
-	origin := streamorigin.Origin{Service: x.service.Name, Version: endpoint.Version}
 	x.relay.Origins.Record(x.req.stream(), origin, streamorigin.Lifetime(x.route.Timeout))
 }
 
@@ -103,7 +107,7 @@
 // incarnation of its endpoint's entry, and so the required version. It asks after the
 // response has begun: an endpoint that has restarted since has broken it off.
 func (x *exchange) verified(ctx context.Context, s *sending) bool {
-	if !s.unverified || x.service.Engine == nil || s.endpoint.StartedAtMS == 0 {
+	if !s.unverified || s.endpoint.Node || x.service.Engine == nil || s.endpoint.StartedAtMS == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
