Hand over the ownership of engines that the owner does not reach

Cause: the lease tells whether a node reaches the store, not whether it reaches the engines. Ruled out: a lack of room for loads, as the owner sent 977 unloads that got no answer.

Change: a node that doesn't reach half of the endpoints, though others do, releases the lease and only follows who holds it, until it is cut off from less than a quarter.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -134,3 +134,13 @@
 	require.Equal(t, "b", n.Pick(nodes, []string{"c", "d"}, rng, at(failureTime)))
 	require.Equal(t, "a", n.Pick(nodes, []string{"b", "c", "d"}, rng, at(cutOffTime)))
 }
+
+// TestPartitioned checks that a node does not swing between both states.
+func TestPartitioned(t *testing.T) {
+	require.False(t, Partitioned(false, 0, 0))
+	require.False(t, Partitioned(false, 9, 20))
+	require.True(t, Partitioned(false, 10, 20))
+	require.True(t, Partitioned(true, 5, 20))
+	require.False(t, Partitioned(true, 4, 20))
+	require.False(t, Partitioned(true, 0, 20))
+}
--- a/internal/detour/links.go
+++ b/internal/detour/links.go
@@ -165,6 +165,23 @@
 	return l.cuts
 }
 
+// Shares of the endpoints whose links are cut from which a node counts as partitioned, and
+// below which it no longer does.
+const (
+	partitionedShare = 0.5
+	rejoinedShare    = 0.25
+)
+
+// Partitioned reports whether a node counts as partitioned from the endpoints, given whether
+// it did before.
+func Partitioned(before bool, cuts, endpoints int) bool {
+	share := partitionedShare
+	if before {
+		share = rejoinedShare
+	}
+	return cuts > 0 && float64(cuts) >= share*float64(endpoints)
+}
+
 // Retain drops the endpoints for which known returns false.
 func (l *Links) Retain(known func(inventory.Key) bool) {
 	l.mu.Lock()
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -87,6 +87,8 @@
 	// right to act.
 	retired  bool
 	released bool
+	// aside makes the process only follow who holds the lease.
+	aside bool
 	// freeAt is when the lease at position freePosition of its row is free, if
 	// freeKnown is set.
 	freeKnown    bool
@@ -220,6 +222,9 @@
 		return pollInterval
 	}
 	k.recordHolder(r)
+	if k.isAside() {
+		return pollInterval
+	}
 	if r.clockErr != nil {
 		k.logNoClock(r.clockErr)
 		return pollInterval
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -230,6 +230,34 @@
 	})
 }
 
+// TestLeaseOfProcessThatStandsAside checks that a process that stands aside leaves the lease
+// to another one, knows that one, and can acquire it again only after it has returned.
+func TestLeaseOfProcessThatStandsAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		a := startKeeper(t, s, "a")
+		b := startKeeper(t, s, "b")
+		time.Sleep(time.Second)
+		first, second := a, b
+		if holds(b) {
+			first, second = b, a
+		}
+		first.StandAside(t.Context())
+		require.False(t, holds(first))
+		time.Sleep(10 * time.Second)
+		require.False(t, holds(first))
+		require.True(t, holds(second))
+		require.Equal(t, second.Peer, first.Holder())
+		first.Return()
+		time.Sleep(10 * time.Second)
+		require.False(t, holds(first), "the other one keeps it")
+		require.True(t, holds(second))
+		second.StandAside(t.Context())
+		time.Sleep(10 * time.Second)
+		require.True(t, holds(first))
+	})
+}
+
 // TestShorterDelayAcquiresLease checks that of two processes that start
 // together, the one with the shorter delay acquires the lease.
 func TestShorterDelayAcquiresLease(t *testing.T) {
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -90,6 +90,32 @@
 	k.retired = true
 }
 
+// StandAside releases the lease if the process holds it, and leaves it to others until
+// Return.
+func (k *Keeper) StandAside(ctx context.Context) {
+	k.Release(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.holding {
+		k.endGrant("stands aside")
+	}
+	k.retired, k.released = false, false
+	k.aside = true
+}
+
+// Return ends StandAside: the process may acquire the lease again.
+func (k *Keeper) Return() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.aside = false
+}
+
+func (k *Keeper) isAside() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.aside
+}
+
 // Release ends the right to act at once and records the release in the store.
 func (k *Keeper) Release(ctx context.Context) {
 	now, clockErr := k.now()
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -130,6 +130,7 @@
 	supervise.Add(tree, "stream origins", n.origins.RunReplication)
 	supervise.Add(tree, "version history", n.origins.RunHistory)
 	supervise.Add(tree, "links", n.detours.Run)
+	supervise.Add(tree, "partition", n.watchPartition)
 	supervise.Add(tree, "inventory", n.follower.Run)
 	supervise.Add(tree, "isolation", n.watchIsolation)
 	supervise.Add(tree, "settings", func(ctx context.Context) error { return n.watcher.Run(ctx, n.readSettings) })
