Bound the requests of all nodes at brittle endpoints

Endpoints that bear six rejections a second fell over again and again: each node bounded its own requests by the endpoint's slots and a guess at the others', and tried again 50 ms after a rejection.

Change: endpoints that name the rejections that they bear make their service brittle at all nodes, told like rate limits.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -36,6 +36,8 @@
 	Aggregator *demand.Aggregator
 	// Limits are the rate limits that this node knows.
 	Limits *notice.Limits[inventory.Key]
+	// Brittle are the brittle services that this node knows.
+	Brittle *notice.Limits[string]
 	// Suspects are the suspects that this node knows.
 	Suspects *Suspects
 	// LastNodes returns the addresses of the nodes that the last owner knew, for a node
@@ -53,10 +55,12 @@
 	lastResponseAt time.Time
 	// lastOwner is the owner that sent the response received at lastResponseAt.
 	lastOwner string
-	// sent is what the owner has received of this node, limitsReceived the version of the
-	// owner's rate limits that this node has received. Only Run uses them.
-	sent           sentVersions
-	limitsReceived int64
+	// sent is what the owner has received of this node, limitsReceived and brittleReceived
+	// the versions of the owner's rate limits and brittle services that this node has
+	// received. Only Run uses them.
+	sent            sentVersions
+	limitsReceived  int64
+	brittleReceived int64
 	// failing is true if the last report failed; only Run uses it.
 	failing bool
 }
@@ -164,7 +168,7 @@
 		if c.sent.to != c.Self {
 			go c.Suspects.ask(ctx, c.Others())
 		}
-		response = acceptReport(c.Owner, c.Aggregator, c.Limits, c.Suspects.Known, report)
+		response = acceptReport(c.Owner, c.Aggregator, told{c.Limits, c.Brittle, c.Suspects.Known}, report)
 	default:
 		if err := c.call(ctx, holder, demandPath, report, &response); err != nil {
 			c.sent = sentVersions{}
@@ -172,7 +176,7 @@
 		}
 	}
 	c.sent = sent
-	c.limitsReceived = response.LimitsVersion
+	c.limitsReceived, c.brittleReceived = response.LimitsVersion, response.BrittleVersion
 	c.storeResponse(holder, response)
 	return nil
 }
@@ -182,13 +186,14 @@
 type sentVersions struct {
 	to       string
 	limits   int64
+	brittle  int64
 	suspects int64
 }
 
 // addOwn adds to a report the node's own rate limits and suspects that the holder has not
 // received, and returns what it will have received with it.
 func (c *Client) addOwn(report *demand.Report, holder string, now time.Time) sentVersions {
-	report.LimitsVersion = c.limitsReceived
+	report.LimitsVersion, report.BrittleVersion = c.limitsReceived, c.brittleReceived
 	report.SuspectsVersion = c.Suspects.Received()
 	before := c.sent
 	if before.to != holder {
@@ -196,6 +201,7 @@
 	}
 	sent := sentVersions{to: holder}
 	report.Limits, sent.limits = c.Limits.OwnSince(before.limits, now)
+	report.Brittle, sent.brittle = c.Brittle.OwnSince(before.brittle, now)
 	report.Suspects, sent.suspects = c.Suspects.Known.OwnSince(before.suspects, now)
 	return sent
 }
@@ -221,6 +227,7 @@
 func (c *Client) storeResponse(from string, response DemandResponse) {
 	now := time.Now()
 	c.Limits.Merge(response.Limits, now)
+	c.Brittle.Merge(response.Brittle, now)
 	c.Suspects.Receive(response.Suspects, response.SuspectsVersion)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,10 @@
 	// node does not have this version of them.
 	Limits        []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
 	LimitsVersion int64                                  `json:"limits_version"`
+	// Brittle are the brittle services that any node knows, if the reporting node does not
+	// have this version of them.
+	Brittle        []notice.LimitStatement[string] `json:"brittle,omitempty"`
+	BrittleVersion int64                           `json:"brittle_version"`
 	// Suspects are the suspects of all nodes, if the reporting node does not have this
 	// version of them.
 	Suspects        []suspect.CrashMark `json:"suspects,omitempty"`
@@ -68,10 +72,13 @@
 	Publisher  *Publisher
 	Store      Store
 	RateLimits *RateLimits
-	Suspects   *Suspects
-	Origins    *Origins
-	Detours    *Detours
-	Forwarder  *Forwarder
+	// Brittle are the brittle services that this node knows.
+	Brittle   *notice.Limits[string]
+	Places    *Places
+	Suspects  *Suspects
+	Origins   *Origins
+	Detours   *Detours
+	Forwarder *Forwarder
 	// OnConfigVersion is called with the version of the configuration in force at
 	// each node that reports demand.
 	OnConfigVersion func(version int64)
@@ -86,6 +93,7 @@
 	mux.HandleFunc("POST "+demandPath, s.serveDemand)
 	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
 	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
+	mux.HandleFunc("POST "+placePath, s.Places.servePlace)
 	mux.HandleFunc("POST "+trialPath, s.Suspects.serveTrial)
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
 	mux.HandleFunc("POST "+originsPath, s.Origins.serveStore)
@@ -106,7 +114,7 @@
 		return
 	}
 	s.OnConfigVersion(report.ConfigVersion)
-	writeJSON(w, acceptReport(s.Owner, s.Aggregator, s.RateLimits.Known, s.Suspects.Known, report), s.Log)
+	writeJSON(w, acceptReport(s.Owner, s.Aggregator, told{s.RateLimits.Known, s.Brittle, s.Suspects.Known}, report), s.Log)
 }
 
 // serveAdapter serves a request for an adapter.
@@ -123,21 +131,30 @@
 	writeJSON(w, AdapterResponse{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, s.Log)
 }
 
+// told is what nodes tell each other of endpoints and requests.
+type told struct {
+	limits   *notice.Limits[inventory.Key]
+	brittle  *notice.Limits[string]
+	suspects *suspect.Registry
+}
+
 // acceptReport aggregates a demand report and returns the response. An urgent
 // report wakes the owner's control loop.
-func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, limits *notice.Limits[inventory.Key], suspects *suspect.Registry, report demand.Report) DemandResponse {
+func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, told told, report demand.Report) DemandResponse {
 	now := time.Now()
 	urgent := aggregator.Add(report, now)
 	recorder := inventory.Recorder{Inventory: engineOwner.Inventory, Log: engineOwner.Log}
 	recorder.Record(inventory.SourceReport, report.Drains, now)
-	limits.Merge(report.Limits, now)
-	suspects.Merge(report.Suspects, now)
+	told.limits.Merge(report.Limits, now)
+	told.brittle.Merge(report.Brittle, now)
+	told.suspects.Merge(report.Suspects, now)
 	if urgent {
 		engineOwner.Notify()
 	}
 	response := DemandResponse{Peers: aggregator.Nodes(now)}
-	response.Limits, response.LimitsVersion = limits.AllSince(report.LimitsVersion, now)
-	response.Suspects, response.SuspectsVersion = suspects.AllSince(report.SuspectsVersion, now)
+	response.Limits, response.LimitsVersion = told.limits.AllSince(report.LimitsVersion, now)
+	response.Brittle, response.BrittleVersion = told.brittle.AllSince(report.BrittleVersion, now)
+	response.Suspects, response.SuspectsVersion = told.suspects.AllSince(report.SuspectsVersion, now)
 	for key, in := range engineOwner.Expected(now) {
 		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, Version: key.Version, InMS: in.Milliseconds()})
 	}
--- a/internal/fleet/suspects_test.go
+++ b/internal/fleet/suspects_test.go
@@ -11,6 +11,7 @@
 
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/suspect"
 )
@@ -33,6 +34,7 @@
 		Publisher:       &Publisher{},
 		Aggregator:      demand.NewAggregator(),
 		RateLimits:      limits,
+		Brittle:         notice.NewLimits[string](),
 		Suspects:        suspects,
 		OnConfigVersion: func(int64) {},
 		Log:             discard,
@@ -44,6 +46,7 @@
 		Self:          address,
 		Meter:         demand.NewMeter(address),
 		Limits:        limits.Known,
+		Brittle:       notice.NewLimits[string](),
 		Suspects:      suspects,
 		Owner:         engineOwner,
 		Aggregator:    demand.NewAggregator(),
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -18,6 +18,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/reload"
@@ -93,6 +94,8 @@
 	suspects     *fleet.Suspects
 	origins      *fleet.Origins
 	detours      *fleet.Detours
+	brittle      *notice.Limits[string]
+	places       *fleet.Places
 	isolation    isolation.Detector
 	shuttingDown atomic.Bool
 }
@@ -101,7 +104,7 @@
 // established as endpointDial says.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger, endpointDial ...httpclient.Wrap) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), detours: fleet.NewDetours()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), detours: fleet.NewDetours(), brittle: notice.NewLimits[string](), places: fleet.NewPlaces()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress, log)
@@ -137,6 +140,7 @@
 		Owner:         n.owner,
 		Aggregator:    n.aggregator,
 		Limits:        n.rateLimits.Known,
+		Brittle:       n.brittle,
 		Suspects:      n.suspects,
 		LastNodes:     n.keeper.LastNodes,
 		ConfigVersion: n.config.Version,
@@ -149,6 +153,12 @@
 	n.rateLimits.Nodes = n.client.KnownNodes
 	n.rateLimits.HTTP = fleet.NewHTTP()
 	n.rateLimits.Log = log
+	n.places.Self = self
+	n.places.Holder = n.keeper
+	n.places.Lease = n.keeper
+	n.places.Nodes = n.client.Addresses
+	n.places.HTTP = fleet.NewHTTP()
+	n.places.Log = log
 	n.suspects.Self = self
 	n.suspects.Holder = n.keeper
 	n.suspects.Lease = n.keeper
@@ -177,6 +187,8 @@
 		Inventory:  n.inventory,
 		Sender:     n.detours,
 		Detours:    n.detours,
+		Brittle:    n.brittle,
+		Places:     n.places,
 		Adapters:   n.client,
 		Loads:      n.client,
 		Demand:     n.meter,
@@ -230,6 +242,8 @@
 		Suspects:        n.suspects,
 		Origins:         n.origins,
 		Detours:         n.detours,
+		Brittle:         n.brittle,
+		Places:          n.places,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
 		Log:             n.log,
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -94,9 +94,15 @@
 		if verdict != choose.Found {
 			return nil, verdict, nil
 		}
-		if !w.mayDispatch() && !x.rateLimited(endpoint) {
+		brittle := x.brittle()
+		if !w.mayDispatch() && !x.rateLimited(endpoint) && !brittle {
 			return nil, choose.Full, nil
 		}
+		if brittle && x.req.Adapter == "" {
+			if endpoint = x.placeSomewhere(ctx, snapshot); endpoint == nil {
+				return nil, choose.Full, nil
+			}
+		}
 		limit := endpoint.Slots
 		if x.req.Adapter != "" {
 			var failure *Failure
@@ -266,6 +272,10 @@
 func (x *exchange) candidate(e *inventory.Endpoint, now time.Time) choose.Candidate {
 	view := x.relay.loads.View(e.ID, now)
 	limit := e.Slots
+	if x.brittle() {
+		// The owner knows the room of brittle endpoints.
+		limit = 0
+	}
 	return choose.Candidate{
 		Name:            e.ID,
 		DataCentre:      e.DataCentre,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -72,6 +72,8 @@
 	trialPermit expectedPermit
 	// trial is the trial that the next attempt belongs to, or nil.
 	trial *grantedTrial
+	// place is the place that the next attempt has at a brittle endpoint, or nil.
+	place *grantedPlace
 	// crashChecked is closed when it is known whether the endpoint of the last attempt,
 	// which lost its connection, has crashed. It may be nil.
 	crashChecked <-chan struct{}
@@ -358,6 +360,9 @@
 		x.lacksModel(s.endpoint)
 	} else {
 		x.relay.loads.Busy(s.endpoint.ID, time.Now())
+		if s.place != nil {
+			s.place.rejected = true
+		}
 	}
 	s.drain()
 	return attemptResult{run: outcome.NotRun, cause: statusError(s.reply.Status)}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -236,6 +236,7 @@
 		Trials:    &ownTrials{},
 		Origins:   &ownOrigins{known: streamorigin.NewRegistry()},
 		Detours:   noDetours{},
+		Brittle:   notice.NewLimits[string](),
 		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
 		Isolated:  func() bool { return false },
 		Log:       slog.New(slog.DiscardHandler),
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -14,6 +14,8 @@
 	rateLimitChanges  = metrics.NewCounter(`chestnut_rate_limit_changes_total`)
 	permitsGranted    = metrics.NewCounter(`chestnut_permits_total{result="granted"}`)
 	permitsDelayed    = metrics.NewCounter(`chestnut_permits_total{result="not_yet"}`)
+	placesGranted     = metrics.NewCounter(`chestnut_places_total{result="granted"}`)
+	placesDelayed     = metrics.NewCounter(`chestnut_places_total{result="not_yet"}`)
 	crashesTotal      = metrics.NewCounter(`chestnut_endpoint_crashes_total`)
 	trialsGranted     = metrics.NewCounter(`chestnut_suspect_trials_total{result="granted"}`)
 	trialsDelayed     = metrics.NewCounter(`chestnut_suspect_trials_total{result="not_yet"}`)
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -31,15 +31,21 @@
 // limit is the number of requests that the endpoint runs at once, or 0 if that does
 // not matter.
 func (x *exchange) admitted(ctx context.Context, endpoint *inventory.Endpoint, limit, priority int, maxWait time.Duration) bool {
-	if !x.permitted(ctx, endpoint, priority, maxWait) {
+	if !x.permitted(ctx, endpoint, priority, maxWait) || !x.hasPlace(ctx, endpoint) {
+		x.dropPlace()
 		return false
 	}
 	now := time.Now()
+	if x.place != nil {
+		limit = 0
+	}
 	if !x.relay.loads.TryBegin(endpoint.ID, limit, now) {
+		x.dropPlace()
 		return false
 	}
 	if !x.relay.cooldowns.TrySend(endpoint.Key(), now) || !x.mayRunAlone(ctx, endpoint) {
 		x.relay.loads.End(endpoint.ID, now)
+		x.dropPlace()
 		return false
 	}
 	return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,7 +42,11 @@
 	Trials   Trials
 	Origins  Origins
 	Detours  Detours
-	Budget   Budget
+	// Brittle are the services whose endpoints fall over when they have to reject many
+	// requests, each with the number that they bear in a second.
+	Brittle *notice.Limits[string]
+	Places  Places
+	Budget  Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -19,6 +19,8 @@
 	lastEvent string
 	// alone means that the request is the only suspect on the endpoint.
 	alone bool
+	// place is the place that it has at a brittle endpoint, or nil.
+	place *grantedPlace
 	// unverified means that the response continues a stream that has begun, and that it is
 	// not known yet whether it comes from the incarnation of the endpoint's entry.
 	unverified bool
@@ -42,8 +44,9 @@
 	attemptsTotal.Inc()
 	s := &sending{endpoint: endpoint, started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
 	s.release = func() {}
+	s.place, x.place = x.place, nil
 	if !endpoint.Node {
-		s.release = x.occupy(endpoint)
+		s.release = x.occupy(s)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
@@ -76,8 +79,8 @@
 
 // occupy counts the request, which was admitted to an endpoint, in the demand there.
 // The returned function ends both.
-func (x *exchange) occupy(endpoint *inventory.Endpoint) (release func()) {
-	r := x.relay
+func (x *exchange) occupy(s *sending) (release func()) {
+	r, endpoint := x.relay, s.endpoint
 	if !x.budgetCounted {
 		x.budgetCounted = true
 		x.budget().Request()
@@ -93,6 +96,7 @@
 		}
 		r.loads.End(endpoint.ID, time.Now())
 		trial.end(r.Trials)
+		s.place.end(r.Places)
 	}
 }
 
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -71,6 +71,7 @@
 	}
 	if !x.budget().Spend() {
 		x.relay.loads.End(endpoint.ID, time.Now())
+		x.dropPlace()
 		x.trial.end(x.relay.Trials)
 		return nil
 	}
