Let connections outlast a silent second of an endpoint

A sound endpoint may be silent for a second or so.

Cause: with a user timeout, Linux ends a connection at the first keep-alive probe that is due after it while the one before is unanswered, whatever their count; and it takes their times in whole seconds, so the interval of 500 ms was one of 1 s. One probe lost in the silence, 1 s after the last byte, ended the connection at 2 s. Ruled out as a cure: more probes, as the count has no effect beside the timeout.

The calls between nodes that have their own heartbeat keep 0.7 s. BridgesSilence says what a timeout bears.

--- a/internal/fleet/detours.go
+++ b/internal/fleet/detours.go
@@ -66,7 +66,9 @@
 	// OnCut is called with the id of an endpoint whose link is found cut.
 	OnCut func(endpointID string)
 	HTTP  *http.Client
-	Log   *slog.Logger
+	// ForwardHTTP carries the requests that other nodes serve.
+	ForwardHTTP *http.Client
+	Log         *slog.Logger
 
 	links *detour.Links
 	nodes *detour.Nodes
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -139,7 +139,7 @@
 		// An empty value prevents net/http from adding its default.
 		call.Header["User-Agent"] = []string{""}
 	}
-	resp, err := d.HTTP.Do(call)
+	resp, err := d.ForwardHTTP.Do(call)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/relay"
@@ -47,6 +48,7 @@
 	d.Inventory = inventory.New()
 	d.OnCut = func(string) {}
 	d.HTTP = NewHTTP()
+	d.ForwardHTTP = NewForwardHTTP()
 	d.Log = discard
 	return d, d.Node(nil, time.Now())
 }
@@ -200,3 +202,9 @@
 }
 
 func (l linksThat) Reaches(context.Context, string) bool { return l.reach }
+
+// TestSilentSecondOfNodeIsBridged guards against forwarded streams that break off since the
+// other node is silent for a second or so.
+func TestSilentSecondOfNodeIsBridged(t *testing.T) {
+	require.True(t, httpclient.BridgesSilence(forwardUserTimeout, 1500*time.Millisecond))
+}
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -15,8 +15,16 @@
 const (
 	connectTimeout = 300 * time.Millisecond
 	userTimeout    = 700 * time.Millisecond
+	// forwardUserTimeout is the user timeout of connections over which requests are
+	// forwarded: another node, as an endpoint, may be silent for a second and more.
+	forwardUserTimeout = 2200 * time.Millisecond
 )
 
+// NewForwardHTTP returns the HTTP client for requests that other nodes serve.
+func NewForwardHTTP() *http.Client {
+	return &http.Client{Transport: httpclient.NewTransport(connectTimeout, forwardUserTimeout)}
+}
+
 // NewHTTP returns the HTTP client for calls between nodes.
 func NewHTTP() *http.Client {
 	return &http.Client{Transport: httpclient.NewTransport(connectTimeout, userTimeout)}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -13,10 +13,12 @@
 )
 
 // Timing and number of connections. A connection on which sent bytes are not
-// acknowledged, or which answers no keep-alive probe, is closed.
+// acknowledged, or which answers no keep-alive probe, is closed. Linux takes the times of
+// probes in whole seconds. With a user timeout it does not count the probes: the connection
+// ends at the first one that is due after the timeout while the one before is unanswered.
 const (
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 	idleTimeout       = 4 * time.Second
 	maxIdlePerHost    = 16
@@ -73,6 +75,20 @@
 	}
 }
 
+// BridgesSilence reports whether a connection with a user timeout outlasts a silence of its
+// peer while no bytes are sent: whether a probe that is answered comes before the one at which
+// the connection would end.
+func BridgesSilence(userTimeout, silence time.Duration) bool {
+	probe := keepAliveIdle
+	for probe < silence {
+		probe += keepAliveInterval
+		if probe >= userTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // MaxHeadBytes bounds the status line and header of a response, including interim
 // ones, in bytes.
 const MaxHeadBytes = 64 << 10
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -175,6 +175,7 @@
 	n.detours.Inventory = n.inventory
 	n.detours.OnCut = n.meter.ForgetReach
 	n.detours.HTTP = fleet.NewHTTP()
+	n.detours.ForwardHTTP = fleet.NewForwardHTTP()
 	n.detours.Log = log
 	store.SetFallback(n.client)
 	n.followRestores(store.Eras())
