--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -59,7 +59,7 @@
 		Header: http.Header{"Chestnutgauge-Request-Id": {"r1"}, "Some": {"1", "2"}}, Body: []byte("body"),
 		PromptTokens: 7, MaxTokens: 9, Prompt: []relay.PromptPart{{ID: "p", Tokens: 3}}, Resumes: "r0",
 	}
-	attempt := relay.Attempt{Deadline: time.Now().Add(time.Minute), LastEvent: "4", MaxRuns: 2, Required: inventory.OnlyVersion("v2")}
+	attempt := relay.Attempt{Deadline: time.Now().Add(time.Minute), LastEvent: "4", Service: "s", MaxRuns: 2, Required: inventory.OnlyVersion("v2")}
 	return req, attempt
 }
 
@@ -89,7 +89,7 @@
 	require.WithinDuration(t, attempt.Deadline, got.Deadline, time.Second)
 	want := *req
 	want.LastEvent = "4"
-	want.Forwarded = &relay.Forwarded{MaxRuns: 2, Required: attempt.Required}
+	want.Forwarded = &relay.Forwarded{Service: "s", MaxRuns: 2, Required: attempt.Required}
 	want.Arrived, want.Deadline = got.Arrived, got.Deadline
 	require.Equal(t, &want, got)
 }
--- /dev/null
+++ b/internal/fleet/forwarder.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/relay"
+)
+
+// Forwarder serves the requests that other nodes forward to this one.
+type Forwarder struct {
+	Serve func(ctx context.Context, req *relay.Request, answer relay.Answer) (runs int, failure *relay.Failure)
+	// Closing reports whether the node shuts down.
+	Closing func() bool
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var described forwardedRequest
+	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &described); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Trailer", headerForwardEnd)
+	answer := &forwardAnswer{w: w, control: http.NewResponseController(w)}
+	var ended forwardEnd
+	if f.Closing() {
+		ended = forwardEnd{Reason: relay.ReasonShuttingDown, Run: outcome.NotRun}
+	} else {
+		runs, failure := f.Serve(r.Context(), described.request(r.Header, body), answer)
+		ended = forwardEnd{Runs: runs}
+		if failure != nil {
+			ended.Reason, ended.Run, ended.RetryAfterMS = failure.Reason, failure.Run, failure.RetryAfter.Milliseconds()
+		}
+	}
+	answer.finish(ended)
+}
+
+// request returns the request for the relay.
+func (f forwardedRequest) request(header http.Header, body []byte) *relay.Request {
+	now := time.Now()
+	header = header.Clone()
+	header.Del(headerForward)
+	header.Del("Content-Length")
+	return &relay.Request{
+		ID:           f.ID,
+		Method:       f.Method,
+		Target:       f.Target,
+		Path:         f.Path,
+		Host:         f.Host,
+		Header:       header,
+		Body:         body,
+		Arrived:      now,
+		Deadline:     now.Add(time.Duration(f.LeftMS) * time.Millisecond),
+		Model:        f.Model,
+		Adapter:      f.Adapter,
+		PromptTokens: f.PromptTokens,
+		MaxTokens:    f.MaxTokens,
+		Prompt:       f.Prompt,
+		LastEvent:    f.LastEvent,
+		Resumes:      f.Resumes,
+		Forwarded:    &relay.Forwarded{Service: f.Service, MaxRuns: f.MaxRuns, Required: f.Required},
+	}
+}
+
+// forwardAnswer passes a response on to the node that forwarded the request. It implements
+// relay.Answer.
+type forwardAnswer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Begin implements relay.Answer.
+func (a *forwardAnswer) Begin(reply *relay.Reply, length int) {
+	header := a.w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	header.Del("Content-Length")
+	header.Del("Connection")
+	for _, name := range []string{"Content-Type", "Date"} {
+		if header.Get(name) == "" {
+			// A nil value prevents net/http from adding one.
+			header[name] = nil
+		}
+	}
+	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Service: reply.Service, Version: reply.Version})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header.Set(headerForwardReply, string(described))
+	a.w.WriteHeader(http.StatusOK)
+}
+
+// Write implements relay.Answer.
+func (a *forwardAnswer) Write(data []byte) error {
+	_, err := a.w.Write(data)
+	return err
+}
+
+// Flush implements relay.Answer.
+func (a *forwardAnswer) Flush() error {
+	return a.control.Flush()
+}
+
+// finish ends the response, also one that has not begun. The flush makes it a chunked one,
+// which has trailers.
+func (a *forwardAnswer) finish(ended forwardEnd) {
+	if err := a.Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	text, err := json.Marshal(ended)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	a.w.Header().Set(headerForwardEnd, string(text))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,6 +160,12 @@
 		return nil, refuse(ReasonNoRoute, 0)
 	}
 	name := route.Pick(splitPoint(req.stream()))
+	if req.Forwarded != nil {
+		name = req.Forwarded.Service
+		if !route.HasTarget(name) {
+			return nil, refuse(ReasonNoRoute, 0)
+		}
+	}
 	service := c.Services[name]
 	if service == nil {
 		return nil, refuse(ReasonNoEndpoint, notReadyRetryAfter)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -53,6 +53,8 @@
 // Forwarded is what holds for a request that another node forwards. It is forwarded no
 // further.
 type Forwarded struct {
+	// Service is the service that the other node has chosen.
+	Service string
 	// MaxRuns is the number of endpoints on which it may still run.
 	MaxRuns int
 	// Required restricts the endpoints.
@@ -64,8 +66,9 @@
 	Deadline  time.Time
 	Priority  int
 	LastEvent string
-	// MaxRuns is the number of endpoints on which the request may still run, and Required
-	// restricts them, if a node chooses them.
+	// If a node chooses the endpoints, Service is their service, MaxRuns the number of them
+	// on which the request may still run, and Required restricts them.
+	Service  string
 	MaxRuns  int
 	Required inventory.Requirement
 }
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -58,6 +58,7 @@
 		Deadline:  x.deadline,
 		Priority:  x.route.Priority,
 		LastEvent: lastEvent,
+		Service:   x.service.Name,
 		MaxRuns:   x.maxRuns() - x.possibleRuns,
 		Required:  x.required,
 	}
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -181,6 +181,13 @@
 		r.Origins.Record("first", streamorigin.Origin{Service: "other", Version: "1"}, time.Minute)
 		require.Nil(t, r.Serve(t.Context(), resuming("first"), &fakeAnswer{}))
 		require.Equal(t, []string{"o1"}, endpoints.endpointIDs)
+
+		// The node to which another one forwards the stream must not choose again.
+		endpoints.next = []behaviour{answer(200, eventTwo)}
+		req := resuming("first")
+		req.Forwarded = &Forwarded{Service: "other", MaxRuns: 1, Required: inventory.OnlyVersion("1")}
+		require.Nil(t, r.Serve(t.Context(), req, &fakeAnswer{}))
+		require.Equal(t, []string{"o1", "o1"}, endpoints.endpointIDs)
 	})
 }
 
