Take places without an owner one at a time

Found by reading: requests of one moment each saw room for one more in the node's share of a brittle endpoint's slots, and all took it. TestPlacesWithoutOwner had 5 and 6 places granted at an endpoint with four slots before; it passes now.

--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -110,11 +110,11 @@
 		MaxWaitMS:  min(maxWait, maxPlaceWait).Milliseconds(),
 		TTLMS:      ask.Expires.Sub(now).Milliseconds(),
 	})
-	if err != nil && ctx.Err() == nil {
+	switch {
+	case err != nil && ctx.Err() == nil:
 		response.Endpoint, response.Granted = p.alone(ask.Candidates)
 		p.Log.Info("place without an owner", "endpoint", response.Endpoint.ID, "granted", response.Granted, "error", err)
-	}
-	if response.Granted {
+	case response.Granted:
 		p.hold(response.Endpoint, 1)
 	}
 	return response
@@ -167,13 +167,14 @@
 	}
 }
 
-// alone returns a candidate at which the node may have another place without the owner.
+// alone takes another place without the owner at a candidate, and returns it.
 func (p *Places) alone(candidates []concurrency.Candidate[inventory.Key]) (inventory.Key, bool) {
 	nodes := p.Nodes()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range candidates {
 		if p.held[c.Endpoint] < concurrency.Share(c.Endpoint.String(), p.Self, nodes, c.Slots) {
+			p.held[c.Endpoint]++
 			return c.Endpoint, true
 		}
 	}
