Name the ways through other nodes and the limits of rejections by the field's terms

Renames only: the package of links and forwarding nodes is internal/reachability, what forwards is called forwarding, and what endpoints say of the rejections that they bear is a rejection limit.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -157,11 +157,11 @@
 	// LimitsVersion is the version of the owner's rate limits that the node has
 	// received, 0 if none.
 	LimitsVersion int64 `json:"limits_version,omitempty"`
-	// Brittle are the services whose endpoints said to the node how many rejections a second
-	// they bear, if the owner has not received that. BrittleVersion is the version of the
+	// RejectionLimits are the services whose endpoints said to the node how many rejections a second
+	// they bear, if the owner has not received that. RejectionLimitsVersion is the version of the
 	// owner's that the node has received, 0 if none.
-	Brittle        []notice.LimitStatement[string] `json:"brittle,omitempty"`
-	BrittleVersion int64                           `json:"brittle_version,omitempty"`
+	RejectionLimits        []notice.LimitStatement[string] `json:"rejection_limits,omitempty"`
+	RejectionLimitsVersion int64                           `json:"rejection_limits_version,omitempty"`
 	// Suspects are the node's own suspects, if the owner has not received them.
 	Suspects []suspect.CrashMark `json:"suspects,omitempty"`
 	// SuspectsVersion is the version of the owner's suspects that the node has received,
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -36,8 +36,8 @@
 	Aggregator *demand.Aggregator
 	// Limits are the rate limits that this node knows.
 	Limits *notice.Limits[inventory.Key]
-	// Brittle are the brittle services that this node knows.
-	Brittle *notice.Limits[string]
+	// RejectionLimits are the limits of rejections of services that this node knows.
+	RejectionLimits *notice.Limits[string]
 	// Suspects are the suspects that this node knows.
 	Suspects *Suspects
 	// LastNodes returns the addresses of the nodes that the last owner knew, for a node
@@ -55,12 +55,12 @@
 	lastResponseAt time.Time
 	// lastOwner is the owner that sent the response received at lastResponseAt.
 	lastOwner string
-	// sent is what the owner has received of this node, limitsReceived and brittleReceived
-	// the versions of the owner's rate limits and brittle services that this node has
+	// sent is what the owner has received of this node, limitsReceived and rejectionLimitsReceived
+	// the versions of the owner's rate limits and limits of rejections that this node has
 	// received. Only Run uses them.
-	sent            sentVersions
-	limitsReceived  int64
-	brittleReceived int64
+	sent                    sentVersions
+	limitsReceived          int64
+	rejectionLimitsReceived int64
 	// failing is true if the last report failed; only Run uses it.
 	failing bool
 }
@@ -168,7 +168,7 @@
 		if c.sent.to != c.Self {
 			go c.Suspects.ask(ctx, c.Others())
 		}
-		response = acceptReport(c.Owner, c.Aggregator, told{c.Limits, c.Brittle, c.Suspects.Known}, report)
+		response = acceptReport(c.Owner, c.Aggregator, told{c.Limits, c.RejectionLimits, c.Suspects.Known}, report)
 	default:
 		if err := c.call(ctx, holder, demandPath, report, &response); err != nil {
 			c.sent = sentVersions{}
@@ -176,7 +176,7 @@
 		}
 	}
 	c.sent = sent
-	c.limitsReceived, c.brittleReceived = response.LimitsVersion, response.BrittleVersion
+	c.limitsReceived, c.rejectionLimitsReceived = response.LimitsVersion, response.RejectionLimitsVersion
 	c.storeResponse(holder, response)
 	return nil
 }
@@ -184,16 +184,16 @@
 // sentVersions are the versions of a node's own rate limits and suspects that an owner has
 // received. They are zero after a failed report: the owner may have started again.
 type sentVersions struct {
-	to       string
-	limits   int64
-	brittle  int64
-	suspects int64
+	to              string
+	limits          int64
+	rejectionLimits int64
+	suspects        int64
 }
 
 // addOwn adds to a report the node's own rate limits and suspects that the holder has not
 // received, and returns what it will have received with it.
 func (c *Client) addOwn(report *demand.Report, holder string, now time.Time) sentVersions {
-	report.LimitsVersion, report.BrittleVersion = c.limitsReceived, c.brittleReceived
+	report.LimitsVersion, report.RejectionLimitsVersion = c.limitsReceived, c.rejectionLimitsReceived
 	report.SuspectsVersion = c.Suspects.Received()
 	before := c.sent
 	if before.to != holder {
@@ -201,7 +201,7 @@
 	}
 	sent := sentVersions{to: holder}
 	report.Limits, sent.limits = c.Limits.OwnSince(before.limits, now)
-	report.Brittle, sent.brittle = c.Brittle.OwnSince(before.brittle, now)
+	report.RejectionLimits, sent.rejectionLimits = c.RejectionLimits.OwnSince(before.rejectionLimits, now)
 	report.Suspects, sent.suspects = c.Suspects.Known.OwnSince(before.suspects, now)
 	return sent
 }
@@ -227,7 +227,7 @@
 func (c *Client) storeResponse(from string, response DemandResponse) {
 	now := time.Now()
 	c.Limits.Merge(response.Limits, now)
-	c.Brittle.Merge(response.Brittle, now)
+	c.RejectionLimits.Merge(response.RejectionLimits, now)
 	c.Suspects.Receive(response.Suspects, response.SuspectsVersion)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/drains_test.go
+++ b/internal/fleet/drains_test.go
@@ -69,7 +69,7 @@
 		Aggregator:      demand.NewAggregator(),
 		Publisher:       publisher,
 		RateLimits:      NewRateLimits(),
-		Brittle:         notice.NewLimits[string](),
+		RejectionLimits: notice.NewLimits[string](),
 		Suspects:        NewSuspects(),
 		OnConfigVersion: func(int64) {},
 		Log:             discard,
@@ -88,15 +88,15 @@
 	atOwner, atNode, atOther := newInventory("a", "b"), newInventory("a", "b"), newInventory("a", "b")
 	holder := serveOwner(t, atOwner)
 	client := &Client{
-		Self:     "node",
-		Holder:   holder,
-		Meter:    demand.NewMeter("node"),
-		Limits:   notice.NewLimits[inventory.Key](),
-		Brittle:  notice.NewLimits[string](),
-		Suspects: NewSuspects(),
-		Owner:    owner.New(owner.Dependencies{Inventory: atNode, Log: discard}),
-		HTTP:     NewHTTP(),
-		Log:      discard,
+		Self:            "node",
+		Holder:          holder,
+		Meter:           demand.NewMeter("node"),
+		Limits:          notice.NewLimits[inventory.Key](),
+		RejectionLimits: notice.NewLimits[string](),
+		Suspects:        NewSuspects(),
+		Owner:           owner.New(owner.Dependencies{Inventory: atNode, Log: discard}),
+		HTTP:            NewHTTP(),
+		Log:             discard,
 
 		ConfigVersion: func() int64 { return 1 },
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,10 +39,10 @@
 	// node does not have this version of them.
 	Limits        []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
 	LimitsVersion int64                                  `json:"limits_version"`
-	// Brittle are the brittle services that any node knows, if the reporting node does not
+	// RejectionLimits are the limits of rejections of services that any node knows, if the reporting node does not
 	// have this version of them.
-	Brittle        []notice.LimitStatement[string] `json:"brittle,omitempty"`
-	BrittleVersion int64                           `json:"brittle_version"`
+	RejectionLimits        []notice.LimitStatement[string] `json:"rejection_limits,omitempty"`
+	RejectionLimitsVersion int64                           `json:"rejection_limits_version"`
 	// Suspects are the suspects of all nodes, if the reporting node does not have this
 	// version of them.
 	Suspects        []suspect.CrashMark `json:"suspects,omitempty"`
@@ -72,13 +72,13 @@
 	Publisher  *Publisher
 	Store      Store
 	RateLimits *RateLimits
-	// Brittle are the brittle services that this node knows.
-	Brittle   *notice.Limits[string]
-	Places    *Places
-	Suspects  *Suspects
-	Origins   *Origins
-	Detours   *Detours
-	Forwarder *Forwarder
+	// RejectionLimits are the limits of rejections of services that this node knows.
+	RejectionLimits *notice.Limits[string]
+	Places          *Places
+	Suspects        *Suspects
+	Origins         *Origins
+	Forwarding      *Forwarding
+	Forwarder       *Forwarder
 	// OnConfigVersion is called with the version of the configuration in force at
 	// each node that reports demand.
 	OnConfigVersion func(version int64)
@@ -98,7 +98,7 @@
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
 	mux.HandleFunc("POST "+originsPath, s.Origins.serveStore)
 	mux.HandleFunc("POST "+findOriginPath, s.Origins.serveFind)
-	mux.HandleFunc("POST "+reachPath, s.Detours.serveReach)
+	mux.HandleFunc("POST "+reachPath, s.Forwarding.serveReach)
 	mux.Handle("POST "+forwardPath, s.Forwarder)
 	return mux
 }
@@ -114,7 +114,7 @@
 		return
 	}
 	s.OnConfigVersion(report.ConfigVersion)
-	writeJSON(w, acceptReport(s.Owner, s.Aggregator, told{s.RateLimits.Known, s.Brittle, s.Suspects.Known}, report), s.Log)
+	writeJSON(w, acceptReport(s.Owner, s.Aggregator, told{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report), s.Log)
 }
 
 // serveAdapter serves a request for an adapter.
@@ -133,9 +133,9 @@
 
 // told is what nodes tell each other of endpoints and requests.
 type told struct {
-	limits   *notice.Limits[inventory.Key]
-	brittle  *notice.Limits[string]
-	suspects *suspect.Registry
+	limits          *notice.Limits[inventory.Key]
+	rejectionLimits *notice.Limits[string]
+	suspects        *suspect.Registry
 }
 
 // acceptReport aggregates a demand report and returns the response. An urgent
@@ -146,14 +146,14 @@
 	recorder := inventory.Recorder{Inventory: engineOwner.Inventory, Log: engineOwner.Log}
 	recorder.Record(inventory.SourceReport, report.Drains, now)
 	told.limits.Merge(report.Limits, now)
-	told.brittle.Merge(report.Brittle, now)
+	told.rejectionLimits.Merge(report.RejectionLimits, now)
 	told.suspects.Merge(report.Suspects, now)
 	if urgent {
 		engineOwner.Notify()
 	}
 	response := DemandResponse{Peers: aggregator.Nodes(now)}
 	response.Limits, response.LimitsVersion = told.limits.AllSince(report.LimitsVersion, now)
-	response.Brittle, response.BrittleVersion = told.brittle.AllSince(report.BrittleVersion, now)
+	response.RejectionLimits, response.RejectionLimitsVersion = told.rejectionLimits.AllSince(report.RejectionLimitsVersion, now)
 	response.Suspects, response.SuspectsVersion = told.suspects.AllSince(report.SuspectsVersion, now)
 	for key, in := range engineOwner.Expected(now) {
 		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, Version: key.Version, InMS: in.Milliseconds()})
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -84,7 +84,7 @@
 var errForwarded = errors.New("fleet: not served by the other node")
 
 // forward has another node serve a request.
-func (d *Detours) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
+func (d *Forwarding) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
 	end := d.nodes.Begin(node)
 	requestsForwarded.Inc()
 	resp, err := d.callForward(ctx, node, req, attempt)
@@ -107,7 +107,7 @@
 }
 
 // callForward makes the call.
-func (d *Detours) callForward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
+func (d *Forwarding) callForward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
 	described, err := json.Marshal(forwardedRequest{
 		ID:           req.ID,
 		Method:       req.Method,
@@ -165,7 +165,7 @@
 }
 
 // notForwarded returns the error of a request that another node did not serve.
-func (d *Detours) notForwarded(node string, resp *http.Response) error {
+func (d *Forwarding) notForwarded(node string, resp *http.Response) error {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
 	var ended forwardEnd
 	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil || ended.Reason == "" {
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -37,12 +37,12 @@
 
 // forwarding returns a node without links, and the address of another one that serves what
 // it forwards.
-func forwarding(t *testing.T, serve serveFunc, closing bool) (*Detours, *inventory.Endpoint) {
+func forwarding(t *testing.T, serve serveFunc, closing bool) (*Forwarding, *inventory.Endpoint) {
 	forwarder := &Forwarder{Serve: serve, Closing: func() bool { return closing }}
 	server := httptest.NewServer((&Server{Publisher: &Publisher{}, RateLimits: NewRateLimits(), Suspects: NewSuspects(), Forwarder: forwarder, Log: discard}).Handler())
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	d := NewDetours()
+	d := NewForwarding()
 	d.Direct = deadLinks{}
 	d.Others = func() []string { return []string{address} }
 	d.Inventory = inventory.New()
@@ -181,12 +181,12 @@
 func TestCutNeedsAnotherNode(t *testing.T) {
 	for _, reached := range []bool{true, false} {
 		d, _ := forwarding(t, nil, false)
-		other := NewDetours()
+		other := NewForwarding()
 		other.Inventory = inventory.New()
 		other.Inventory.Replace([]*inventory.Endpoint{{ID: "e", Address: "127.0.0.1:1"}})
 		other.Log = discard
 		other.Direct = linksThat{reach: reached}
-		server := httptest.NewServer((&Server{Publisher: &Publisher{}, RateLimits: NewRateLimits(), Suspects: NewSuspects(), Detours: other, Log: discard}).Handler())
+		server := httptest.NewServer((&Server{Publisher: &Publisher{}, RateLimits: NewRateLimits(), Suspects: NewSuspects(), Forwarding: other, Log: discard}).Handler())
 		t.Cleanup(server.Close)
 		d.Others = func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }
 		endpoint := &inventory.Endpoint{ID: "e", Address: "127.0.0.1:1"}
--- a/internal/fleet/detours.go
+++ b/internal/fleet/forwarding.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"chestnutgauge/internal/detour"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/reachability"
 	"chestnutgauge/internal/relay"
 )
 
@@ -55,10 +55,10 @@
 	Reaches(ctx context.Context, address string) bool
 }
 
-// Detours sends requests over this node's own links, and through other nodes to endpoints
-// that only these reach. It implements relay.Sender and relay.Detours. Its methods are safe
+// Forwarding sends requests over this node's own links, and through other nodes to endpoints
+// that only these reach. It implements relay.Sender and relay.Forwarding. Its methods are safe
 // for concurrent use.
-type Detours struct {
+type Forwarding struct {
 	Direct Links
 	// Others returns the addresses of the other nodes.
 	Others    func() []string
@@ -70,32 +70,32 @@
 	ForwardHTTP *http.Client
 	Log         *slog.Logger
 
-	links *detour.Links
-	nodes *detour.Nodes
+	links *reachability.Links
+	nodes *reachability.Nodes
 
 	mu sync.Mutex
 	// asked is when other nodes were last asked about an endpoint.
 	asked map[inventory.Key]time.Time
 }
 
-// NewDetours returns Detours of which nothing is known. The exported fields must be set
+// NewForwarding returns Forwarding of which nothing is known. The exported fields must be set
 // before the first call.
-func NewDetours() *Detours {
-	return &Detours{links: detour.NewLinks(), nodes: detour.NewNodes(), asked: map[inventory.Key]time.Time{}}
+func NewForwarding() *Forwarding {
+	return &Forwarding{links: reachability.NewLinks(), nodes: reachability.NewNodes(), asked: map[inventory.Key]time.Time{}}
 }
 
-// Cut implements relay.Detours.
-func (d *Detours) Cut(endpoint inventory.Key, now time.Time) bool {
+// Cut implements relay.Forwarding.
+func (d *Forwarding) Cut(endpoint inventory.Key, now time.Time) bool {
 	return d.links.Cut(endpoint, now)
 }
 
 // Cuts returns the number of endpoints whose links are cut.
-func (d *Detours) Cuts() int {
+func (d *Forwarding) Cuts() int {
 	return d.links.Cuts()
 }
 
-// Node implements relay.Detours.
-func (d *Detours) Node(excluded []string, now time.Time) *inventory.Endpoint {
+// Node implements relay.Forwarding.
+func (d *Forwarding) Node(excluded []string, now time.Time) *inventory.Endpoint {
 	address := d.nodes.Pick(d.Others(), excluded, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	if address == "" {
 		return nil
@@ -104,7 +104,7 @@
 }
 
 // Send implements relay.Sender.
-func (d *Detours) Send(ctx context.Context, to *inventory.Endpoint, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
+func (d *Forwarding) Send(ctx context.Context, to *inventory.Endpoint, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
 	if to.Node {
 		return d.forward(ctx, to.Address, req, attempt)
 	}
@@ -119,7 +119,7 @@
 }
 
 // Refuses implements relay.Sender. An endpoint that another node reaches does not count.
-func (d *Detours) Refuses(ctx context.Context, to *inventory.Endpoint) bool {
+func (d *Forwarding) Refuses(ctx context.Context, to *inventory.Endpoint) bool {
 	if !d.Direct.Refuses(ctx, to) {
 		return false
 	}
@@ -131,12 +131,12 @@
 }
 
 // StartedAt implements relay.Sender.
-func (d *Detours) StartedAt(ctx context.Context, to *inventory.Endpoint) (int64, error) {
+func (d *Forwarding) StartedAt(ctx context.Context, to *inventory.Endpoint) (int64, error) {
 	return d.Direct.StartedAt(ctx, to)
 }
 
-// Lost implements relay.Detours. It finds out whether the link is cut.
-func (d *Detours) Lost(to *inventory.Endpoint) {
+// Lost implements relay.Forwarding. It finds out whether the link is cut.
+func (d *Forwarding) Lost(to *inventory.Endpoint) {
 	now := time.Now()
 	if !d.links.Failed(to.Key(), now) || !d.mayAsk(to.Key(), now) {
 		return
@@ -145,7 +145,7 @@
 }
 
 // mayAsk reports whether other nodes may be asked about an endpoint now.
-func (d *Detours) mayAsk(key inventory.Key, now time.Time) bool {
+func (d *Forwarding) mayAsk(key inventory.Key, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.asked[key]) < reachAskInterval {
@@ -156,7 +156,7 @@
 }
 
 // checkLink connects to an endpoint, and has other nodes do so at the same time.
-func (d *Detours) checkLink(to *inventory.Endpoint) {
+func (d *Forwarding) checkLink(to *inventory.Endpoint) {
 	ctx, cancel := context.WithTimeout(context.Background(), reachCallTimeout)
 	defer cancel()
 	reachedByOthers := make(chan bool, 1)
@@ -171,7 +171,7 @@
 }
 
 // cutOff records that other nodes reach an endpoint that this one does not.
-func (d *Detours) cutOff(to *inventory.Endpoint) {
+func (d *Forwarding) cutOff(to *inventory.Endpoint) {
 	d.links.Failed(to.Key(), time.Now())
 	if !d.links.CutOff(to.Key(), time.Now()) {
 		return
@@ -182,7 +182,7 @@
 }
 
 // reachedByOthers reports whether one of some other nodes reaches an endpoint.
-func (d *Detours) reachedByOthers(ctx context.Context, to *inventory.Endpoint) bool {
+func (d *Forwarding) reachedByOthers(ctx context.Context, to *inventory.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachCallTimeout)
 	defer cancel()
 	nodes := slices.Clone(d.Others())
@@ -205,7 +205,7 @@
 }
 
 // serveReach serves another node's question whether this one reaches an endpoint.
-func (d *Detours) serveReach(w http.ResponseWriter, r *http.Request) {
+func (d *Forwarding) serveReach(w http.ResponseWriter, r *http.Request) {
 	var request reachRequest
 	if !decodeBody(w, r, &request) {
 		return
@@ -215,14 +215,14 @@
 }
 
 // known reports whether an endpoint has an address.
-func (d *Detours) known(address string) bool {
+func (d *Forwarding) known(address string) bool {
 	found := false
 	d.Inventory.Current().Each(func(e *inventory.Endpoint) { found = found || e.Address == address })
 	return found
 }
 
 // Run probes cut links until ctx ends, so that they are used again when they work.
-func (d *Detours) Run(ctx context.Context) error {
+func (d *Forwarding) Run(ctx context.Context) error {
 	probes := probesInRound
 	for pause.For(ctx, probeInterval) {
 		snapshot := d.Inventory.Current()
@@ -233,7 +233,7 @@
 }
 
 // forget drops what is known of endpoints that have gone.
-func (d *Detours) forget(snapshot *inventory.Snapshot) {
+func (d *Forwarding) forget(snapshot *inventory.Snapshot) {
 	known := func(key inventory.Key) bool {
 		e := snapshot.Endpoint(key.ID)
 		return e != nil && e.Key() == key
@@ -250,7 +250,7 @@
 
 // probe connects to some endpoints whose links are cut, and returns the number of probes in
 // the next round.
-func (d *Detours) probe(ctx context.Context, snapshot *inventory.Snapshot, probes int) int {
+func (d *Forwarding) probe(ctx context.Context, snapshot *inventory.Snapshot, probes int) int {
 	cut := d.links.CutEndpoints()
 	rand.Shuffle(len(cut), func(i, j int) { cut[i], cut[j] = cut[j], cut[i] })
 	results := make(chan bool, len(cut))
@@ -268,7 +268,7 @@
 }
 
 // probeLink connects to an endpoint whose link is cut, and reports whether that worked.
-func (d *Detours) probeLink(ctx context.Context, e *inventory.Endpoint) bool {
+func (d *Forwarding) probeLink(ctx context.Context, e *inventory.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	if e == nil {
--- a/internal/fleet/ratelimits_test.go
+++ b/internal/fleet/ratelimits_test.go
@@ -34,7 +34,7 @@
 	limits.Lease = heldLease{}
 	limits.Log = discard
 	engineOwner := owner.New(owner.Dependencies{Inventory: inventory.New(), Lease: heldLease{}, Log: discard})
-	server := httptest.NewServer((&Server{Owner: engineOwner, Publisher: &Publisher{}, Suspects: NewSuspects(), Aggregator: demand.NewAggregator(), RateLimits: limits, Brittle: notice.NewLimits[string](), OnConfigVersion: func(int64) {}, Log: discard}).Handler())
+	server := httptest.NewServer((&Server{Owner: engineOwner, Publisher: &Publisher{}, Suspects: NewSuspects(), Aggregator: demand.NewAggregator(), RateLimits: limits, RejectionLimits: notice.NewLimits[string](), OnConfigVersion: func(int64) {}, Log: discard}).Handler())
 	t.Cleanup(server.Close)
 	return holderAt(strings.TrimPrefix(server.URL, "http://")), limits
 }
@@ -46,16 +46,16 @@
 	engine := inventory.Key{ID: "e", StartedAtMS: 7}
 	newClient := func(name string) *Client {
 		return &Client{
-			Self:          name,
-			Holder:        holder,
-			Meter:         demand.NewMeter(name),
-			Limits:        notice.NewLimits[inventory.Key](),
-			Brittle:       notice.NewLimits[string](),
-			Suspects:      NewSuspects(),
-			Owner:         owner.New(owner.Dependencies{Inventory: inventory.New(), Log: discard}),
-			HTTP:          NewHTTP(),
-			Log:           discard,
-			ConfigVersion: func() int64 { return 1 },
+			Self:            name,
+			Holder:          holder,
+			Meter:           demand.NewMeter(name),
+			Limits:          notice.NewLimits[inventory.Key](),
+			RejectionLimits: notice.NewLimits[string](),
+			Suspects:        NewSuspects(),
+			Owner:           owner.New(owner.Dependencies{Inventory: inventory.New(), Log: discard}),
+			HTTP:            NewHTTP(),
+			Log:             discard,
+			ConfigVersion:   func() int64 { return 1 },
 		}
 	}
 	node, other := newClient("node"), newClient("other")
--- a/internal/fleet/suspects_test.go
+++ b/internal/fleet/suspects_test.go
@@ -34,7 +34,7 @@
 		Publisher:       &Publisher{},
 		Aggregator:      demand.NewAggregator(),
 		RateLimits:      limits,
-		Brittle:         notice.NewLimits[string](),
+		RejectionLimits: notice.NewLimits[string](),
 		Suspects:        suspects,
 		OnConfigVersion: func(int64) {},
 		Log:             discard,
@@ -43,16 +43,16 @@
 	address = strings.TrimPrefix(server.URL, "http://")
 	suspects.Self = address
 	return &Client{
-		Self:          address,
-		Meter:         demand.NewMeter(address),
-		Limits:        limits.Known,
-		Brittle:       notice.NewLimits[string](),
-		Suspects:      suspects,
-		Owner:         engineOwner,
-		Aggregator:    demand.NewAggregator(),
-		HTTP:          NewHTTP(),
-		Log:           discard,
-		ConfigVersion: func() int64 { return 1 },
+		Self:            address,
+		Meter:           demand.NewMeter(address),
+		Limits:          limits.Known,
+		RejectionLimits: notice.NewLimits[string](),
+		Suspects:        suspects,
+		Owner:           engineOwner,
+		Aggregator:      demand.NewAggregator(),
+		HTTP:            NewHTTP(),
+		Log:             discard,
+		ConfigVersion:   func() int64 { return 1 },
 	}, address
 }
 
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -76,35 +76,35 @@
 // Node is one process.
 type Node struct {
 	// settings are the active settings.
-	settings     atomic.Pointer[platform.Settings]
-	watcher      *reload.Watcher
-	log          *slog.Logger
-	store        *platform.Store
-	config       *catalog.Follower
-	entries      *inventory.Entries
-	inventory    *inventory.Inventory
-	keeper       *lease.Keeper
-	owner        *owner.Owner
-	client       *fleet.Client
-	follower     *fleet.Follower
-	relay        *relay.Relay
-	aggregator   *demand.Aggregator
-	meter        *demand.Meter
-	rateLimits   *fleet.RateLimits
-	suspects     *fleet.Suspects
-	origins      *fleet.Origins
-	detours      *fleet.Detours
-	brittle      *notice.Limits[string]
-	places       *fleet.Places
-	isolation    isolation.Detector
-	shuttingDown atomic.Bool
+	settings        atomic.Pointer[platform.Settings]
+	watcher         *reload.Watcher
+	log             *slog.Logger
+	store           *platform.Store
+	config          *catalog.Follower
+	entries         *inventory.Entries
+	inventory       *inventory.Inventory
+	keeper          *lease.Keeper
+	owner           *owner.Owner
+	client          *fleet.Client
+	follower        *fleet.Follower
+	relay           *relay.Relay
+	aggregator      *demand.Aggregator
+	meter           *demand.Meter
+	rateLimits      *fleet.RateLimits
+	suspects        *fleet.Suspects
+	origins         *fleet.Origins
+	forwarding      *fleet.Forwarding
+	rejectionLimits *notice.Limits[string]
+	places          *fleet.Places
+	isolation       isolation.Detector
+	shuttingDown    atomic.Bool
 }
 
 // New wires a node. watcher watches the settings file. Connections to endpoints are
 // established as endpointDial says.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger, endpointDial ...httpclient.Wrap) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), detours: fleet.NewDetours(), brittle: notice.NewLimits[string](), places: fleet.NewPlaces()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress, log)
@@ -134,18 +134,18 @@
 		Log:        log,
 	})
 	n.client = &fleet.Client{
-		Self:          self,
-		Holder:        n.keeper,
-		Meter:         n.meter,
-		Owner:         n.owner,
-		Aggregator:    n.aggregator,
-		Limits:        n.rateLimits.Known,
-		Brittle:       n.brittle,
-		Suspects:      n.suspects,
-		LastNodes:     n.keeper.LastNodes,
-		ConfigVersion: n.config.Version,
-		HTTP:          fleet.NewHTTP(),
-		Log:           log,
+		Self:            self,
+		Holder:          n.keeper,
+		Meter:           n.meter,
+		Owner:           n.owner,
+		Aggregator:      n.aggregator,
+		Limits:          n.rateLimits.Known,
+		RejectionLimits: n.rejectionLimits,
+		Suspects:        n.suspects,
+		LastNodes:       n.keeper.LastNodes,
+		ConfigVersion:   n.config.Version,
+		HTTP:            fleet.NewHTTP(),
+		Log:             log,
 	}
 	n.rateLimits.Self = self
 	n.rateLimits.Holder = n.keeper
@@ -170,37 +170,37 @@
 	n.origins.Current = n.inventoryCurrent
 	n.origins.HTTP = fleet.NewHTTP()
 	n.origins.Log = log
-	n.detours.Direct = platform.NewSender(log, endpointDial...)
-	n.detours.Others = n.client.Others
-	n.detours.Inventory = n.inventory
-	n.detours.OnCut = n.meter.ForgetReach
-	n.detours.HTTP = fleet.NewHTTP()
-	n.detours.ForwardHTTP = fleet.NewForwardHTTP()
-	n.detours.Log = log
+	n.forwarding.Direct = platform.NewSender(log, endpointDial...)
+	n.forwarding.Others = n.client.Others
+	n.forwarding.Inventory = n.inventory
+	n.forwarding.OnCut = n.meter.ForgetReach
+	n.forwarding.HTTP = fleet.NewHTTP()
+	n.forwarding.ForwardHTTP = fleet.NewForwardHTTP()
+	n.forwarding.Log = log
 	store.SetFallback(n.client)
 	n.followRestores(store.Eras())
 	n.store = store
 	n.keeper.Alive = n.client.Alive
 	n.keeper.Nodes = n.client.Addresses
 	n.relay = relay.New(relay.Dependencies{
-		DataCentre: s.DataCentre,
-		Catalog:    n.config.Get,
-		Inventory:  n.inventory,
-		Sender:     n.detours,
-		Detours:    n.detours,
-		Brittle:    n.brittle,
-		Places:     n.places,
-		Adapters:   n.client,
-		Loads:      n.client,
-		Demand:     n.meter,
-		Limits:     n.rateLimits.Known,
-		Permits:    n.rateLimits,
-		Suspects:   n.suspects.Known,
-		Trials:     n.suspects,
-		Origins:    n.origins,
-		Isolated:   n.isolation.Isolated,
-		Budget:     relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
-		Log:        log,
+		DataCentre:      s.DataCentre,
+		Catalog:         n.config.Get,
+		Inventory:       n.inventory,
+		Sender:          n.forwarding,
+		Forwarding:      n.forwarding,
+		RejectionLimits: n.rejectionLimits,
+		Places:          n.places,
+		Adapters:        n.client,
+		Loads:           n.client,
+		Demand:          n.meter,
+		Limits:          n.rateLimits.Known,
+		Permits:         n.rateLimits,
+		Suspects:        n.suspects.Known,
+		Trials:          n.suspects,
+		Origins:         n.origins,
+		Isolated:        n.isolation.Isolated,
+		Budget:          relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
+		Log:             log,
 	})
 	return n
 }
@@ -242,8 +242,8 @@
 		RateLimits:      n.rateLimits,
 		Suspects:        n.suspects,
 		Origins:         n.origins,
-		Detours:         n.detours,
-		Brittle:         n.brittle,
+		Forwarding:      n.forwarding,
+		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
--- a/internal/noded/partition.go
+++ b/internal/noded/partition.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"chestnutgauge/internal/detour"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/reachability"
 )
 
 // partitionInterval is the interval at which a node checks whether it is partitioned from
@@ -19,7 +19,7 @@
 	partitioned := false
 	for pause.For(ctx, partitionInterval) {
 		cuts, endpoints := n.cutEndpoints(time.Now())
-		next := detour.Partitioned(partitioned, cuts, endpoints)
+		next := reachability.Partitioned(partitioned, cuts, endpoints)
 		if next == partitioned || n.shuttingDown.Load() {
 			continue
 		}
@@ -49,7 +49,7 @@
 			return
 		}
 		endpoints++
-		if n.detours.Cut(e.Key(), now) {
+		if n.forwarding.Cut(e.Key(), now) {
 			cuts++
 		}
 	})
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -36,7 +36,7 @@
 	})
 	metrics.GetOrCreateGauge("chestnut_suspects", func() float64 { return float64(n.suspects.Known.Len()) })
 	metrics.GetOrCreateGauge("chestnut_stream_origins", func() float64 { return float64(n.origins.Len()) })
-	metrics.GetOrCreateGauge("chestnut_links_cut", func() float64 { return float64(n.detours.Cuts()) })
+	metrics.GetOrCreateGauge("chestnut_links_cut", func() float64 { return float64(n.forwarding.Cuts()) })
 	metrics.GetOrCreateGauge("chestnut_store_era", func() float64 { return float64(n.store.Eras().Era()) })
 	metrics.GetOrCreateGauge("chestnut_store_position_age_seconds", n.storePositionAge)
 }
@@ -129,7 +129,7 @@
 	supervise.Add(tree, "withdrawals", n.relay.RunWithdrawals)
 	supervise.Add(tree, "stream origins", n.origins.RunReplication)
 	supervise.Add(tree, "version history", n.origins.RunHistory)
-	supervise.Add(tree, "links", n.detours.Run)
+	supervise.Add(tree, "links", n.forwarding.Run)
 	supervise.Add(tree, "partition", n.watchPartition)
 	supervise.Add(tree, "inventory", n.follower.Run)
 	supervise.Add(tree, "isolation", n.watchIsolation)
--- a/internal/detour/links.go
+++ b/internal/reachability/links.go
@@ -1,8 +1,8 @@
-// Package detour decides how a node reaches endpoints: over its own links, or through
+// Package reachability decides how a node reaches endpoints: over its own links, or through
 // another node while these are cut. Links holds the evidence about the links, Nodes which
 // other nodes forward requests. Both depend only on what was recorded and on the time that
 // the caller passes in.
-package detour
+package reachability
 
 import (
 	"maps"
--- a/internal/detour/nodes.go
+++ b/internal/reachability/nodes.go
@@ -1,4 +1,4 @@
-package detour
+package reachability
 
 import (
 	"math/rand/v2"
--- a/internal/detour/detour_test.go
+++ b/internal/reachability/reachability_test.go
@@ -1,4 +1,4 @@
-package detour
+package reachability
 
 import (
 	"fmt"
@@ -61,7 +61,7 @@
 }
 
 // TestHealedLinkNeedsProbesInARow guards against a node that swings between its own links
-// and a detour: a link that was cut again soon needs ever more probes.
+// and other nodes: a link that was cut again soon needs ever more probes.
 func TestHealedLinkNeedsProbesInARow(t *testing.T) {
 	l := NewLinks()
 	now := at(0)
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -74,7 +74,7 @@
 		if verdict != choose.Found {
 			w.blocked(verdict)
 		}
-		if node, failure := x.detour(verdict, time.Now()); node != nil || failure != nil {
+		if node, failure := x.forwardingNode(verdict, time.Now()); node != nil || failure != nil {
 			return node, failure
 		}
 		if failure := x.unsatisfiable(verdict, w); failure != nil {
@@ -94,11 +94,11 @@
 		if verdict != choose.Found {
 			return nil, verdict, nil
 		}
-		brittle := x.brittle()
-		if !w.mayDispatch() && !x.rateLimited(endpoint) && !brittle {
+		limited := x.limitsRejections()
+		if !w.mayDispatch() && !x.rateLimited(endpoint) && !limited {
 			return nil, choose.Full, nil
 		}
-		if brittle && x.req.Adapter == "" {
+		if limited && x.req.Adapter == "" {
 			if endpoint = x.placeSomewhere(ctx, snapshot); endpoint == nil {
 				return nil, choose.Full, nil
 			}
@@ -272,14 +272,14 @@
 func (x *exchange) candidate(e *inventory.Endpoint, now time.Time) choose.Candidate {
 	view := x.relay.loads.View(e.ID, now)
 	limit := e.Slots
-	if x.brittle() {
-		// The owner knows the room of brittle endpoints.
+	if x.limitsRejections() {
+		// The owner knows the room of endpoints that limit their rejections.
 		limit = 0
 	}
 	return choose.Candidate{
 		Name:            e.ID,
 		DataCentre:      e.DataCentre,
-		Unreachable:     x.relay.Detours.Cut(e.Key(), now),
+		Unreachable:     x.relay.Forwarding.Cut(e.Key(), now),
 		Leaving:         e.Leaving,
 		EjectedUntil:    view.EjectedUntil,
 		Tried:           slices.Contains(x.tried, e.ID),
--- a/internal/relay/adapters.go
+++ b/internal/relay/adapters.go
@@ -106,7 +106,7 @@
 // usable reports whether an engine is eligible for the request, is not leaving and has
 // not failed it.
 func (x *exchange) usable(e *inventory.Endpoint) bool {
-	return x.eligible(e, time.Now()) && !x.relay.Detours.Cut(e.Key(), time.Now()) && !e.Leaving && !slices.Contains(x.tried, e.ID)
+	return x.eligible(e, time.Now()) && !x.relay.Forwarding.Cut(e.Key(), time.Now()) && !e.Leaving && !slices.Contains(x.tried, e.ID)
 }
 
 // pauses reports whether the streams of an engine pause for longer than the
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -143,7 +143,7 @@
 	switch {
 	case run != outcome.NotRun:
 		x.connectionLost(endpoint, alone, false)
-	case !x.relay.Detours.Cut(endpoint.Key(), now):
+	case !x.relay.Forwarding.Cut(endpoint.Key(), now):
 		x.relay.Demand.Reached(endpoint.ID, false)
 	}
 }
@@ -159,7 +159,7 @@
 		return runs
 	}
 	x.relay.loads.Failed(s.endpoint.ID, time.Now(), rand.Float64())
-	x.relay.Detours.Lost(s.endpoint)
+	x.relay.Forwarding.Lost(s.endpoint)
 	x.connectionLost(s.endpoint, s.alone, begun)
 	return runs
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -68,7 +68,7 @@
 	trialPermit expectedPermit
 	// trial is the trial that the next attempt belongs to, or nil.
 	trial *grantedTrial
-	// place is the place that the next attempt has at a brittle endpoint, or nil.
+	// place is the place that the next attempt has at an endpoint that limits its rejections, or nil.
 	place *grantedPlace
 	// crashChecked is closed when it is known whether the endpoint of the last attempt,
 	// which lost its connection, has crashed. It may be nil.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -224,22 +224,22 @@
 	}
 	inv.Replace(endpoints)
 	return New(Dependencies{
-		Catalog:   func() *catalog.Catalog { return c },
-		Inventory: inv,
-		Sender:    sender,
-		Adapters:  noLoads{},
-		Loads:     noLoads{},
-		Demand:    demand.NewMeter("n"),
-		Limits:    notice.NewLimits[inventory.Key](),
-		Permits:   ownLimiter{ratelimit.NewLimiter[inventory.Key]()},
-		Suspects:  suspect.NewRegistry(),
-		Trials:    &ownTrials{},
-		Origins:   &ownOrigins{known: streamorigin.NewRegistry()},
-		Detours:   noDetours{},
-		Brittle:   notice.NewLimits[string](),
-		Budget:    Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
-		Isolated:  func() bool { return false },
-		Log:       slog.New(slog.DiscardHandler),
+		Catalog:         func() *catalog.Catalog { return c },
+		Inventory:       inv,
+		Sender:          sender,
+		Adapters:        noLoads{},
+		Loads:           noLoads{},
+		Demand:          demand.NewMeter("n"),
+		Limits:          notice.NewLimits[inventory.Key](),
+		Permits:         ownLimiter{ratelimit.NewLimiter[inventory.Key]()},
+		Suspects:        suspect.NewRegistry(),
+		Trials:          &ownTrials{},
+		Origins:         &ownOrigins{known: streamorigin.NewRegistry()},
+		Forwarding:      noForwarding{},
+		RejectionLimits: notice.NewLimits[string](),
+		Budget:          Budget{Share: 0.2, Extra: 10, Nodes: func() int { return 1 }},
+		Isolated:        func() bool { return false },
+		Log:             slog.New(slog.DiscardHandler),
 	})
 }
 
@@ -252,14 +252,14 @@
 	return l.limiter.Ask(endpoint, perSecond, ask, time.Now())
 }
 
-// noDetours has working links to all endpoints.
-type noDetours struct{}
+// noForwarding has working links to all endpoints.
+type noForwarding struct{}
 
-func (noDetours) Cut(inventory.Key, time.Time) bool { return false }
+func (noForwarding) Cut(inventory.Key, time.Time) bool { return false }
 
-func (noDetours) Lost(*inventory.Endpoint) {}
+func (noForwarding) Lost(*inventory.Endpoint) {}
 
-func (noDetours) Node([]string, time.Time) *inventory.Endpoint { return nil }
+func (noForwarding) Node([]string, time.Time) *inventory.Endpoint { return nil }
 
 // ownOrigins keeps the origins of streams at one node.
 type ownOrigins struct {
--- a/internal/relay/detour.go
+++ b/internal/relay/forwarding.go
@@ -7,8 +7,8 @@
 	"chestnutgauge/internal/inventory"
 )
 
-// Detours finds the way to endpoints that only other nodes reach.
-type Detours interface {
+// Forwarding finds the way to endpoints that only other nodes reach.
+type Forwarding interface {
 	// Cut reports whether this node doesn't reach an endpoint that others reach.
 	Cut(endpoint inventory.Key, now time.Time) bool
 	// Lost records that the connection to an endpoint was lost during a response.
@@ -22,15 +22,15 @@
 // reaches the endpoints.
 const unreachableRetryAfter = time.Second
 
-// detour returns a node that forwards the request, as an endpoint to send it to, while
+// forwardingNode returns a node that forwards the request, as an endpoint to send it to, while
 // there are endpoints that this node doesn't reach and no other one can take it. If no
 // node can, the failure is not nil when waiting can't help.
-func (x *exchange) detour(verdict choose.Verdict, now time.Time) (*inventory.Endpoint, *Failure) {
+func (x *exchange) forwardingNode(verdict choose.Verdict, now time.Time) (*inventory.Endpoint, *Failure) {
 	if verdict == choose.Found || x.cut == 0 {
 		return nil, nil
 	}
 	if x.req.Forwarded == nil {
-		if node := x.relay.Detours.Node(x.tried, now); node != nil {
+		if node := x.relay.Forwarding.Node(x.tried, now); node != nil {
 			return node, nil
 		}
 	}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -17,19 +17,19 @@
 		r.startCooldown(s.endpoint, s.reply.Cooldown)
 	}
 	r.learnRateLimit(s)
-	r.learnBrittle(s)
+	r.learnRejectionLimit(s)
 }
 
-// learnBrittle records what an endpoint says of the rejections that those of its service
-// bear. The owner is told at once.
-func (r *Relay) learnBrittle(s *sending) {
-	says, service := s.reply.Brittle, s.endpoint.Service
-	if !r.Brittle.Learn(service, says, s.started, time.Now()) {
+// learnRejectionLimit records what an endpoint says of the rejections a second that those of its
+// service bear. The owner is told at once.
+func (r *Relay) learnRejectionLimit(s *sending) {
+	says, service := s.reply.RejectionLimit, s.endpoint.Service
+	if !r.RejectionLimits.Learn(service, says, s.started, time.Now()) {
 		return
 	}
 	r.Demand.RequestReport()
-	r.Log.Info("brittle service", "service", service, "endpoint", s.endpoint.ID, "brittle", says.State == notice.LimitNamed,
-		"rejections_per_second", says.PerSecond)
+	r.Log.Info("rejection limit of service", "service", service, "endpoint", s.endpoint.ID, "limited", says.State == notice.LimitNamed,
+		"per_second", says.PerSecond)
 }
 
 // learnRateLimit records what an endpoint says of its rate limit. The owner is told at
--- a/internal/relay/places.go
+++ b/internal/relay/places.go
@@ -11,8 +11,8 @@
 	"chestnutgauge/internal/notice"
 )
 
-// Places bounds the requests of all nodes at brittle endpoints, which must not have to reject
-// many.
+// Places bounds the requests of all nodes at endpoints that limit their rejections, so that these
+// need not reject many.
 type Places interface {
 	// Begin asks for a place at one of the candidates, and waits for it for up to maxWait.
 	Begin(ctx context.Context, ask concurrency.Ask[inventory.Key], maxWait time.Duration) (Place, bool)
@@ -20,7 +20,7 @@
 	End(place Place, rejected bool)
 }
 
-// Place is the right to send a request to a brittle endpoint.
+// Place is the right to send a request to an endpoint that limits its rejections.
 type Place struct {
 	Endpoint inventory.Key
 	// Request identifies the place to the owner.
@@ -33,7 +33,7 @@
 // given back.
 const placeEndDelay = time.Second
 
-// grantedPlace is a place at a brittle endpoint.
+// grantedPlace is a place at an endpoint that limits its rejections.
 type grantedPlace struct {
 	Place
 	// rejected means that the endpoint had no room for the request.
@@ -47,10 +47,10 @@
 	}
 }
 
-// brittle reports whether the endpoints of the request's service fall over when they have to
+// limitsRejections reports whether the endpoints of the request's service fall over when they have to
 // reject many requests.
-func (x *exchange) brittle() bool {
-	_, state := x.relay.Brittle.Get(x.service.Name)
+func (x *exchange) limitsRejections() bool {
+	_, state := x.relay.RejectionLimits.Get(x.service.Name)
 	return state == notice.LimitNamed
 }
 
@@ -94,9 +94,9 @@
 }
 
 // hasPlace reports whether the request may be sent to an endpoint as far as its room is
-// concerned. It asks for a place at a brittle one unless the request has it.
+// concerned. It asks for a place at one that limits its rejections unless it has that.
 func (x *exchange) hasPlace(ctx context.Context, endpoint *inventory.Endpoint) bool {
-	if x.place != nil && x.place.Endpoint == endpoint.Key() || !x.brittle() {
+	if x.place != nil && x.place.Endpoint == endpoint.Key() || !x.limitsRejections() {
 		return true
 	}
 	return x.beginPlace(ctx, []concurrency.Candidate[inventory.Key]{{Endpoint: endpoint.Key(), Slots: endpoint.Slots}}, 0)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,15 +38,15 @@
 	// Permits grants the requests to endpoints that name a rate limit.
 	Permits Permits
 	// Suspects are the requests that were on endpoints when these crashed.
-	Suspects *suspect.Registry
-	Trials   Trials
-	Origins  Origins
-	Detours  Detours
-	// Brittle are the services whose endpoints fall over when they have to reject many
+	Suspects   *suspect.Registry
+	Trials     Trials
+	Origins    Origins
+	Forwarding Forwarding
+	// RejectionLimits are the services whose endpoints fall over when they have to reject many
 	// requests, each with the number that they bear in a second.
-	Brittle *notice.Limits[string]
-	Places  Places
-	Budget  Budget
+	RejectionLimits *notice.Limits[string]
+	Places          Places
+	Budget          Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -105,9 +105,9 @@
 	Cooldown time.Duration
 	// RateLimit is what it states of the number of requests a second that it takes.
 	RateLimit notice.RateLimit
-	// Brittle is what it states of the rejections a second that the endpoints of its
+	// RejectionLimit is what it states of the rejections a second that the endpoints of its
 	// service bear.
-	Brittle notice.RateLimit
+	RejectionLimit notice.RateLimit
 	// Service and Version are those of the endpoint that began the response, if a node
 	// passes it on, and for a node that it is passed on to.
 	Service string
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -19,7 +19,7 @@
 	lastEvent string
 	// alone means that the request is the only suspect on the endpoint.
 	alone bool
-	// place is the place that it has at a brittle endpoint, or nil.
+	// place is the place that it has at an endpoint that limits its rejections, or nil.
 	place *grantedPlace
 	// unverified means that the response continues a stream that has begun, and that it is
 	// not known yet whether it comes from the incarnation of the endpoint's entry.
