--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -157,9 +157,9 @@
 	// LimitsVersion is the version of the owner's rate limits that the node has
 	// received, 0 if none.
 	LimitsVersion int64 `json:"limits_version,omitempty"`
-	// RejectionLimits are the services whose endpoints said to the node how many rejections a second
-	// they bear, if the owner has not received that. RejectionLimitsVersion is the version of the
-	// owner's that the node has received, 0 if none.
+	// RejectionLimits are the services whose endpoints said to the node how many rejections
+	// a second they bear, if the owner has not received that. RejectionLimitsVersion is the
+	// version of the owner's that the node has received, 0 if none.
 	RejectionLimits        []notice.LimitStatement[string] `json:"rejection_limits,omitempty"`
 	RejectionLimitsVersion int64                           `json:"rejection_limits_version,omitempty"`
 	// Suspects are the node's own suspects, if the owner has not received them.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -55,8 +55,8 @@
 	lastResponseAt time.Time
 	// lastOwner is the owner that sent the response received at lastResponseAt.
 	lastOwner string
-	// sent is what the owner has received of this node, limitsReceived and rejectionLimitsReceived
-	// the versions of the owner's rate limits and limits of rejections that this node has
+	// sent is what the owner has received of this node, limitsReceived and
+	// rejectionLimitsReceived are the versions of the owner's limits that this node has
 	// received. Only Run uses them.
 	sent                    sentVersions
 	limitsReceived          int64
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -84,14 +84,14 @@
 var errForwarded = errors.New("fleet: not served by the other node")
 
 // forward has another node serve a request.
-func (d *Forwarding) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
-	end := d.nodes.Begin(node)
+func (f *Forwarding) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
+	end := f.nodes.Begin(node)
 	requestsForwarded.Inc()
-	resp, err := d.callForward(ctx, node, req, attempt)
+	resp, err := f.callForward(ctx, node, req, attempt)
 	if err != nil {
 		end()
 		if ctx.Err() == nil {
-			d.nodes.Failed(node, time.Now())
+			f.nodes.Failed(node, time.Now())
 		}
 		return nil, &relay.SendError{Sent: !httpclient.NotConnected(err), Err: err}
 	}
@@ -103,11 +103,11 @@
 		}
 	}
 	defer func() { _ = body.Close() }()
-	return nil, d.notForwarded(node, resp)
+	return nil, f.notForwarded(node, resp)
 }
 
 // callForward makes the call.
-func (d *Forwarding) callForward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
+func (f *Forwarding) callForward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
 	described, err := json.Marshal(forwardedRequest{
 		ID:           req.ID,
 		Method:       req.Method,
@@ -141,7 +141,7 @@
 		// An empty value prevents net/http from adding its default.
 		call.Header["User-Agent"] = []string{""}
 	}
-	resp, err := d.ForwardHTTP.Do(call)
+	resp, err := f.ForwardHTTP.Do(call)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -165,18 +165,18 @@
 }
 
 // notForwarded returns the error of a request that another node did not serve.
-func (d *Forwarding) notForwarded(node string, resp *http.Response) error {
+func (f *Forwarding) notForwarded(node string, resp *http.Response) error {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
 	var ended forwardEnd
 	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil || ended.Reason == "" {
-		d.nodes.Failed(node, time.Now())
+		f.nodes.Failed(node, time.Now())
 		return &relay.SendError{Sent: true, Err: fmt.Errorf("%w: status %d", errForwarded, resp.StatusCode)}
 	}
 	failed := &relay.SendError{Sent: ended.Run != outcome.NotRun, Runs: ended.Runs, Err: fmt.Errorf("%w: %s", errForwarded, ended.Reason)}
 	switch {
 	case ended.Run != outcome.NotRun:
 	case ofTheNode[ended.Reason]:
-		d.nodes.CutOff(node, time.Now())
+		f.nodes.CutOff(node, time.Now())
 	default:
 		failed.Refusal = &relay.Failure{Reason: ended.Reason, Run: ended.Run, RetryAfter: time.Duration(ended.RetryAfterMS) * time.Millisecond}
 	}
--- a/internal/fleet/forwarding.go
+++ b/internal/fleet/forwarding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -85,18 +86,18 @@
 }
 
 // Cut implements relay.Forwarding.
-func (d *Forwarding) Cut(endpoint inventory.Key, now time.Time) bool {
-	return d.links.Cut(endpoint, now)
+func (f *Forwarding) Cut(endpoint inventory.Key, now time.Time) bool {
+	return f.links.Cut(endpoint, now)
 }
 
 // Cuts returns the number of endpoints whose links are cut.
-func (d *Forwarding) Cuts() int {
-	return d.links.Cuts()
+func (f *Forwarding) Cuts() int {
+	return f.links.Cuts()
 }
 
 // Node implements relay.Forwarding.
-func (d *Forwarding) Node(excluded []string, now time.Time) *inventory.Endpoint {
-	address := d.nodes.Pick(d.Others(), excluded, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
+func (f *Forwarding) Node(excluded []string, now time.Time) *inventory.Endpoint {
+	address := f.nodes.Pick(f.Others(), excluded, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	if address == "" {
 		return nil
 	}
@@ -104,95 +105,100 @@
 }
 
 // Send implements relay.Sender.
-func (d *Forwarding) Send(ctx context.Context, to *inventory.Endpoint, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
+func (f *Forwarding) Send(ctx context.Context, to *inventory.Endpoint, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
 	if to.Node {
-		return d.forward(ctx, to.Address, req, attempt)
+		return f.forward(ctx, to.Address, req, attempt)
 	}
-	reply, err := d.Direct.Send(ctx, to, req, attempt)
+	reply, err := f.Direct.Send(ctx, to, req, attempt)
 	switch {
 	case err == nil:
-		d.links.Reached(to.Key(), time.Now())
+		f.links.Reached(to.Key(), time.Now())
 	case ctx.Err() == nil:
-		d.Lost(to)
+		f.Lost(to)
 	}
 	return reply, err
 }
 
 // Refuses implements relay.Sender. An endpoint that another node reaches does not count.
-func (d *Forwarding) Refuses(ctx context.Context, to *inventory.Endpoint) bool {
-	if !d.Direct.Refuses(ctx, to) {
+func (f *Forwarding) Refuses(ctx context.Context, to *inventory.Endpoint) bool {
+	if !f.Direct.Refuses(ctx, to) {
 		return false
 	}
-	if d.reachedByOthers(ctx, to) {
-		d.cutOff(to)
+	if f.reachedByOthers(ctx, to) {
+		f.cutOff(to)
 		return false
 	}
 	return true
 }
 
 // StartedAt implements relay.Sender.
-func (d *Forwarding) StartedAt(ctx context.Context, to *inventory.Endpoint) (int64, error) {
-	return d.Direct.StartedAt(ctx, to)
+func (f *Forwarding) StartedAt(ctx context.Context, to *inventory.Endpoint) (int64, error) {
+	return f.Direct.StartedAt(ctx, to)
 }
 
 // Lost implements relay.Forwarding. It finds out whether the link is cut.
-func (d *Forwarding) Lost(to *inventory.Endpoint) {
+func (f *Forwarding) Lost(to *inventory.Endpoint) {
 	now := time.Now()
-	if !d.links.Failed(to.Key(), now) || !d.mayAsk(to.Key(), now) {
+	if !f.links.Failed(to.Key(), now) || !f.mayAsk(to.Key(), now) {
 		return
 	}
-	go d.checkLink(to)
+	go f.checkLink(to)
 }
 
 // mayAsk reports whether other nodes may be asked about an endpoint now.
-func (d *Forwarding) mayAsk(key inventory.Key, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now.Sub(d.asked[key]) < reachAskInterval {
+func (f *Forwarding) mayAsk(key inventory.Key, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.asked[key]) < reachAskInterval {
 		return false
 	}
-	d.asked[key] = now
+	f.asked[key] = now
 	return true
 }
 
 // checkLink connects to an endpoint, and has other nodes do so at the same time.
-func (d *Forwarding) checkLink(to *inventory.Endpoint) {
+func (f *Forwarding) checkLink(to *inventory.Endpoint) {
 	ctx, cancel := context.WithTimeout(context.Background(), reachCallTimeout)
 	defer cancel()
 	reachedByOthers := make(chan bool, 1)
-	go func() { reachedByOthers <- d.reachedByOthers(ctx, to) }()
-	if d.Direct.Reaches(ctx, to.Address) {
-		d.links.Reached(to.Key(), time.Now())
+	go func() { reachedByOthers <- f.reachedByOthers(ctx, to) }()
+	if f.Direct.Reaches(ctx, to.Address) {
+		f.links.Reached(to.Key(), time.Now())
 		return
 	}
-	if <-reachedByOthers {
-		d.cutOff(to)
+	reached := <-reachedByOthers
+	f.Log.Info("endpoint not reached", "endpoint", to.ID, "address", to.Address, "reached_by_others", reached)
+	if reached {
+		f.cutOff(to)
 	}
 }
 
 // cutOff records that other nodes reach an endpoint that this one does not.
-func (d *Forwarding) cutOff(to *inventory.Endpoint) {
-	d.links.Failed(to.Key(), time.Now())
-	if !d.links.CutOff(to.Key(), time.Now()) {
+func (f *Forwarding) cutOff(to *inventory.Endpoint) {
+	f.links.Failed(to.Key(), time.Now())
+	if !f.links.CutOff(to.Key(), time.Now()) {
 		return
 	}
 	linksCut.Inc()
-	d.OnCut(to.ID)
-	d.Log.Info("link to endpoint cut", "endpoint", to.ID, "address", to.Address, "cut_links", d.links.Cuts())
+	f.OnCut(to.ID)
+	f.Log.Info("link to endpoint cut", "endpoint", to.ID, "address", to.Address, "cut_links", f.links.Cuts())
 }
 
 // reachedByOthers reports whether one of some other nodes reaches an endpoint.
-func (d *Forwarding) reachedByOthers(ctx context.Context, to *inventory.Endpoint) bool {
+func (f *Forwarding) reachedByOthers(ctx context.Context, to *inventory.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachCallTimeout)
 	defer cancel()
-	nodes := slices.Clone(d.Others())
+	nodes := slices.Clone(f.Others())
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	nodes = firstOf(nodes, askedForReach)
 	answers := make(chan bool, len(nodes))
 	for _, node := range nodes {
 		go func() {
 			var response reachResponse
-			err := post(ctx, d.HTTP, node, reachPath, reachRequest{Address: to.Address}, &response)
+			err := post(ctx, f.HTTP, node, reachPath, reachRequest{Address: to.Address}, &response)
+			if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+				f.Log.Info("node not asked whether it reaches an endpoint", "node", node, "endpoint", to.ID, "error", err)
+			}
 			answers <- err == nil && response.Reached
 		}()
 	}
@@ -205,58 +211,58 @@
 }
 
 // serveReach serves another node's question whether this one reaches an endpoint.
-func (d *Forwarding) serveReach(w http.ResponseWriter, r *http.Request) {
+func (f *Forwarding) serveReach(w http.ResponseWriter, r *http.Request) {
 	var request reachRequest
 	if !decodeBody(w, r, &request) {
 		return
 	}
-	reached := d.known(request.Address) && d.Direct.Reaches(r.Context(), request.Address)
-	writeJSON(w, reachResponse{Reached: reached}, d.Log)
+	reached := f.known(request.Address) && f.Direct.Reaches(r.Context(), request.Address)
+	writeJSON(w, reachResponse{Reached: reached}, f.Log)
 }
 
 // known reports whether an endpoint has an address.
-func (d *Forwarding) known(address string) bool {
+func (f *Forwarding) known(address string) bool {
 	found := false
-	d.Inventory.Current().Each(func(e *inventory.Endpoint) { found = found || e.Address == address })
+	f.Inventory.Current().Each(func(e *inventory.Endpoint) { found = found || e.Address == address })
 	return found
 }
 
 // Run probes cut links until ctx ends, so that they are used again when they work.
-func (d *Forwarding) Run(ctx context.Context) error {
+func (f *Forwarding) Run(ctx context.Context) error {
 	probes := probesInRound
 	for pause.For(ctx, probeInterval) {
-		snapshot := d.Inventory.Current()
-		d.forget(snapshot)
-		probes = d.probe(ctx, snapshot, probes)
+		snapshot := f.Inventory.Current()
+		f.forget(snapshot)
+		probes = f.probe(ctx, snapshot, probes)
 	}
 	return ctx.Err()
 }
 
 // forget drops what is known of endpoints that have gone.
-func (d *Forwarding) forget(snapshot *inventory.Snapshot) {
+func (f *Forwarding) forget(snapshot *inventory.Snapshot) {
 	known := func(key inventory.Key) bool {
 		e := snapshot.Endpoint(key.ID)
 		return e != nil && e.Key() == key
 	}
-	d.links.Retain(known)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for key := range d.asked {
+	f.links.Retain(known)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key := range f.asked {
 		if !known(key) {
-			delete(d.asked, key)
+			delete(f.asked, key)
 		}
 	}
 }
 
 // probe connects to some endpoints whose links are cut, and returns the number of probes in
 // the next round.
-func (d *Forwarding) probe(ctx context.Context, snapshot *inventory.Snapshot, probes int) int {
-	cut := d.links.CutEndpoints()
+func (f *Forwarding) probe(ctx context.Context, snapshot *inventory.Snapshot, probes int) int {
+	cut := f.links.CutEndpoints()
 	rand.Shuffle(len(cut), func(i, j int) { cut[i], cut[j] = cut[j], cut[i] })
 	results := make(chan bool, len(cut))
 	probed := cut[:min(probes, len(cut))]
 	for _, key := range probed {
-		go func() { results <- d.probeLink(ctx, snapshot.Endpoint(key.ID)) }()
+		go func() { results <- f.probeLink(ctx, snapshot.Endpoint(key.ID)) }()
 	}
 	next := probesInRound
 	for range probed {
@@ -268,15 +274,15 @@
 }
 
 // probeLink connects to an endpoint whose link is cut, and reports whether that worked.
-func (d *Forwarding) probeLink(ctx context.Context, e *inventory.Endpoint) bool {
+func (f *Forwarding) probeLink(ctx context.Context, e *inventory.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	if e == nil {
 		return false
 	}
-	ok := d.Direct.Reaches(ctx, e.Address)
-	if d.links.Probed(e.Key(), ok, time.Now()) {
-		d.Log.Info("link to endpoint works again", "endpoint", e.ID, "address", e.Address, "cut_links", d.links.Cuts())
+	ok := f.Direct.Reaches(ctx, e.Address)
+	if f.links.Probed(e.Key(), ok, time.Now()) {
+		f.Log.Info("link to endpoint works again", "endpoint", e.ID, "address", e.Address, "cut_links", f.links.Cuts())
 	}
 	return ok
 }
