--- a/internal/concurrency/limiter_test.go
+++ b/internal/concurrency/limiter_test.go
@@ -41,8 +41,8 @@
 	require.True(t, granted)
 }
 
-// TestMostUrgentGetsThePlace guards against a place that goes to whoever asks first after it
-// has become free.
+// TestMostUrgentGetsThePlace guards against a place that goes to the first request that asks
+// after it has become free.
 func TestMostUrgentGetsThePlace(t *testing.T) {
 	l := NewLimiter[string]()
 	for i := range 2 + spare {
@@ -61,11 +61,11 @@
 	require.True(t, granted)
 	l.End("a", "1", false, at(2))
 	_, granted, _ = l.Begin(ask("other", 2, "a"), at(2))
-	require.True(t, granted, "nobody precedes it any more")
+	require.True(t, granted, "no waiting request precedes it")
 }
 
-// TestRejectionsAreRare checks that an endpoint in which nobody can wait rejects one request
-// now and then, and that its slots are used meanwhile.
+// TestRejectionsAreRare checks that an endpoint without a queue rejects at most one request in
+// each regainInterval, and that its slots are used meanwhile.
 func TestRejectionsAreRare(t *testing.T) {
 	const slots = 2
 	l := NewLimiter[string]()
--- a/internal/fleet/origins_test.go
+++ b/internal/fleet/origins_test.go
@@ -135,8 +135,9 @@
 	require.Less(t, nodes[1].calls.Load(), int64(maxCalls))
 }
 
-// TestOriginsOfOneVersionStay checks that nobody is told of streams while only one version
-// can have begun them, and that all that are open are told when a second one appears.
+// TestOriginsOfOneVersionStay checks that origins are not replicated while only one version
+// can have begun the streams, and that those of all open streams are when a second version
+// appears.
 func TestOriginsOfOneVersionStay(t *testing.T) {
 	const streams = 10
 	nodes := originNodes(t, 4, "1")
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -91,8 +91,8 @@
 	return versions, h.observed(now)
 }
 
-// OnlyVersion reports whether a single version of a service can have begun any stream that
-// is recorded now, so that nobody needs to be told which one did.
+// OnlyVersion reports whether a single version of a service can have begun all streams that
+// are recorded now, so that their origins need no replicas.
 func (h *History) OnlyVersion(service string, now time.Time) bool {
 	versions, observed := h.Seen(service, MaxLifetime, now)
 	return len(versions) == 1 && observed >= MaxLifetime
