Say a required version, a tolerated silence and known nodes once each

Cause (reading the whole diff): the planner of loads had a pair of its own for 'any engine, or those of one version' beside inventory.Requirement; the client repeated that rule; two user timeouts were chosen by hand from a rule that only tests knew; links were dropped by age and also when their endpoints had gone; a parameter had the name of its type.

Change: Requirement.Allows takes a version and is used by all; httpclient.UserTimeout derives the timeout (2.2 s for 1.5 s, as before) from the silence that it must outlast; links are dropped with their endpoints; nodes that can't serve are 'declined'. Ruled out as too much for its use: one type for the three kinds of limits that nodes tell each other.

Measured: all tests of internal/ pass, and those of streams, partitions and silences in platform/. The test of the rule covers all silences up to 5 s in place of six rows. No behaviour changed.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -111,7 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for version, loadedAt := range c.expected[demand.ModelKey{Service: service, Model: model}] {
-		if required.Required && version != required.Version {
+		if !required.Allows(version) {
 			continue
 		}
 		if !ok || loadedAt.Before(at) {
@@ -168,7 +168,7 @@
 		if c.sent.to != c.Self {
 			go c.Suspects.ask(ctx, c.Others())
 		}
-		response = acceptReport(c.Owner, c.Aggregator, told{c.Limits, c.RejectionLimits, c.Suspects.Known}, report)
+		response = acceptReport(c.Owner, c.Aggregator, knowledge{c.Limits, c.RejectionLimits, c.Suspects.Known}, report)
 	default:
 		if err := c.call(ctx, holder, demandPath, report, &response); err != nil {
 			c.sent = sentVersions{}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,8 +39,8 @@
 	// node does not have this version of them.
 	Limits        []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
 	LimitsVersion int64                                  `json:"limits_version"`
-	// RejectionLimits are the limits of rejections of services that any node knows, if the reporting node does not
-	// have this version of them.
+	// RejectionLimits are the limits of rejections of services that any node knows, if the
+	// reporting node does not have this version of them.
 	RejectionLimits        []notice.LimitStatement[string] `json:"rejection_limits,omitempty"`
 	RejectionLimitsVersion int64                           `json:"rejection_limits_version"`
 	// Suspects are the suspects of all nodes, if the reporting node does not have this
@@ -114,7 +114,7 @@
 		return
 	}
 	s.OnConfigVersion(report.ConfigVersion)
-	writeJSON(w, acceptReport(s.Owner, s.Aggregator, told{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report), s.Log)
+	writeJSON(w, acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report), s.Log)
 }
 
 // serveAdapter serves a request for an adapter.
@@ -131,8 +131,8 @@
 	writeJSON(w, AdapterResponse{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, s.Log)
 }
 
-// told is what nodes tell each other of endpoints and requests.
-type told struct {
+// knowledge is what nodes tell each other of endpoints and requests.
+type knowledge struct {
 	limits          *notice.Limits[inventory.Key]
 	rejectionLimits *notice.Limits[string]
 	suspects        *suspect.Registry
@@ -140,21 +140,21 @@
 
 // acceptReport aggregates a demand report and returns the response. An urgent
 // report wakes the owner's control loop.
-func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, told told, report demand.Report) DemandResponse {
+func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, known knowledge, report demand.Report) DemandResponse {
 	now := time.Now()
 	urgent := aggregator.Add(report, now)
 	recorder := inventory.Recorder{Inventory: engineOwner.Inventory, Log: engineOwner.Log}
 	recorder.Record(inventory.SourceReport, report.Drains, now)
-	told.limits.Merge(report.Limits, now)
-	told.rejectionLimits.Merge(report.RejectionLimits, now)
-	told.suspects.Merge(report.Suspects, now)
+	known.limits.Merge(report.Limits, now)
+	known.rejectionLimits.Merge(report.RejectionLimits, now)
+	known.suspects.Merge(report.Suspects, now)
 	if urgent {
 		engineOwner.Notify()
 	}
 	response := DemandResponse{Peers: aggregator.Nodes(now)}
-	response.Limits, response.LimitsVersion = told.limits.AllSince(report.LimitsVersion, now)
-	response.RejectionLimits, response.RejectionLimitsVersion = told.rejectionLimits.AllSince(report.RejectionLimitsVersion, now)
-	response.Suspects, response.SuspectsVersion = told.suspects.AllSince(report.SuspectsVersion, now)
+	response.Limits, response.LimitsVersion = known.limits.AllSince(report.LimitsVersion, now)
+	response.RejectionLimits, response.RejectionLimitsVersion = known.rejectionLimits.AllSince(report.RejectionLimitsVersion, now)
+	response.Suspects, response.SuspectsVersion = known.suspects.AllSince(report.SuspectsVersion, now)
 	for key, in := range engineOwner.Expected(now) {
 		response.Expected = append(response.Expected, Expected{Service: key.Service, Model: key.Model, Version: key.Version, InMS: in.Milliseconds()})
 	}
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -176,7 +176,7 @@
 	switch {
 	case ended.Run != outcome.NotRun:
 	case ofTheNode[ended.Reason]:
-		f.nodes.CutOff(node, time.Now())
+		f.nodes.Declined(node, time.Now())
 	default:
 		failed.Refusal = &relay.Failure{Reason: ended.Reason, Run: ended.Run, RetryAfter: time.Duration(ended.RetryAfterMS) * time.Millisecond}
 	}
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/relay"
@@ -50,7 +49,7 @@
 	d.HTTP = NewHTTP()
 	d.ForwardHTTP = NewForwardHTTP()
 	d.Log = discard
-	return d, d.Node(nil, time.Now())
+	return d, d.PickNode(nil, time.Now())
 }
 
 func forwardedCall() (*relay.Request, relay.Attempt) {
@@ -127,7 +126,7 @@
 			if tc.final {
 				require.Equal(t, &tc.failure, failed.Refusal)
 			}
-			require.Equal(t, tc.avoided, d.Node(nil, time.Now()) == nil)
+			require.Equal(t, tc.avoided, d.PickNode(nil, time.Now()) == nil)
 		})
 	}
 }
@@ -204,7 +203,7 @@
 func (l linksThat) Reaches(context.Context, string) bool { return l.reach }
 
 // TestSilentSecondOfNodeIsBridged guards against forwarded streams that break off since the
-// other node is silent for a second or so.
+// other node is silent for a second or so: the user timeout is made for such a silence.
 func TestSilentSecondOfNodeIsBridged(t *testing.T) {
-	require.True(t, httpclient.BridgesSilence(forwardUserTimeout, 1500*time.Millisecond))
+	require.GreaterOrEqual(t, forwardSilence, 1500*time.Millisecond)
 }
--- a/internal/fleet/forwarding.go
+++ b/internal/fleet/forwarding.go
@@ -95,8 +95,8 @@
 	return f.links.Cuts()
 }
 
-// Node implements relay.Forwarding.
-func (f *Forwarding) Node(excluded []string, now time.Time) *inventory.Endpoint {
+// PickNode implements relay.Forwarding.
+func (f *Forwarding) PickNode(excluded []string, now time.Time) *inventory.Endpoint {
 	address := f.nodes.Pick(f.Others(), excluded, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	if address == "" {
 		return nil
@@ -139,7 +139,7 @@
 // Lost implements relay.Forwarding. It finds out whether the link is cut.
 func (f *Forwarding) Lost(to *inventory.Endpoint) {
 	now := time.Now()
-	if !f.links.Failed(to.Key(), now) || !f.mayAsk(to.Key(), now) {
+	if !f.links.Failed(to.Key()) || !f.mayAsk(to.Key(), now) {
 		return
 	}
 	go f.checkLink(to)
@@ -175,7 +175,7 @@
 
 // cutOff records that other nodes reach an endpoint that this one does not.
 func (f *Forwarding) cutOff(to *inventory.Endpoint) {
-	f.links.Failed(to.Key(), time.Now())
+	f.links.Failed(to.Key())
 	if !f.links.CutOff(to.Key(), time.Now()) {
 		return
 	}
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -15,14 +15,14 @@
 const (
 	connectTimeout = 300 * time.Millisecond
 	userTimeout    = 700 * time.Millisecond
-	// forwardUserTimeout is the user timeout of connections over which requests are
-	// forwarded: another node, as an endpoint, may be silent for a second and more.
-	forwardUserTimeout = 2200 * time.Millisecond
+	// forwardSilence is how long a node that serves forwarded requests may be silent, as an
+	// endpoint may.
+	forwardSilence = 1500 * time.Millisecond
 )
 
 // NewForwardHTTP returns the HTTP client for requests that other nodes serve.
 func NewForwardHTTP() *http.Client {
-	return &http.Client{Transport: httpclient.NewTransport(connectTimeout, forwardUserTimeout)}
+	return &http.Client{Transport: httpclient.NewTransport(connectTimeout, httpclient.UserTimeout(forwardSilence))}
 }
 
 // NewHTTP returns the HTTP client for calls between nodes.
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -53,8 +53,8 @@
 	Endpoint inventory.Key `json:"endpoint,omitzero"`
 }
 
-// Places bounds the requests that all nodes together have at endpoints that limit their rejections. Its methods
-// are safe for concurrent use.
+// Places bounds the requests that all nodes together have at endpoints that limit their
+// rejections. Its methods are safe for concurrent use.
 type Places struct {
 	Self   string
 	Holder Holder
--- a/internal/httpclient/silence_test.go
+++ b/internal/httpclient/silence_test.go
@@ -10,27 +10,32 @@
 	"golang.org/x/sys/unix"
 )
 
-// TestBridgesSilence checks the rule by which Linux ends idle connections with a user
-// timeout.
-func TestBridgesSilence(t *testing.T) {
-	tests := []struct {
-		userTimeout, silence time.Duration
-		want                 bool
-	}{
-		{700 * time.Millisecond, 900 * time.Millisecond, true},
-		{700 * time.Millisecond, 1100 * time.Millisecond, false},
-		{1200 * time.Millisecond, 1100 * time.Millisecond, false},
-		{2 * time.Second, 1100 * time.Millisecond, false},
-		{2200 * time.Millisecond, 1900 * time.Millisecond, true},
-		{2200 * time.Millisecond, 2100 * time.Millisecond, false},
+// outlasts reports whether a connection with a user timeout outlasts a silence of its peer that
+// begins with its last byte, by the rule of Linux: it ends at the first keep-alive probe that is
+// due after the timeout while the one before is unanswered.
+func outlasts(userTimeout, silence time.Duration) bool {
+	for probe := keepAliveIdle; ; probe += keepAliveInterval {
+		if probe > keepAliveIdle && probe >= userTimeout {
+			return false
+		}
+		if probe >= silence {
+			return true
+		}
 	}
-	for _, tc := range tests {
-		require.Equal(t, tc.want, BridgesSilence(tc.userTimeout, tc.silence), "%v", tc)
+}
+
+// TestSilentPeerKeepsItsConnections guards against connections that end since a sound peer is
+// silent for a second or so: with its last byte, or with bytes on the way to it.
+func TestSilentPeerKeepsItsConnections(t *testing.T) {
+	for silence := 100 * time.Millisecond; silence < 5*time.Second; silence += 100 * time.Millisecond {
+		require.True(t, outlasts(UserTimeout(silence), silence), silence)
+		require.Greater(t, UserTimeout(silence), silence)
 	}
+	require.False(t, outlasts(1200*time.Millisecond, 1500*time.Millisecond), "the rule tells a timeout that is too short")
 }
 
 // TestProbeTimes guards against times of probes that the kernel rounds, so that connections
-// end at others than BridgesSilence says.
+// end at other times than UserTimeout assumes.
 func TestProbeTimes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -75,18 +75,14 @@
 	}
 }
 
-// BridgesSilence reports whether a connection with a user timeout outlasts a silence of its
-// peer while no bytes are sent: whether a probe that is answered comes before the one at which
-// the connection would end.
-func BridgesSilence(userTimeout, silence time.Duration) bool {
+// UserTimeout returns a user timeout with which connections outlast a silence of their peer:
+// the first probe after the silence comes before the one at which a connection would end.
+func UserTimeout(silence time.Duration) time.Duration {
 	probe := keepAliveIdle
 	for probe < silence {
 		probe += keepAliveInterval
-		if probe >= userTimeout {
-			return false
-		}
 	}
-	return true
+	return probe + keepAliveInterval/5
 }
 
 // MaxHeadBytes bounds the status line and header of a response, including interim
--- a/internal/inventory/requirement.go
+++ b/internal/inventory/requirement.go
@@ -11,7 +11,7 @@
 	return Requirement{Required: true, Version: version}
 }
 
-// Allows reports whether an endpoint meets the requirement.
-func (r Requirement) Allows(e *Endpoint) bool {
-	return !r.Required || e.Version == r.Version
+// Allows reports whether an endpoint of a version meets the requirement.
+func (r Requirement) Allows(version string) bool {
+	return !r.Required || version == r.Version
 }
--- a/internal/owner/adapters.go
+++ b/internal/owner/adapters.go
@@ -184,7 +184,7 @@
 	var out []*orders.Tracker
 	for _, e := range endpoints {
 		tracker := o.trackers[e.Key()]
-		if tracker == nil || e.Leaving || !required.Allows(e) || tracker.Models[model] == nil {
+		if tracker == nil || e.Leaving || !required.Allows(e.Version) || tracker.Models[model] == nil {
 			continue
 		}
 		if p := tracker.Pending; p != nil && p.Order.Unload && p.Order.Model == model {
--- a/internal/reachability/links.go
+++ b/internal/reachability/links.go
@@ -5,7 +5,6 @@
 package reachability
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -25,8 +24,6 @@
 	recoveries    = 2
 	maxRecoveries = 16
 	relapseTime   = 10 * time.Second
-	// linkRetention is how long a link is remembered that was neither used nor probed.
-	linkRetention = time.Minute
 )
 
 // link is what is known of the way from this node to an endpoint.
@@ -56,37 +53,29 @@
 }
 
 // get returns the entry of an endpoint, and adds one if there is none. The caller holds mu.
-func (l *Links) get(key inventory.Key, now time.Time) *link {
+func (l *Links) get(key inventory.Key) *link {
 	known, ok := l.links[key]
 	if !ok {
-		l.forget(now)
 		known = &link{needed: recoveries}
 		l.links[key] = known
 	}
 	return known
 }
 
-// forget drops links that were not used for long. The caller holds mu.
-func (l *Links) forget(now time.Time) {
-	maps.DeleteFunc(l.links, func(_ inventory.Key, known *link) bool {
-		return !known.cut && now.Sub(known.reachedAt) > linkRetention && now.Sub(known.healedAt) > linkRetention
-	})
-}
-
 // Reached records a connection to an endpoint.
 func (l *Links) Reached(key inventory.Key, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.get(key, now)
+	known := l.get(key)
 	known.reachedAt, known.failed = now, false
 }
 
 // Failed records that no connection to an endpoint was made, or that one was lost. It
 // reports whether other nodes should be asked whether they reach it.
-func (l *Links) Failed(key inventory.Key, now time.Time) bool {
+func (l *Links) Failed(key inventory.Key) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.get(key, now)
+	known := l.get(key)
 	known.failed = true
 	return !known.cut
 }
@@ -96,7 +85,7 @@
 func (l *Links) CutOff(key inventory.Key, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.get(key, now)
+	known := l.get(key)
 	known.succeeded = 0
 	if known.cut || !known.failed {
 		return false
@@ -115,7 +104,7 @@
 func (l *Links) Probed(key inventory.Key, ok bool, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.get(key, now)
+	known := l.get(key)
 	if !ok {
 		known.succeeded = 0
 		return false
--- a/internal/reachability/nodes.go
+++ b/internal/reachability/nodes.go
@@ -9,8 +9,9 @@
 
 // Times for which a node is not asked to forward.
 const (
-	// cutOffTime applies to one that doesn't reach the endpoints either.
-	cutOffTime = 2 * time.Second
+	// declinedTime applies to one that can't serve requests itself, since it doesn't reach
+	// the endpoints either or shuts down.
+	declinedTime = 2 * time.Second
 	// failureTime applies to one that did not answer.
 	failureTime = time.Second
 )
@@ -87,9 +88,9 @@
 	}
 }
 
-// CutOff records that a node doesn't reach the endpoints either.
-func (n *Nodes) CutOff(address string, now time.Time) {
-	n.avoid(address, now.Add(cutOffTime))
+// Declined records that a node can't serve requests itself.
+func (n *Nodes) Declined(address string, now time.Time) {
+	n.avoid(address, now.Add(declinedTime))
 }
 
 // Failed records that a node did not answer.
--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -21,7 +21,7 @@
 
 // cut makes a link fail and another node reach its endpoint.
 func cut(l *Links, id string, now time.Time) bool {
-	l.Failed(key(id), now)
+	l.Failed(key(id))
 	return l.CutOff(key(id), now)
 }
 
@@ -30,10 +30,10 @@
 func TestFailureIsNoCut(t *testing.T) {
 	l := NewLinks()
 	for i := range 20 {
-		require.True(t, l.Failed(key(fmt.Sprint(i)), at(0)), "other nodes are to be asked")
+		require.True(t, l.Failed(key(fmt.Sprint(i))), "other nodes are to be asked")
 		require.False(t, l.Cut(key(fmt.Sprint(i)), at(0)))
 	}
-	l.Failed(key("a"), at(0))
+	l.Failed(key("a"))
 	l.Reached(key("a"), at(1))
 	require.False(t, l.CutOff(key("a"), at(2)), "reached while the others were asked")
 	require.False(t, l.Cut(key("a"), at(2)))
@@ -93,7 +93,7 @@
 			k := key(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "endpoint")))
 			switch rapid.IntRange(0, 5).Draw(t, "record") {
 			case 0:
-				l.Failed(k, now)
+				l.Failed(k)
 			case 1:
 				l.CutOff(k, now)
 			case 2:
@@ -115,7 +115,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	n := NewNodes()
 	nodes := []string{"a", "b", "c", "d"}
-	n.CutOff("a", at(0))
+	n.Declined("a", at(0))
 	n.Failed("b", at(0))
 	counts := map[string]int{}
 	var ends []func()
@@ -132,7 +132,7 @@
 	require.Equal(t, "d", n.Pick(nodes, []string{"c"}, rng, at(0)))
 	require.Empty(t, n.Pick(nodes, []string{"c", "d"}, rng, at(0)))
 	require.Equal(t, "b", n.Pick(nodes, []string{"c", "d"}, rng, at(failureTime)))
-	require.Equal(t, "a", n.Pick(nodes, []string{"b", "c", "d"}, rng, at(cutOffTime)))
+	require.Equal(t, "a", n.Pick(nodes, []string{"b", "c", "d"}, rng, at(declinedTime)))
 }
 
 // TestPartitioned checks that a node does not swing between both states.
--- a/internal/relay/adapters.go
+++ b/internal/relay/adapters.go
@@ -77,7 +77,7 @@
 	x.relay.adapters.put(x.req.Model, x.req.Adapter, id)
 	e := x.relay.Inventory.Current().Endpoint(id)
 	switch {
-	case e == nil || e.Leaving || !x.required.Allows(e):
+	case e == nil || e.Leaving || !x.required.Allows(e.Version):
 		return nil, nil
 	case x.throttled(e, time.Now()):
 		return x.retryAdapter(ctx)
@@ -94,7 +94,7 @@
 	}
 	e := snapshot.Endpoint(known)
 	switch {
-	case e != nil && !x.required.Allows(e):
+	case e != nil && !x.required.Allows(e.Version):
 		return nil
 	case e != nil && x.usable(e):
 		return e
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -259,7 +259,7 @@
 
 func (noForwarding) Lost(*inventory.Endpoint) {}
 
-func (noForwarding) Node([]string, time.Time) *inventory.Endpoint { return nil }
+func (noForwarding) PickNode([]string, time.Time) *inventory.Endpoint { return nil }
 
 // ownOrigins keeps the origins of streams at one node.
 type ownOrigins struct {
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -13,9 +13,9 @@
 	Cut(endpoint inventory.Key, now time.Time) bool
 	// Lost records that the connection to an endpoint was lost during a response.
 	Lost(endpoint *inventory.Endpoint)
-	// Node returns a node that forwards requests, and is not excluded, as an endpoint to
+	// PickNode returns a node that forwards requests, and is not excluded, as an endpoint to
 	// send to, or nil.
-	Node(excluded []string, now time.Time) *inventory.Endpoint
+	PickNode(excluded []string, now time.Time) *inventory.Endpoint
 }
 
 // unreachableRetryAfter is the retry delay sent to callers while no node is known that
@@ -30,7 +30,7 @@
 		return nil, nil
 	}
 	if x.req.Forwarded == nil {
-		if node := x.relay.Forwarding.Node(x.tried, now); node != nil {
+		if node := x.relay.Forwarding.PickNode(x.tried, now); node != nil {
 			return node, nil
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,6 +183,7 @@
 	}
 	if req.Forwarded != nil {
 		x.required = req.Forwarded.Required
+		// The node that forwards the request has counted it.
 		x.demandCounted = true
 	}
 	return x, nil
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -83,7 +83,7 @@
 // eligible reports whether an endpoint has the required version and, by its entry, holds
 // the request's model.
 func (x *exchange) eligible(e *inventory.Endpoint, now time.Time) bool {
-	return x.required.Allows(e) && (x.req.Model == "" || x.relay.stale.holds(e, x.req.Model, now))
+	return x.required.Allows(e.Version) && (x.req.Model == "" || x.relay.stale.holds(e, x.req.Model, now))
 }
 
 // refuseWithoutVersion returns the refusal of a request whose required version no endpoint
@@ -93,7 +93,7 @@
 		return nil
 	}
 	for _, e := range snapshot.Service(x.service.Name) {
-		if !e.Leaving && x.required.Allows(e) {
+		if !e.Leaving && x.required.Allows(e.Version) {
 			return nil
 		}
 	}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -208,14 +208,14 @@
 // load the model now.
 func (p *planner) cost(e *Engine, load neededLoad) (float64, bool) {
 	model := load.model
-	if !load.allows(e) || !e.Ready || e.Leaving || p.assigned[e.ID] || e.DrainedFor != "" {
+	if !load.required.Allows(e.Version) || !e.Ready || e.Leaving || p.assigned[e.ID] || e.DrainedFor != "" {
 		return 0, false
 	}
 	if _, loaded := e.Copies[model.Name]; loaded {
 		return 0, false
 	}
 	duration, fromStore := loadTime(e, model)
-	if fromStore && (p.storeLoadsLeft <= 0 || !load.versioned && p.cachesSuffice(model.Name)) {
+	if fromStore && (p.storeLoadsLeft <= 0 || !load.required.Required && p.cachesSuffice(model.Name)) {
 		return 0, false
 	}
 	if p.cooling[model.Name] && !p.Demand[model.Name].servesCooldown(duration) {
--- a/internal/swap/versions.go
+++ b/internal/swap/versions.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/inventory"
 )
 
 // modelVersion is a model on engines of a software version.
@@ -13,20 +14,14 @@
 	version string
 }
 
-// neededLoad is a load of a model, on engines of a software version if it is versioned.
+// neededLoad is a load of a model on an engine that meets a requirement.
 type neededLoad struct {
-	model     catalog.Model
-	versioned bool
-	version   string
+	model    catalog.Model
+	required inventory.Requirement
 	// waiting is the number of requests that wait for it.
 	waiting int
 }
 
-// allows reports whether the load may be done on an engine.
-func (l neededLoad) allows(e *Engine) bool {
-	return !l.versioned || e.Version == l.version
-}
-
 // versionLoads returns the loads of models that requests need on engines of a software
 // version, none of which has them, those with the most waiting requests first.
 func (p *planner) versionLoads() []neededLoad {
@@ -38,12 +33,12 @@
 		}
 		for version, waiting := range d.WaitingAt {
 			if waiting > 0 && p.versions[version] && p.available[modelVersion{name, version}] == 0 {
-				loads = append(loads, neededLoad{model: model, versioned: true, version: version, waiting: waiting})
+				loads = append(loads, neededLoad{model: model, required: inventory.OnlyVersion(version), waiting: waiting})
 			}
 		}
 	}
 	slices.SortFunc(loads, func(a, b neededLoad) int {
-		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.model.Name, b.model.Name), cmp.Compare(a.version, b.version))
+		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(a.model.Name, b.model.Name), cmp.Compare(a.required.Version, b.required.Version))
 	})
 	return loads
 }
