Put the way through another node behind one interface

Cause (reading the whole diff): that an endpoint may be a node that forwards was a special case in nine places of internal/relay: sending, counting, notices, failures, interruptions, stalls, errors, the check of the incarnation and the origin of a stream.

Change: an attempt has a way (relay/way.go), direct or through a node, which accounts for the endpoint, or leaves that to the other node; only wayTo looks at the kind. A response carries the origin of its stream as one value in place of two fields that meant different things by direction. Ruled out: pseudo endpoints in internal/load and internal/demand, which then had to know them.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -14,6 +14,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/relay"
+	"chestnutgauge/internal/streamorigin"
 )
 
 // forwardPath is the path of the call by which a node has another one serve a request.
@@ -55,10 +56,9 @@
 type forwardedReply struct {
 	Status int `json:"status"`
 	// Length is the length of the body, or -1 if it is unknown.
-	Length  int64  `json:"length"`
-	Service string `json:"service,omitempty"`
-	// Version is the software version of the endpoint.
-	Version string `json:"version,omitempty"`
+	Length int64 `json:"length"`
+	// Origin is what began it if it is a stream.
+	Origin streamorigin.Origin `json:"origin,omitzero"`
 }
 
 // forwardEnd says how the request ended at the other node.
@@ -154,13 +154,12 @@
 	header.Del(headerForwardReply)
 	header.Del("Trailer")
 	return &relay.Reply{
-		Status:  described.Status,
-		Header:  header,
-		Body:    body,
-		Length:  described.Length,
-		Service: described.Service,
-		Version: described.Version,
-		Runs:    body.runs,
+		Status: described.Status,
+		Header: header,
+		Body:   body,
+		Length: described.Length,
+		Origin: described.Origin,
+		Runs:   body.runs,
 	}
 }
 
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -15,6 +15,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/relay"
+	"chestnutgauge/internal/streamorigin"
 )
 
 // deadLinks reach no endpoint.
@@ -68,7 +69,7 @@
 	var got *relay.Request
 	d, node := forwarding(t, func(_ context.Context, req *relay.Request, answer relay.Answer) (int, *relay.Failure) {
 		got = req
-		answer.Begin(&relay.Reply{Status: 201, Header: http.Header{"Signature": {"s"}}, Service: "s", Version: "v2"}, 4)
+		answer.Begin(&relay.Reply{Status: 201, Header: http.Header{"Signature": {"s"}}, Origin: streamorigin.Origin{Service: "s", Version: "v2"}}, 4)
 		_ = answer.Write([]byte("done"))
 		return 1, nil
 	}, false)
@@ -82,7 +83,7 @@
 	require.Equal(t, 201, reply.Status)
 	require.Equal(t, int64(4), reply.Length)
 	require.Equal(t, http.Header{"Signature": {"s"}}, reply.Header)
-	require.Equal(t, "v2", reply.Version)
+	require.Equal(t, streamorigin.Origin{Service: "s", Version: "v2"}, reply.Origin)
 	require.Equal(t, 1, reply.Runs())
 
 	require.WithinDuration(t, attempt.Deadline, got.Deadline, time.Second)
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -93,7 +93,7 @@
 			header[name] = nil
 		}
 	}
-	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Service: reply.Service, Version: reply.Version})
+	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Origin: reply.Origin})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -126,8 +126,8 @@
 	if run != outcome.NotRun {
 		x.attempts++
 	}
-	if ctx.Err() == nil && !errors.Is(err, errSuspected) && !endpoint.Node {
-		x.endpointFailed(endpoint, run, alone)
+	if ctx.Err() == nil && !errors.Is(err, errSuspected) {
+		x.wayTo(endpoint).failed(run, alone)
 	}
 	result := attemptResult{run: run, unsent: run == outcome.NotRun, cause: err}
 	if failed != nil {
@@ -136,32 +136,15 @@
 	return result
 }
 
-// endpointFailed records that an endpoint gave no response.
-func (x *exchange) endpointFailed(endpoint *inventory.Endpoint, run outcome.Run, alone bool) {
-	now := time.Now()
-	x.relay.loads.Failed(endpoint.ID, now, rand.Float64())
-	switch {
-	case run != outcome.NotRun:
-		x.connectionLost(endpoint, alone, false)
-	case !x.relay.Forwarding.Cut(endpoint.Key(), now):
-		x.relay.Demand.Reached(endpoint.ID, false)
-	}
-}
-
-// interrupted records that the connection to an endpoint, or a node, was lost during a
-// response. begun means that a part of that had arrived. It returns the number of endpoints
-// that may have run the request.
+// interrupted records that the connection was lost during a response, of which a part had
+// arrived if begun. It returns the number of endpoints that may have run the request if it is
+// more than one.
 func (x *exchange) interrupted(s *sending, begun bool) (runs int) {
-	if s.reply.Runs != nil {
-		runs = s.reply.Runs()
-	}
-	if s.endpoint.Node {
-		return runs
+	s.way.interrupted(s, begun)
+	if s.reply.Runs == nil {
+		return 1
 	}
-	x.relay.loads.Failed(s.endpoint.ID, time.Now(), rand.Float64())
-	x.relay.Forwarding.Lost(s.endpoint)
-	x.connectionLost(s.endpoint, s.alone, begun)
-	return runs
+	return s.reply.Runs()
 }
 
 // notRun handles an endpoint's statement that it did not run the request.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -68,7 +68,8 @@
 	trialPermit expectedPermit
 	// trial is the trial that the next attempt belongs to, or nil.
 	trial *grantedTrial
-	// place is the place that the next attempt has at an endpoint that limits its rejections, or nil.
+	// place is the place that the next attempt has at an endpoint that limits its
+	// rejections, or nil.
 	place *grantedPlace
 	// crashChecked is closed when it is known whether the endpoint of the last attempt,
 	// which lost its connection, has crashed. It may be nil.
@@ -128,14 +129,11 @@
 	defer x.relay.waiting.remove(s)
 	x.endpoint = s.endpoint.ID
 	x.attempts++
-	if !s.endpoint.Node {
-		x.relay.Demand.Reached(s.endpoint.ID, true)
-		x.relay.recordReply(s)
-	}
+	s.way.responded(s)
 	switch {
 	case s.reply.NotRun:
 		return x.notRun(s)
-	case x.isStream(s.reply) && !x.verified(ctx, s):
+	case x.isStream(s.reply) && !s.way.verified(ctx, s):
 		return attemptResult{run: outcome.Ran, truncated: x.started, cause: errOtherIncarnation}
 	case x.isStream(s.reply):
 		detector := x.detectStalls(ctx, s)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -24,8 +24,7 @@
 	}
 	buffered := &bufferedReply{Reply: *reply, body: body}
 	whole := len(body) < maxBufferedBody
-	// A node that passes on an error has tried other endpoints.
-	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() && !s.endpoint.Node {
+	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() && !s.way.triesOthers() {
 		result := attemptResult{run: outcome.Ran, cause: statusError(reply.Status)}
 		if whole {
 			result.reply = buffered
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/ratelimit"
+	"chestnutgauge/internal/streamorigin"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -108,10 +109,8 @@
 	// RejectionLimit is what it states of the rejections a second that the endpoints of its
 	// service bear.
 	RejectionLimit notice.RateLimit
-	// Service and Version are those of the endpoint that began the response, if a node
-	// passes it on, and for a node that it is passed on to.
-	Service string
-	Version string
+	// Origin is what began the stream that the response is, once it has begun.
+	Origin streamorigin.Origin
 	// Runs returns, once the body has ended, the number of endpoints that may have run the
 	// request. Nil means one.
 	Runs func() int
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -12,6 +12,7 @@
 // sending is an attempt whose response has begun.
 type sending struct {
 	endpoint *inventory.Endpoint
+	way      way
 	reply    *Reply
 	started  time.Time
 	// lastEvent is the id of the event after which the response continues a stream,
@@ -42,16 +43,13 @@
 func (x *exchange) open(ctx context.Context, endpoint *inventory.Endpoint, lastEvent string) (*sending, error) {
 	r := x.relay
 	attemptsTotal.Inc()
-	s := &sending{endpoint: endpoint, started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
-	s.release = func() {}
+	s := &sending{endpoint: endpoint, way: x.wayTo(endpoint), started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
 	s.place, x.place = x.place, nil
-	if !endpoint.Node {
-		s.release = x.occupy(s)
-	}
+	s.release = s.way.begin(s)
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
 	s.cause = func() error { return context.Cause(ctx) }
-	if !s.alone && !endpoint.Node && x.route.Repeatable() && x.possibleRuns+1 < x.maxRuns() {
+	if !s.alone && !s.way.triesOthers() && x.route.Repeatable() && x.possibleRuns+1 < x.maxRuns() {
 		r.waiting.add(s, waitingAttempt{request: x.identity, cancel: cancel})
 	}
 	attempt := Attempt{
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -46,7 +46,7 @@
 // response has begun, so that a stream that no endpoint continues is left to go on.
 func (x *exchange) detectStalls(ctx context.Context, s *sending) *stallDetector {
 	d := &stallDetector{body: s.reply.Body, timeout: stallTimeout(x.route), cancel: s.cancel, lastEvent: x.lastEvent}
-	if x.route.Resumable && x.possibleRuns+1 < x.maxRuns() && !s.endpoint.Node {
+	if x.route.Resumable && x.possibleRuns+1 < x.maxRuns() && !s.way.triesOthers() {
 		successor := *x
 		successor.tried = append(slices.Clone(x.tried), s.endpoint.ID)
 		successor.permits = maps.Clone(x.permits)
@@ -81,7 +81,7 @@
 		x.relay.Log.Info("stalled stream not continued", "request_id", x.req.ID, "endpoint", endpoint.ID, "error", err)
 		return nil
 	}
-	if s.reply.NotRun || !x.isStream(s.reply) || !x.verified(ctx, s) {
+	if s.reply.NotRun || !x.isStream(s.reply) || !s.way.verified(ctx, s) {
 		x.relay.Log.Info("stalled stream not continued", "request_id", x.req.ID, "endpoint", endpoint.ID, "status", s.reply.Status)
 		x.relay.recordReply(s)
 		s.close()
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -68,16 +68,11 @@
 	if x.route.Kind != catalog.Stream {
 		return
 	}
-	origin := streamorigin.Origin{Service: x.service.Name, Version: s.endpoint.Version}
-	if s.endpoint.Node {
-		origin = streamorigin.Origin{Service: s.reply.Service, Version: s.reply.Version}
+	s.reply.Origin = s.way.origin(s)
+	x.required = inventory.OnlyVersion(s.reply.Origin.Version)
+	if x.route.Resumable {
+		x.relay.Origins.Record(x.req.stream(), s.reply.Origin, streamorigin.Lifetime(x.route.Timeout))
 	}
-	s.reply.Service, s.reply.Version = origin.Service, origin.Version
-	x.required = inventory.OnlyVersion(origin.Version)
-	if !x.route.Resumable {
-		return
-	}
-	x.relay.Origins.Record(x.req.stream(), origin, streamorigin.Lifetime(x.route.Timeout))
 }
 
 // eligible reports whether an endpoint has the required version and, by its entry, holds
@@ -103,11 +98,11 @@
 // checkTimeout bounds the check of an endpoint's incarnation.
 const checkTimeout = 300 * time.Millisecond
 
-// verified reports whether an attempt that goes on with a stream has reached the
+// fromIncarnation reports whether an attempt that goes on with a stream has reached the
 // incarnation of its endpoint's entry, and so the required version. It asks after the
 // response has begun: an endpoint that has restarted since has broken it off.
-func (x *exchange) verified(ctx context.Context, s *sending) bool {
-	if !s.unverified || s.endpoint.Node || x.service.Engine == nil || s.endpoint.StartedAtMS == 0 {
+func (x *exchange) fromIncarnation(ctx context.Context, s *sending) bool {
+	if !s.unverified || x.service.Engine == nil || s.endpoint.StartedAtMS == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
