Check a link once for a lost connection, for crashes and for partitions

Cause (reading the whole diff): the loss of a connection made two checks of the same endpoint at the same time. Forwarding connected to it and had three nodes do so, to learn whether its link is cut; the relay's check for crashes connected to it, too, and asked three nodes again.

Change: both share one check, which tells a refused connection from one that is not answered (reachability.Connection, one method of the sender in place of two). A link that carries requests while others try is not taken for cut: the failure is recorded before the others have answered, not after. Ruled out: keeping results for a time, as the check for crashes asks again after 50 ms on purpose.

Measured: TestCutNeedsAnotherNode now counts the connections at the other node, one for both questions; it passes for endpoints that are reached, refuse and don't answer, as do the tests of partitions, crashes and cooldowns in platform/.

--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/reachability"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/streamorigin"
 )
@@ -26,11 +28,12 @@
 func (deadLinks) Send(context.Context, *inventory.Endpoint, *relay.Request, relay.Attempt) (*relay.Reply, error) {
 	return nil, &relay.SendError{Err: errDead}
 }
-func (deadLinks) Refuses(context.Context, *inventory.Endpoint) bool { return true }
 func (deadLinks) StartedAt(context.Context, *inventory.Endpoint) (int64, error) {
 	return 0, errDead
 }
-func (deadLinks) Reaches(context.Context, string) bool { return false }
+func (deadLinks) Connect(context.Context, string) reachability.Connection {
+	return reachability.Refused
+}
 
 // serveFunc serves a forwarded request.
 type serveFunc func(ctx context.Context, req *relay.Request, answer relay.Answer) (int, *relay.Failure)
@@ -177,31 +180,40 @@
 }
 
 // TestCutNeedsAnotherNode guards against a crash or a restart of all endpoints that is taken
-// for a partition, and against a partition that is taken for crashes.
+// for a partition, and against a partition that is taken for crashes. The loss of a connection
+// and the question whether the endpoint has crashed share one check.
 func TestCutNeedsAnotherNode(t *testing.T) {
-	for _, reached := range []bool{true, false} {
+	for _, result := range []reachability.Connection{reachability.Unanswered, reachability.Refused, reachability.Made} {
 		d, _ := forwarding(t, nil, false)
+		endpoint := &inventory.Endpoint{ID: "e", Address: "127.0.0.1:1"}
+		links := &countingLinks{result: result}
 		other := NewForwarding()
 		other.Inventory = inventory.New()
-		other.Inventory.Replace([]*inventory.Endpoint{{ID: "e", Address: "127.0.0.1:1"}})
+		other.Inventory.Replace([]*inventory.Endpoint{endpoint})
 		other.Log = discard
-		other.Direct = linksThat{reach: reached}
+		other.Direct = links
 		server := httptest.NewServer((&Server{Publisher: &Publisher{}, RateLimits: NewRateLimits(), Suspects: NewSuspects(), Forwarding: other, Log: discard}).Handler())
 		t.Cleanup(server.Close)
 		d.Others = func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }
-		endpoint := &inventory.Endpoint{ID: "e", Address: "127.0.0.1:1"}
+		reached := result == reachability.Made
+		d.Lost(endpoint)
 		require.Equal(t, !reached, d.Refuses(t.Context(), endpoint), "crashed")
 		require.Equal(t, reached, d.Cut(endpoint.Key(), time.Now()), "cut")
+		require.Equal(t, int64(1), links.connections.Load())
 	}
 }
 
-// linksThat reach all endpoints or none.
-type linksThat struct {
+// countingLinks count their connections, which all end in the same way.
+type countingLinks struct {
 	deadLinks
-	reach bool
+	result      reachability.Connection
+	connections atomic.Int64
 }
 
-func (l linksThat) Reaches(context.Context, string) bool { return l.reach }
+func (l *countingLinks) Connect(context.Context, string) reachability.Connection {
+	l.connections.Add(1)
+	return l.result
+}
 
 // TestSilentSecondOfNodeIsBridged guards against forwarded streams that break off since the
 // other node is silent for a second or so: the user timeout is made for such a silence.
