Await forwarded requests when a node shuts down

A request that one node forwards to another ends with 502, or its stream breaks off, if the other node stops: TestShutdownAwaitsForwardedRequests gets EOF from a real process that is sent SIGTERM 3 s before the response is due.

Cause: the shutdown waits for the connections of the node's own callers. Forwarded requests come over the server of other nodes, which ends with the process, 2.5 s after the signal at the least. Ruled out: that the node takes new ones meanwhile, as it declines them.

Change: after its callers' connections, the shutdown waits until no request is in flight, within the same limit.

--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutgauge/internal/httpserver"
+	"chestnutgauge/internal/pause"
 )
 
 // Timing of a shutdown.
@@ -40,9 +41,25 @@
 	if err := callers.Shutdown(shutdownCtx); err != nil {
 		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
 	}
+	n.awaitForwarded(shutdownCtx)
 	n.releaseLease()
 }
 
+// inFlightPollInterval is the interval at which a node that shuts down checks whether it
+// still serves requests.
+const inFlightPollInterval = 20 * time.Millisecond
+
+// awaitForwarded waits for the requests that other nodes forward to this one, which are on no
+// caller's connection, until ctx ends.
+func (n *Node) awaitForwarded(ctx context.Context) {
+	for n.relay.InFlight() > 0 {
+		if !pause.For(ctx, inFlightPollInterval) {
+			n.log.Warn("forwarded requests interrupted by the shutdown", "in_flight", n.relay.InFlight())
+			return
+		}
+	}
+}
+
 // releaseLease releases the lease if the node holds it.
 func (n *Node) releaseLease() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
