Don't list endpoints whose address another one has taken over

The old entry stays for three heartbeats and lists the adapter, so the owner named the old engine for it; the one at the address answers that it is another engine; the request asked the owner again, five times. New streams have other engines, a stream that goes on at one version may have none. Ruled out: unknown versions (all by record), and a wrong entry, as both entries were known.

Change: a service lists no endpoint whose address one that started later has. Entries without an address or a start time are listed as before.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -79,7 +79,8 @@
 	drainsVersion uint64
 }
 
-// Service returns the endpoints of a service, sorted by id.
+// Service returns the endpoints of a service, sorted by id, without those whose address
+// another one has taken over.
 func (s *Snapshot) Service(name string) []*Endpoint {
 	return s.services[name]
 }
@@ -207,9 +208,15 @@
 	i.changed = make(chan struct{})
 }
 
+// build returns a snapshot. An endpoint whose address another one has taken over since it
+// started is gone though its entry remains: its service does not list it.
 func build(version uint64, byID map[string]*Endpoint, drains notice.Drains[Key]) *Snapshot {
 	s := &Snapshot{Version: version, byID: byID, services: map[string][]*Endpoint{}, drains: drains}
+	newest := newestAt(byID)
 	for _, e := range byID {
+		if e.StartedAtMS < newest[e.Address] {
+			continue
+		}
 		s.services[e.Service] = append(s.services[e.Service], e)
 	}
 	for _, list := range s.services {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -44,3 +44,30 @@
 	require.Equal(t, []string{"a"}, i.ReplaceUnchanged([]Replacement{{Before: before, After: after}}))
 	require.Equal(t, after, i.Current().Endpoint("a"))
 }
+
+// TestAddressTakenOver checks that a service does not list an endpoint whose address one that
+// started later has, of this service or another one, until that one's entry is gone. Entries
+// without a start time are all listed.
+func TestAddressTakenOver(t *testing.T) {
+	i := New()
+	listed := func(service string) (ids []string) {
+		for _, e := range i.Current().Service(service) {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+	i.Replace([]*Endpoint{
+		{ID: "old", Service: "s", Address: "a:1", StartedAtMS: 1},
+		{ID: "other", Service: "s", Address: "b:1", StartedAtMS: 1},
+		{ID: "x", Service: "s", Address: "c:1"},
+		{ID: "y", Service: "s", Address: "c:1"},
+	})
+	require.Equal(t, []string{"old", "other", "x", "y"}, listed("s"))
+	i.Change([]*Endpoint{{ID: "new", Service: "s", Address: "a:1", StartedAtMS: 2}}, nil)
+	i.Change([]*Endpoint{{ID: "foreign", Service: "t", Address: "b:1", StartedAtMS: 2}}, nil)
+	require.Equal(t, []string{"new", "x", "y"}, listed("s"))
+	require.Equal(t, []string{"foreign"}, listed("t"))
+	require.NotNil(t, i.Current().Endpoint("old"), "its entry is known until it is removed")
+	i.Change(nil, []string{"new"})
+	require.Equal(t, []string{"old", "x", "y"}, listed("s"))
+}
