Give requests of teams their team, and refuse unknown keys

Cause: the node program passed callers' keys on to endpoints and served any key, as nothing read the teams of the configuration.

Forwarded requests carry the digest.

No limit is enforced yet, and keys that are taken away still count until the configuration is read.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"chestnutgauge/internal/team"
 )
 
 // Kind determines how often a request of a route may run.
@@ -47,6 +49,8 @@
 	MaxGap time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
+	// Public routes need no key, also if the configuration has teams.
+	Public bool
 	// MaxEndpoints is the maximum number of endpoints that one request may run on.
 	MaxEndpoints int
 	Targets      []Target
@@ -149,7 +153,9 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	routes   map[string][]*Route
+	// Teams are the teams of the callers. It is nil if requests need no key.
+	Teams  *team.Directory
+	routes map[string][]*Route
 }
 
 // New returns a catalog of routes and services.
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -15,6 +15,7 @@
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/streamorigin"
+	"chestnutgauge/internal/team"
 )
 
 // forwardPath is the path of the call by which a node has another one serve a request.
@@ -50,6 +51,8 @@
 	// MaxRuns is the number of endpoints on which the request may still run.
 	MaxRuns  int                   `json:"max_runs"`
 	Required inventory.Requirement `json:"required,omitzero"`
+	// Credential identifies the caller's team.
+	Credential team.Credential `json:"credential,omitzero"`
 }
 
 // forwardedReply describes an endpoint's response that another node passes on.
@@ -125,6 +128,7 @@
 		Service:      attempt.Service,
 		MaxRuns:      attempt.MaxRuns,
 		Required:     attempt.Required,
+		Credential:   req.Credential,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("fleet: encode: %w", err)
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -68,6 +68,7 @@
 		Prompt:       f.Prompt,
 		LastEvent:    f.LastEvent,
 		Resumes:      f.Resumes,
+		Credential:   f.Credential,
 		Forwarded:    &relay.Forwarded{Service: f.Service, MaxRuns: f.MaxRuns, Required: f.Required},
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/sse"
 	"chestnutgauge/internal/suspect"
+	"chestnutgauge/internal/team"
 )
 
 // exchange is the state of one request while it is served.
@@ -23,6 +24,9 @@
 	service *catalog.Service
 	// catalog is the configuration that the request is served by.
 	catalog *catalog.Catalog
+	// team is the caller's team. It is nil if the configuration has no teams, or on a public
+	// route.
+	team *team.Team
 	// required is the version at which the stream goes on that the request has begun or
 	// resumes.
 	required inventory.Requirement
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -15,6 +15,7 @@
 // Reasons. The values are sent to callers and name the outcome in metrics.
 const (
 	ReasonNotReady           Reason = "no configuration yet"
+	ReasonUnknownKey         Reason = "no such key"
 	ReasonNoRoute            Reason = "no such route"
 	ReasonUnknownModel       Reason = "no such model"
 	ReasonNoEndpoint         Reason = "no endpoint"
--- a/internal/relay/places.go
+++ b/internal/relay/places.go
@@ -80,7 +80,7 @@
 	place, granted := x.relay.Places.Begin(ctx, concurrency.Ask[inventory.Key]{
 		Request:    strconv.FormatUint(rand.Uint64(), 36),
 		Candidates: candidates,
-		Priority:   x.route.Priority,
+		Priority:   x.priority(),
 		Since:      x.req.Arrived,
 		Expires:    x.deadline.Add(placeEndDelay),
 	}, max(0, maxWait))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -156,6 +156,10 @@
 		return nil, refuse(ReasonNotReady, notReadyRetryAfter)
 	}
 	route := c.Route(req.Host, req.Path)
+	caller := c.Teams.Find(req.Credential)
+	if caller == nil && needsKey(c, route) {
+		return nil, refuse(ReasonUnknownKey, 0)
+	}
 	if route == nil {
 		return nil, refuse(ReasonNoRoute, 0)
 	}
@@ -174,7 +178,7 @@
 	if req.Deadline.Before(deadline) {
 		deadline = req.Deadline
 	}
-	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, deadline: deadline}
+	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, team: caller, deadline: deadline}
 	x.identity = identify(req, name)
 	if service.Engine != nil && req.Model != "" {
 		if _, ok := service.Engine.Models[req.Model]; !ok {
@@ -233,7 +237,7 @@
 	attrs := []any{"request_id", req.ID, "took_ms", took.Milliseconds()}
 	if x != nil {
 		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.catalog.Version,
-			"model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
+			"team", x.teamName(), "model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
 		attrs = append(attrs, x.progress.attrs(req.Arrived)...)
 	}
 	if failure == nil {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -13,6 +13,7 @@
 	"chestnutgauge/internal/ratelimit"
 	"chestnutgauge/internal/streamorigin"
 	"chestnutgauge/internal/suspect"
+	"chestnutgauge/internal/team"
 )
 
 // PromptPart is a part of a prompt that other requests may share.
@@ -41,7 +42,11 @@
 	Adapter      string
 	PromptTokens int
 	MaxTokens    int
-	Prompt       []PromptPart
+	// TokensCounted reports whether the request states PromptTokens and MaxTokens.
+	TokensCounted bool
+	Prompt        []PromptPart
+	// Credential identifies the caller's team.
+	Credential team.Credential
 	// LastEvent is the id of the event after which a stream is resumed.
 	LastEvent string
 	// Resumes is the id of the caller's attempt that brought the first event of the
@@ -67,6 +72,8 @@
 	Deadline  time.Time
 	Priority  int
 	LastEvent string
+	// Team is the name of the caller's team, or empty.
+	Team string
 	// If a node chooses the endpoints, Service is their service, MaxRuns the number of them
 	// on which the request may still run, and Required restricts them.
 	Service  string
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -54,8 +54,9 @@
 	}
 	attempt := Attempt{
 		Deadline:  x.deadline,
-		Priority:  x.route.Priority,
+		Priority:  x.priority(),
 		LastEvent: lastEvent,
+		Team:      x.teamName(),
 		Service:   x.service.Name,
 		MaxRuns:   x.maxRuns() - x.possibleRuns,
 		Required:  x.required,
--- /dev/null
+++ b/internal/relay/team.go
@@ -0,0 +1,22 @@
+package relay
+
+import "chestnutgauge/internal/catalog"
+
+// needsKey reports whether a request needs a key. route is nil if the configuration has none
+// for the request.
+func needsKey(c *catalog.Catalog, route *catalog.Route) bool {
+	return c.Teams != nil && (route == nil || !route.Public)
+}
+
+// priority returns the request's priority; 0 is the most urgent.
+func (x *exchange) priority() int {
+	return x.team.Rank(x.route.Priority)
+}
+
+// teamName returns the name of the caller's team, or "" if it has none.
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -39,7 +39,7 @@
 
 func (w *wait) request() waitqueue.Request {
 	req := waitqueue.Request{
-		Priority:   w.x.route.Priority,
+		Priority:   w.x.priority(),
 		Arrived:    w.x.req.Arrived,
 		Restricted: len(w.x.tried) > 0 || w.x.req.Adapter != "" || w.x.required.Required,
 	}
