Follow the configuration's table at the owner without a pause after a change

Cause: after a change of the configuration the owner paused for 600 ms and then waited up to 1 s for the next one, so what it knew was confirmed only after 1.6 s.

Change: the owner reads the next change of the configuration after 15 ms, as it does with the entries of endpoints.

Measured: TestOwnerFollowsBothTables failed before; TestOwnerConfirmsAfterChange holds. feed, noded and catalog pass.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -329,6 +329,28 @@
 	})
 }
 
+// TestOwnerConfirmsAfterChange guards against an owner that counts as out of date after each
+// change, so that all other nodes read the store.
+func TestOwnerConfirmsAfterChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := newSource()
+		f := New(source, "t", func(Rows) {}, func([]Row) {}, slog.New(slog.DiscardHandler))
+		f.IsOwner = func() bool { return true }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(maxStartDelay)
+		synctest.Wait()
+		source.next <- nil
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			age, known := f.Age()
+			require.True(t, known)
+			require.Less(t, age, changesWait+2*ownerBatchInterval)
+		}
+	})
+}
+
 // TestSilentStore guards against a table that is taken for current for seconds
 // because its store stopped answering without an error: its age grows from the
 // last answer on, and the table is soon read another way.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -120,6 +120,9 @@
 	}
 	n.follower = &fleet.Follower{Self: self, Holder: n.keeper, Inventory: n.inventory, HTTP: fleet.NewHTTP(), Log: log}
 	n.config = catalog.NewFollower(store.Configuration(), platform.DecodeConfiguration, n.follower.Fresh, datingPeriod(n.keeper.Settings), log)
+	// The owner streams its inventory only while the store has just confirmed what it knows of
+	// the configuration too.
+	n.config.Feed().IsOwner = n.owns
 	n.follower.OnConfigVersion = n.config.NotifyVersion
 	n.follower.OnStoreEra = store.Eras().Learn
 	n.entries = inventory.NewEntries(store.Endpoints(), platform.DecodeEndpoint, n.inventory, s.EndpointHeartbeat, n.follower.Fresh, n.owns, log)
--- a/internal/noded/run_test.go
+++ b/internal/noded/run_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chestnutgauge/internal/feed"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/lease"
 	"chestnutgauge/internal/reload"
@@ -40,6 +41,20 @@
 	return m.row, nil
 }
 
+// TestOwnerFollowsBothTables guards against an owner that pauses after each change of the
+// configuration for so long that it stops streaming its inventory to the other nodes.
+func TestOwnerFollowsBothTables(t *testing.T) {
+	const file = "../../platform/testdata/settings.conf"
+	settings, err := platform.LoadSettings(file)
+	require.NoError(t, err)
+	watcher := reload.NewWatcher(file)
+	defer watcher.Stop()
+	n := New(settings, watcher, slog.New(slog.DiscardHandler))
+	for _, feed := range []*feed.Follower{n.config.Feed(), n.entries.Feed()} {
+		require.NotNil(t, feed.IsOwner, feed.Name)
+	}
+}
+
 // TestServerFails guards against the loss of requests in flight when a server of
 // the node fails: it answers them, ends with the server's error and releases its
 // lease.
