Send nodes' reports and the owner's inventory as changes

Change: a node sends its whole report once and then the models whose numbers are not what the owner expects from the last one; the owner asks for a whole one when it has started again. The list of nodes is sent when it has changed. The inventory's stream sends what can change of an engine that the receiver knows, if the receiver says that it understands this. Nodes of the version before are served as before, and serve the new ones.

--- a/internal/demand/aggregator.go
+++ b/internal/demand/aggregator.go
@@ -61,16 +61,22 @@
 }
 
 // Add records a node's report. urgent reports whether more requests wait for
-// some model than in the node's previous report.
-func (a *Aggregator) Add(report Report, now time.Time) (urgent bool) {
+// some model than in the node's previous report. known is false if the report is a change
+// of one that is not known; it is not recorded then.
+func (a *Aggregator) Add(report Report, now time.Time) (urgent, known bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := waiting(a.nodes[report.Node].report)
+	last := a.nodes[report.Node]
+	report, known = report.merge(last.report, now.Sub(last.receivedAt))
+	if !known {
+		return false, false
+	}
+	before := waiting(last.report)
 	a.nodes[report.Node] = nodeReport{report: report, receivedAt: now}
 	for key, n := range waiting(report) {
 		urgent = urgent || n > before[key]
 	}
-	return urgent
+	return urgent, true
 }
 
 // waitingKey identifies requests that wait for the same: a model, on an engine that meets
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -15,8 +15,8 @@
 
 // ModelKey identifies a model of a service.
 type ModelKey struct {
-	Service string
-	Model   string
+	Service string `json:"service"`
+	Model   string `json:"model"`
 }
 
 // LoadKey identifies the loads of a model on engines of a software version.
@@ -41,7 +41,7 @@
 	// get one now.
 	CooldownMS int64 `json:"cooldown_ms,omitempty"`
 	// Waiting is the number of requests that no engine can run now.
-	Waiting int `json:"waiting"`
+	Waiting int `json:"waiting,omitempty"`
 	// WaitingAt is the number of further ones that need an engine of a software version,
 	// by that version.
 	WaitingAt map[string]int `json:"waiting_at,omitempty"`
@@ -141,13 +141,22 @@
 	Node string `json:"node"`
 	// ConfigVersion is the version of the configuration in force there, 0 if none.
 	ConfigVersion int64 `json:"config_version,omitempty"`
-
-	Models   []Model      `json:"models"`
-	Adapters []AdapterUse `json:"adapters"`
+	// Number is the number of the report. If Base is not 0, the report is a change of the
+	// one with that number: models that it does not list are as before, but for those in
+	// Gone, and so are the adapters if SameAdapters is set.
+	Number       int64      `json:"number,omitempty"`
+	Base         int64      `json:"base,omitempty"`
+	Gone         []ModelKey `json:"gone,omitempty"`
+	SameAdapters bool       `json:"same_adapters,omitempty"`
+	// PeersVersion is the version of the owner's list of nodes that the node has, 0 if none.
+	PeersVersion uint64 `json:"peers_version,omitempty"`
+
+	Models   []Model      `json:"models,omitempty"`
+	Adapters []AdapterUse `json:"adapters,omitempty"`
 	// Reached are the engines to which the last connection succeeded, Unreachable
 	// those to which it failed. Connections older than reachTTL are ignored.
-	Reached     []string `json:"reached"`
-	Unreachable []string `json:"unreachable"`
+	Reached     []string `json:"reached,omitempty"`
+	Unreachable []string `json:"unreachable,omitempty"`
 	// Drains are the node's drain marks of endpoints whose entries don't show them
 	// as leaving.
 	Drains []inventory.DrainMark `json:"drains,omitempty"`
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -50,6 +50,8 @@
 
 	mu    sync.Mutex
 	peers []string
+	// peersVersion is the version of peers, 0 if the owner states none.
+	peersVersion uint64
 	// expected holds, by model and software version, when loads should complete.
 	expected       map[demand.ModelKey]map[string]time.Time
 	lastResponseAt time.Time
@@ -58,7 +60,12 @@
 	// sent is what the owner has received of this node, limitsReceived and
 	// rejectionLimitsReceived are the versions of the owner's limits that this node has
 	// received. Only Run uses them.
-	sent                    sentVersions
+	sent sentVersions
+	// reported is what the owner knows of this node's report, nil if that is unknown,
+	// reportedTo is that owner. reportNumber is the number of the last report.
+	reported                *demand.Sent
+	reportedTo              string
+	reportNumber            int64
 	limitsReceived          int64
 	rejectionLimitsReceived int64
 	// failing is true if the last report failed; only Run uses it.
@@ -155,10 +162,16 @@
 // report sends the demand at this node to the owner and stores the response.
 func (c *Client) report(ctx context.Context) error {
 	now := time.Now()
-	report := c.Meter.Report(now)
+	holder := c.Holder.Holder()
+	if c.reportedTo != holder {
+		c.reported, c.reportedTo = nil, holder
+	}
+	c.reportNumber++
+	report, reported := c.Meter.Report(now).Since(c.reported, c.reportNumber, now)
+	report.PeersVersion = c.knownPeersVersion()
 	report.Drains = c.Owner.Inventory.Current().UnlistedDrains(now)
 	report.ConfigVersion = c.ConfigVersion()
-	holder := c.Holder.Holder()
+	c.reported = nil
 	sent := c.addOwn(&report, holder, now)
 	var response DemandResponse
 	switch holder {
@@ -176,6 +189,13 @@
 		}
 	}
 	c.sent = sent
+	switch {
+	case response.ReportNumber == reported.Number():
+		c.reported = reported
+	case report.Base != 0:
+		// The owner has started again and needs a whole report.
+		c.Meter.RequestReport()
+	}
 	c.limitsReceived, c.rejectionLimitsReceived = response.LimitsVersion, response.RejectionLimitsVersion
 	c.storeResponse(holder, response)
 	return nil
@@ -206,6 +226,13 @@
 	return sent
 }
 
+// knownPeersVersion returns the version of the list of nodes that this one has.
+func (c *Client) knownPeersVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peersVersion
+}
+
 // Addresses returns the addresses of the nodes that report to the owner, as it last told.
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
@@ -232,7 +259,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastResponseAt, c.lastOwner = now, from
-	c.peers = response.Peers
+	if len(response.Peers) > 0 || response.PeersVersion == 0 {
+		c.peers = response.Peers
+	}
+	c.peersVersion = response.PeersVersion
 	c.expected = make(map[demand.ModelKey]map[string]time.Time, len(response.Expected))
 	for _, e := range response.Expected {
 		key := demand.ModelKey{Service: e.Service, Model: e.Model}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,8 +11,11 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
@@ -32,9 +35,14 @@
 
 // DemandResponse is the owner's response to a demand report.
 type DemandResponse struct {
-	// Peers are the addresses of the nodes that report demand.
-	Peers    []string   `json:"peers"`
-	Expected []Expected `json:"expected"`
+	// Peers are the addresses of the nodes that report demand, if the reporting node does
+	// not have this version of them.
+	Peers        []string `json:"peers,omitempty"`
+	PeersVersion uint64   `json:"peers_version,omitempty"`
+	// ReportNumber is the number of the node's report that the owner has, 0 if the report
+	// is not known or has no number: the next one must be a whole one.
+	ReportNumber int64      `json:"report_number,omitempty"`
+	Expected     []Expected `json:"expected,omitempty"`
 	// Limits are the rate limits that endpoints named to any node, if the reporting
 	// node does not have this version of them.
 	Limits        []notice.LimitStatement[inventory.Key] `json:"limits,omitempty"`
@@ -142,7 +150,7 @@
 // report wakes the owner's control loop.
 func acceptReport(engineOwner *owner.Owner, aggregator *demand.Aggregator, known knowledge, report demand.Report) DemandResponse {
 	now := time.Now()
-	urgent := aggregator.Add(report, now)
+	urgent, recorded := aggregator.Add(report, now)
 	recorder := inventory.Recorder{Inventory: engineOwner.Inventory, Log: engineOwner.Log}
 	recorder.Record(inventory.SourceReport, report.Drains, now)
 	known.limits.Merge(report.Limits, now)
@@ -152,6 +160,13 @@
 		engineOwner.Notify()
 	}
 	response := DemandResponse{Peers: aggregator.Nodes(now)}
+	response.PeersVersion = peersVersion(response.Peers)
+	if report.PeersVersion == response.PeersVersion {
+		response.Peers = nil
+	}
+	if recorded {
+		response.ReportNumber = report.Number
+	}
 	response.Limits, response.LimitsVersion = known.limits.AllSince(report.LimitsVersion, now)
 	response.RejectionLimits, response.RejectionLimitsVersion = known.rejectionLimits.AllSince(report.RejectionLimitsVersion, now)
 	response.Suspects, response.SuspectsVersion = known.suspects.AllSince(report.SuspectsVersion, now)
@@ -161,6 +176,12 @@
 	return response
 }
 
+// peersVersion returns a version of a list of nodes that differs for other lists. It is never
+// 0.
+func peersVersion(peers []string) uint64 {
+	return xxhash.Sum64String(strings.Join(peers, ",")) | 1
+}
+
 // decodeBody decodes the request's JSON body. On failure it responds with 400
 // and returns false.
 func decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -25,6 +25,10 @@
 // that the caller has received.
 const suspectsVersionParam = "suspects_version"
 
+// patchesParam is the query parameter by which a caller says that it understands patches of
+// endpoints.
+const patchesParam = "patches"
+
 // Intervals and timeouts of a stream.
 const (
 	// minMessageInterval is the shortest time between two messages.
@@ -92,6 +96,7 @@
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
 	var sent *inventory.Snapshot
+	patches := r.URL.Query().Get(patchesParam) != ""
 	// A version that can't be read counts as none.
 	suspectsSent, _ := strconv.ParseInt(r.URL.Query().Get(suspectsVersionParam), 10, 64)
 	for p.authoritative() {
@@ -110,6 +115,9 @@
 			Suspects:        suspects,
 			SuspectsVersion: suspectsSent,
 		}
+		if patches && sent != nil {
+			message.Delta = message.Delta.Compact(sent)
+		}
 		if err := encoder.Encode(message); err != nil {
 			return
 		}
@@ -180,7 +188,7 @@
 	defer cancel()
 	timeout := time.AfterFunc(streamTimeout, cancel)
 	defer timeout.Stop()
-	url := fmt.Sprintf("http://%s%s?%s=%d", holder, inventoryPath, suspectsVersionParam, f.Suspects.Received())
+	url := fmt.Sprintf("http://%s%s?%s=%d&%s=1", holder, inventoryPath, suspectsVersionParam, f.Suspects.Received(), patchesParam)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("fleet: request: %w", err)
@@ -208,8 +216,11 @@
 		f.OnConfigVersion(update.ConfigVersion)
 		f.Suspects.Receive(update.Suspects, update.SuspectsVersion)
 		recorder.Record(inventory.SourceOwner, update.Drains, time.Now())
-		if !update.Delta.Empty() {
-			f.Inventory.Apply(update.Delta)
+		if update.Delta.Empty() {
+			continue
+		}
+		if err := f.Inventory.Apply(update.Delta); err != nil {
+			return fmt.Errorf("fleet: inventory: %w", err)
 		}
 	}
 }
--- a/internal/inventory/wire_test.go
+++ b/internal/inventory/wire_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -41,14 +43,48 @@
 	owner, node := New(), New()
 	owner.Replace([]*Endpoint{engine("a", 1, "m"), engine("b", 2, "m")})
 	node.Replace([]*Endpoint{engine("a", 5, "n"), engine("gone", 1)})
-	node.Apply(owner.Current().Since(nil))
+	require.NoError(t, node.Apply(owner.Current().Since(nil)))
 	require.True(t, node.Current().Endpoint("a").Holds("n"))
 	require.True(t, node.Current().Endpoint("b").Holds("m"))
 	require.Nil(t, node.Current().Endpoint("gone"))
 
 	before := owner.Current()
 	owner.Change([]*Endpoint{engine("a", 6, "o")}, []string{"b"})
-	node.Apply(owner.Current().Since(before))
+	require.NoError(t, node.Apply(owner.Current().Since(before)))
 	require.True(t, node.Current().Endpoint("a").Holds("o"))
 	require.Nil(t, node.Current().Endpoint("b"))
 }
+
+// TestCompactDelta checks that patches give the same endpoints as whole ones in fewer bytes, and
+// guards against patches of endpoints that the receiver knows otherwise.
+func TestCompactDelta(t *testing.T) {
+	owner, node := New(), New()
+	owner.Replace([]*Endpoint{engine("a", 1, "m"), engine("b", 2, "m")})
+	require.NoError(t, node.Apply(owner.Current().Since(nil)))
+	before := owner.Current()
+	moved := engine("b", 4, "m")
+	moved.Address = "10.0.0.2:80"
+	owner.Change([]*Endpoint{engine("a", 3, "n", "o"), moved}, nil)
+	whole := owner.Current().Since(before)
+	compact := whole.Compact(before)
+	require.Len(t, compact.Patches, 1)
+	require.Equal(t, []*Endpoint{moved}, compact.Put)
+	long, err := json.Marshal(whole)
+	require.NoError(t, err)
+	short, err := json.Marshal(compact)
+	require.NoError(t, err)
+	require.Less(t, len(short), len(long))
+
+	var received Delta
+	require.NoError(t, json.Unmarshal(short, &received))
+	require.NoError(t, node.Apply(received))
+	require.Equal(t, "10.0.0.2:80", node.Current().Endpoint("b").Address)
+	require.Equal(t, []string{"n", "o"}, slices.Sorted(maps.Keys(node.Current().Endpoint("a").Models)))
+	require.Equal(t, 12, node.Current().Endpoint("a").Slots)
+
+	require.ErrorIs(t, New().Apply(received), ErrUnknownEndpoint)
+	newer := New()
+	newer.Replace([]*Endpoint{engine("a", 9, "p")})
+	require.NoError(t, newer.Apply(Delta{Patches: received.Patches}))
+	require.True(t, newer.Current().Endpoint("a").Holds("p"), "a newer entry stays")
+}
