Don't take the version since a restart for the one that began a stream

Cause: A node that knows no origin of a stream takes a version for it if no other has served within twice the route's time limit. Callers resume streams for longer than that while no node runs and while they are refused, so nodes that had all been killed let streams of a version that had left meanwhile go on at the other one.

Change: Origins are kept for two minutes, and a single version must have served for two minutes, whatever the route's time limit.

--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -36,7 +36,7 @@
 	if x.route.Kind != catalog.Stream || !x.route.Resumable || !x.req.resumes() || x.req.Forwarded != nil {
 		return nil
 	}
-	decision := x.relay.Origins.Find(ctx, x.req.stream(), x.service.Name, streamorigin.Lifetime(x.route.Timeout))
+	decision := x.relay.Origins.Find(ctx, x.req.stream(), x.service.Name, streamorigin.MaxLifetime)
 	if decision.Source == streamorigin.SourceUnknown {
 		return refuse(ReasonUnknownVersion, 0)
 	}
@@ -71,7 +71,7 @@
 	s.reply.Origin = s.way.origin(s)
 	x.required = inventory.OnlyVersion(s.reply.Origin.Version)
 	if x.route.Resumable {
-		x.relay.Origins.Record(x.req.stream(), s.reply.Origin, streamorigin.Lifetime(x.route.Timeout))
+		x.relay.Origins.Record(x.req.stream(), s.reply.Origin, streamorigin.MaxLifetime)
 	}
 }
 
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -154,10 +154,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		endpoints := &fakeEndpoints{next: []behaviour{answer(200, eventTwo)}}
 		r, origins := versionRelay(endpoints, engine("a1", "1"), engine("b1", "2"))
-		r.Origins.Record("first", streamorigin.Origin{Service: "s", Version: "2"}, streamorigin.Lifetime(5*time.Second))
-		time.Sleep(9 * time.Second)
+		r.Origins.Record("first", streamorigin.Origin{Service: "s", Version: "2"}, streamorigin.MaxLifetime)
+		time.Sleep(streamorigin.MaxLifetime * 9 / 10)
 		require.Nil(t, r.Serve(t.Context(), resuming("first"), &fakeAnswer{}))
-		time.Sleep(9 * time.Second)
+		time.Sleep(streamorigin.MaxLifetime * 9 / 10)
 		origin, ok := origins.known.Get("first", time.Now())
 		require.True(t, ok, "kept for longer since it was resumed")
 		require.Equal(t, "2", origin.Version)
--- a/internal/streamorigin/origin.go
+++ b/internal/streamorigin/origin.go
@@ -28,15 +28,9 @@
 const (
 	// MaxStreamID is the length of a stream's id up to which it is recorded, in bytes.
 	MaxStreamID = 256
-	// lifetimes is the number of its route's time limits for which a stream is recorded
-	// after its first event: one for the attempt that brought that, and one for the
-	// attempts that resume it.
-	lifetimes = 2
-	// MaxLifetime bounds the time for which a stream is recorded.
+	// MaxLifetime is the time for which a stream is recorded after its first event, and
+	// after each time it is resumed. It doesn't depend on the route's time limit, which
+	// bounds one attempt: a caller whose attempts are refused, or fail since no node runs,
+	// goes on trying for longer.
 	MaxLifetime = 2 * time.Minute
 )
-
-// Lifetime returns how long a stream of a route with a time limit is recorded.
-func Lifetime(timeout time.Duration) time.Duration {
-	return min(lifetimes*timeout, MaxLifetime)
-}
