Count stalls of streams from the last complete event

Cause: The detector of stalled streams began its time anew with each read, also when that brought a comment, an event without data or a part of an event. A stream that sent a byte now and then never counted as stalled and held its caller until the deadline.

Change: The time counts from the last event with data, over all reads since, without the time that the caller takes between two reads. Comments before the first event, while a request waits at the endpoint, start nothing.

--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -22,6 +22,8 @@
 	alone bool
 	// place is the place that it has at an endpoint that limits its rejections, or nil.
 	place *grantedPlace
+	// stalls looks for stalls of the response if it is a stream, or is nil.
+	stalls *stallDetector
 	// unverified means that the response continues a stream that has begun, and that it is
 	// not known yet whether it comes from the incarnation of the endpoint's entry.
 	unverified bool
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -21,8 +21,8 @@
 
 // Limits of the search for an endpoint that goes on with a stalled stream.
 const (
-	// stallConfirmation is how long a read must remain without bytes after it
-	// counted as stalled: bytes may have arrived while the process was suspended.
+	// stallConfirmation is how long a read must last after the stream counted as
+	// stalled: bytes may have arrived while the process was suspended.
 	stallConfirmation = 50 * time.Millisecond
 	// stallRecheckInterval is the time until the next check of a stalled stream
 	// that could not be continued elsewhere.
@@ -55,6 +55,7 @@
 		d.open = func(lastEvent string) *sending { return successor.openSuccessor(ctx, lastEvent) }
 	}
 	s.reply.Body = d
+	s.stalls = d
 	return d
 }
 
@@ -100,10 +101,10 @@
 		"begun", x.started, "sendings", x.attempts, "repeat", true, "error", errStalled.Error())
 }
 
-// stallDetector is the body of a stream. While a read waits for too long for
-// further bytes after earlier ones, it opens a successor, and cancels its own
-// attempt when that has begun. The time between two reads, which a slow caller
-// takes, does not count.
+// stallDetector is the body of a stream. While no event becomes complete for too long, it
+// opens a successor, and cancels its own attempt when that has begun. Bytes that complete no
+// event don't count as progress, and neither does the time between two reads, which a slow
+// caller takes, count as silence.
 type stallDetector struct {
 	body    io.ReadCloser
 	timeout time.Duration
@@ -116,15 +117,25 @@
 	// the reader only.
 	lastEvent func() string
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// begun means that an event has begun. Until then the request may wait at the
+	// endpoint.
 	begun bool
-	// reads counts the reads that have ended.
-	reads int
+	// events counts the reads that completed an event.
+	events int
+	// waited is the time that reads have taken since the last event, without the one
+	// in progress, which began at readSince if reading.
+	waited    time.Duration
+	reading   bool
+	readSince time.Time
 	// opened counts the calls of open, opening reports that one is in progress.
-	opened    int
-	opening   bool
-	finished  bool
-	timer     *time.Timer
+	opened   int
+	opening  bool
+	finished bool
+	timer    *time.Timer
+	// candidate is a successor that was opened while no read was in progress. It is
+	// used if what was read last completes no event.
+	candidate *sending
 	successor *sending
 }
 
@@ -132,7 +143,7 @@
 func (d *stallDetector) Read(p []byte) (int, error) {
 	d.start(d.lastEvent())
 	n, err := d.body.Read(p)
-	d.ended(n)
+	d.ended()
 	return n, err
 }
 
@@ -145,31 +156,58 @@
 func (d *stallDetector) start(lastEvent string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.begun || d.open == nil || d.opening {
+	d.reading, d.readSince = true, time.Now()
+	if d.candidate != nil {
+		d.replaceBy(d.candidate)
+		d.candidate = nil
 		return
 	}
-	d.schedule(d.reads, lastEvent, d.timeout+stallConfirmation)
+	if !d.begun || d.open == nil || d.opening || d.successor != nil || d.opened >= maxSuccessors {
+		return
+	}
+	d.schedule(lastEvent, max(d.timeout-d.waited, 0)+stallConfirmation)
 }
 
-// ended records the end of a read with n bytes.
-func (d *stallDetector) ended(n int) {
+// ended records the end of a read.
+func (d *stallDetector) ended() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.begun = d.begun || n > 0
-	d.reads++
+	d.reading = false
+	d.waited += time.Since(d.readSince)
 	if d.timer != nil {
 		d.timer.Stop()
 	}
 }
 
-// schedule checks a read after a time. The caller holds mu.
-func (d *stallDetector) schedule(read int, lastEvent string, after time.Duration) {
-	d.timer = time.AfterFunc(after, func() { d.check(read, lastEvent) })
+// received records what the last read brought: whether it completed an event, and whether
+// bytes of a further one have arrived.
+func (d *stallDetector) received(event, begun bool) {
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.begun = d.begun || event || begun
+	if !event {
+		return
+	}
+	d.events++
+	d.waited = 0
+	if d.candidate != nil {
+		d.candidate.close()
+		d.candidate = nil
+	}
+}
+
+// schedule checks the stream after a time. The caller holds mu.
+func (d *stallDetector) schedule(lastEvent string, after time.Duration) {
+	events := d.events
+	d.timer = time.AfterFunc(after, func() { d.check(events, lastEvent) })
 }
 
-// check opens a successor if a read is still in progress.
-func (d *stallDetector) check(read int, lastEvent string) {
-	if !d.beginOpening(read) {
+// check opens a successor if no event has become complete since a number of them had.
+func (d *stallDetector) check(events int, lastEvent string) {
+	if !d.beginOpening(events) {
 		return
 	}
 	successor := d.open(lastEvent)
@@ -177,22 +215,31 @@
 	defer d.mu.Unlock()
 	d.opening = false
 	switch {
-	case successor == nil && d.reads == read && d.opened < maxSuccessors:
-		d.schedule(read, lastEvent, stallRecheckInterval)
 	case successor == nil:
-	case d.reads != read || d.finished:
+		if d.reading && d.events == events && !d.finished && d.opened < maxSuccessors {
+			d.schedule(lastEvent, stallRecheckInterval)
+		}
+	case d.events != events || d.finished:
 		successor.close()
+	case !d.reading:
+		d.candidate = successor
 	default:
-		d.successor = successor
-		d.cancel()
+		d.replaceBy(successor)
 	}
 }
 
-// beginOpening reports whether a successor is to be opened for a read.
-func (d *stallDetector) beginOpening(read int) bool {
+// replaceBy cancels the attempt in favour of a successor. The caller holds mu.
+func (d *stallDetector) replaceBy(successor *sending) {
+	d.successor = successor
+	d.cancel()
+}
+
+// beginOpening reports whether a successor is to be opened while a number of events were
+// complete. A read that has just ended may bring the next one.
+func (d *stallDetector) beginOpening(events int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.reads != read || d.finished {
+	if d.events != events || !d.reading || d.finished || d.opening || d.successor != nil {
 		return false
 	}
 	d.opening = true
@@ -209,6 +256,10 @@
 	if d.timer != nil {
 		d.timer.Stop()
 	}
+	if d.candidate != nil {
+		d.candidate.close()
+		d.candidate = nil
+	}
 	s := d.successor
 	if s != nil && (result.done || s.lastEvent != lastEvent) {
 		s.close()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/sse"
 )
 
 // streamBuffer is the size of one read of a stream, in bytes.
@@ -45,6 +46,7 @@
 // there were any.
 func (x *exchange) forwardEvents(s *sending, data []byte) (forwarded bool, err error) {
 	complete := x.events.Add(data)
+	s.stalls.received(sse.HasEvent(complete), x.events.EventBegun())
 	if len(complete) == 0 {
 		if x.events.Full() {
 			return false, errEventTooLong
