Share waiting requests fairly between teams, with one implementation for both ways in

Cause: internal/waitqueue ordered waiting requests by priority, lateness and arrival only, so that one team's flood took nearly all dispatches and the requests of other teams were refused. internal/admit had fair shares, but of its own.

Change: internal/fairqueue holds the virtual service of flows and the choice of the next request (earliest eligible virtual deadline first); admit and waitqueue both use it. waitqueue orders by priority, then fair share of teams, then requests that are not late, then the earlier due time. Requests without a team belong to one common team, whose order is as before. The relay names the team and the expected work, and also charges requests that are dispatched without having been in the queue.

Measured: the tests of admit, waitqueue and router pass unchanged; new ones: one flood, three floods in turn, sizes of requests, order, prediction. relay.TestFloodOfTeam (four times the capacity from one team) fails with the team left out of the request to the queue and passes with it.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -5,10 +5,8 @@
 //
 // Interactive requests are dispatched before batch requests. Within a class,
 // the request with the earliest deadline is dispatched first among the
-// organisations that have not received more than their fair share. This is
-// earliest eligible virtual deadline first, from I. Stoica and H. Abdel-Wahab,
-// Old Dominion University TR-95-22, 1995, with organisations in place of tasks
-// and deadlines of requests in place of virtual deadlines.
+// organisations that have not received more than their fair share, as package
+// fairqueue orders them.
 package admit
 
 import (
--- a/internal/admit/class.go
+++ b/internal/admit/class.go
@@ -2,7 +2,10 @@
 
 import (
 	"container/heap"
+	"iter"
 	"time"
+
+	"chestnutgauge/internal/fairqueue"
 )
 
 // minWork is the minimum work that is charged for a request.
@@ -14,9 +17,8 @@
 	items deadlineHeap
 	// work is the total work of the items.
 	work time.Duration
-	// served is the work that the organisation has received, on the class's
-	// virtual clock.
-	served time.Duration
+	// flow is the work that the organisation has received, in nanoseconds.
+	flow fairqueue.Flow
 }
 
 // class holds the waiting requests of one class.
@@ -26,16 +28,15 @@
 	waiting int
 	bytes   int
 	work    time.Duration
-	// clock is the virtual time: the work that an organisation with exactly its
-	// fair share has received. It never decreases.
-	clock time.Duration
+	clock   fairqueue.Clock
 }
 
 // add adds an item. A new organisation starts at the current virtual time.
 func (c *class) add(item *Item) {
 	o, ok := c.organisations[item.Organisation]
 	if !ok {
-		o = &organisation{name: item.Organisation, served: c.clock}
+		o = &organisation{name: item.Organisation}
+		c.clock.Join(&o.flow, 0)
 		c.organisations[item.Organisation] = o
 	}
 	item.owner = o
@@ -67,7 +68,7 @@
 		return
 	}
 	for name, o := range c.organisations {
-		if len(o.items) == 0 && o.served <= c.clock {
+		if len(o.items) == 0 && c.clock.Lead(&o.flow) == 0 {
 			delete(c.organisations, name)
 		}
 	}
@@ -75,46 +76,27 @@
 
 // charge adds the work of a request that starts to its organisation's service.
 func (c *class) charge(item *Item) {
-	item.owner.served += max(item.Work, minWork)
-	c.advance()
+	c.clock.Charge(&item.owner.flow, float64(max(item.Work, minWork)))
+	fairqueue.Advance(&c.clock, c.heads())
 }
 
-// advance moves the virtual clock forward to the lowest service among the
-// organisations with waiting requests.
-func (c *class) advance() {
-	lowest, found := time.Duration(0), false
-	for _, o := range c.organisations {
-		if len(o.items) == 0 {
-			continue
+// heads gives the first item of each organisation that has any.
+func (c *class) heads() iter.Seq2[*fairqueue.Flow, *Item] {
+	return func(yield func(*fairqueue.Flow, *Item) bool) {
+		for _, o := range c.organisations {
+			if len(o.items) > 0 && !yield(&o.flow, o.items[0]) {
+				return
+			}
 		}
-		if !found || o.served < lowest {
-			lowest, found = o.served, true
-		}
-	}
-	if found {
-		c.clock = max(c.clock, lowest)
 	}
 }
 
 // head returns the item with the earliest deadline among the organisations that
 // exceed their fair share by at most maxLead requests.
 func (c *class) head(maxLead int) *Item {
-	c.advance()
-	var best *Item
-	for _, o := range c.organisations {
-		if len(o.items) == 0 {
-			continue
-		}
-		first := o.items[0]
-		lead := time.Duration(maxLead) * max(first.Work, minWork)
-		if o.served > c.clock+lead {
-			continue
-		}
-		if best == nil || first.before(best) {
-			best = first
-		}
-	}
-	return best
+	lead := func(item *Item) float64 { return float64(maxLead) * float64(max(item.Work, minWork)) }
+	next, _ := fairqueue.Next(&c.clock, c.heads(), lead, (*Item).before)
+	return next
 }
 
 // ahead returns the work that is dispatched before a request: the work of its
@@ -123,16 +105,18 @@
 func (c *class) ahead(req Request, maxLead int) time.Duration {
 	own := c.organisations[req.Organisation]
 	ownWork := own.before(req.Deadline)
-	served := c.clock
+	// joined is the service of the request's organisation once it waits.
+	var joined fairqueue.Flow
 	if own != nil {
-		served = max(served, own.served)
+		joined = own.flow
 	}
+	c.clock.Join(&joined, 0)
 	sum := ownWork
 	for _, o := range c.organisations {
 		if o == own {
 			continue
 		}
-		limit := ownWork + req.Work + max(0, served-o.served) + time.Duration(maxLead)*req.Work
+		limit := ownWork + req.Work + time.Duration(max(0, joined.Served()-o.flow.Served())) + time.Duration(maxLead)*req.Work
 		sum += min(o.before(req.Deadline), limit)
 	}
 	return sum
--- a/internal/relay/team.go
+++ b/internal/relay/team.go
@@ -20,3 +20,11 @@
 	}
 	return x.team.Name
 }
+
+// work returns the expected work of the request: tokens for models, 1 for plain services.
+func (x *exchange) work() float64 {
+	if x.req.Model == "" {
+		return 1
+	}
+	return float64(max(1, x.req.PromptTokens+x.req.MaxTokens))
+}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -40,6 +40,8 @@
 func (w *wait) request() waitqueue.Request {
 	req := waitqueue.Request{
 		Priority:   w.x.priority(),
+		Team:       w.x.teamName(),
+		Work:       w.x.work(),
 		Arrived:    w.x.req.Arrived,
 		Restricted: len(w.x.tried) > 0 || w.x.req.Adapter != "" || w.x.required.Required,
 	}
@@ -96,6 +98,8 @@
 func (w *wait) finish(dispatched bool) {
 	if w.waiter != nil {
 		w.waiter.Remove(time.Now(), dispatched)
+	} else if dispatched {
+		w.x.relay.queues.Dispatched(w.key, w.request(), time.Now())
 	}
 	if w.counted {
 		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, w.x.required, -1)
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -1,9 +1,11 @@
-// Package waitqueue orders requests that wait for an endpoint by priority, and
-// predicts how long they will wait from the rate at which earlier requests were
-// dispatched. It reads no clock.
+// Package waitqueue orders requests that wait for an endpoint by priority and,
+// within a priority, shares the dispatches fairly between teams, as package
+// fairqueue does. It predicts how long requests will wait from the rate at which
+// earlier ones were dispatched. It reads no clock.
 package waitqueue
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +49,8 @@
 	// order has to be computed again.
 	waiters  []*Waiter
 	rankedAt time.Time
+	// classes are the priorities that have waiting requests.
+	classes map[int]*class
 	// dispatched holds the times of the dispatches within rateWindow.
 	dispatched []time.Time
 }
@@ -56,6 +60,11 @@
 	// Priority ranks requests: a lower value is more urgent. Routes use values
 	// from 0; streams that have begun and are resumed use a negative one.
 	Priority int
+	// Team is the name of the caller's team. Requests without a team count as those of one
+	// common team.
+	Team string
+	// Work is the expected work of the request: tokens for models, 1 for plain services.
+	Work float64
 	// Arrived is when the request arrived.
 	Arrived time.Time
 	// Due is the time until which a response is on time; zero means no limit.
@@ -88,7 +97,28 @@
 		return false
 	}
 	q.rank(now)
-	return q.waiters[0].before(req, now)
+	if first := q.waiters[0].Priority; first != req.Priority {
+		return first < req.Priority
+	}
+	c := q.classes[req.Priority]
+	return c.hasAhead(q.waiters[:c.waiting], req, now)
+}
+
+// Dispatched counts a request that is sent to an endpoint without having been in the queue of a
+// key. Requests in that queue wait for their share meanwhile.
+func (qs *Queues) Dispatched(key Key, req Request, now time.Time) {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	q, ok := qs.queues[key]
+	if !ok {
+		return
+	}
+	if c, ok := q.classes[req.Priority]; ok {
+		c.charge(req)
+		if len(c.teams) > 1 {
+			q.rankedAt = time.Time{}
+		}
+	}
 }
 
 // Enqueue adds a request to the queue of a key.
@@ -97,11 +127,12 @@
 	defer qs.mu.Unlock()
 	q, ok := qs.queues[key]
 	if !ok {
-		q = &queue{createdAt: now}
+		q = &queue{createdAt: now, classes: map[int]*class{}}
 		qs.queues[key] = q
 	}
 	w := &Waiter{Request: req, queues: qs, key: key, ready: make(chan struct{}, 1)}
 	q.waiters = append(q.waiters, w)
+	q.add(req)
 	q.rankedAt = time.Time{}
 	return w
 }
@@ -113,15 +144,12 @@
 		return
 	}
 	q.rankedAt = now
-	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int {
-		switch {
-		case a.before(b.Request, now):
-			return -1
-		case b.before(a.Request, now):
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int { return cmp.Compare(a.Priority, b.Priority) })
+	for from := 0; from < len(q.waiters); {
+		c := q.classes[q.waiters[from].Priority]
+		c.order(q.waiters[from:from+c.waiting], now)
+		from += c.waiting
+	}
 	blockedBy := 0
 	for i, w := range q.waiters {
 		w.ahead = i
@@ -145,17 +173,20 @@
 	}
 }
 
-// before reports whether r is dispatched before other: requests are ordered by
-// priority, then those that are not late yet come first, then by arrival.
+// before reports whether r is dispatched before other if both have the same
+// priority and their teams the same service: those that are not late yet come
+// first, then those that are due first or, without a team, that arrived first.
 // Dispatching late requests last prevents an overload from making all requests
 // late.
 func (r Request) before(other Request, now time.Time) bool {
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
-	}
 	if r.late(now) != other.late(now) {
 		return other.late(now)
 	}
+	if r.Team != "" || other.Team != "" {
+		if order := r.urgency().Compare(other.urgency()); order != 0 {
+			return order < 0
+		}
+	}
 	return r.Arrived.Before(other.Arrived)
 }
 
@@ -195,6 +226,10 @@
 	w.queues.mu.Lock()
 	defer w.queues.mu.Unlock()
 	q := w.queues.queues[w.key]
+	if dispatched {
+		q.classes[w.Priority].charge(w.Request)
+	}
+	q.remove(w.Request)
 	i := slices.Index(q.waiters, w)
 	q.waiters = slices.Delete(q.waiters, i, i+1)
 	q.rankedAt = time.Time{}
