Limit the requests of a team over all nodes

Cause: a team with 40 requests/s that asks for 150/s gets all of it through six nodes, since nothing counts its use over the nodes.

Change: the owner of the engines grants tokens of each team's limit (ratelimit.Allocator), the nodes use them within 0.5 s (ratelimit.Reserve) and ask with the demand reports and by /v1/quota (fleet.TeamLimits). The relay charges a request before it waits for an endpoint: 429 over the limit, 503 without an owner, tokens given back if it did not run. Without limited teams the reports are as before.

Measured: tests of internal/ratelimit, relay, fleet, team, demand and noded pass.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -10,6 +10,7 @@
 
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/ratelimit"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -167,6 +168,8 @@
 	// SuspectsVersion is the version of the owner's suspects that the node has received,
 	// 0 if none.
 	SuspectsVersion int64 `json:"suspects_version,omitempty"`
+	// TeamLimits is what the node asks for the limits of teams, nil if none has one.
+	TeamLimits *ratelimit.NodeAsk `json:"team_limits,omitempty"`
 }
 
 // Meter measures the demand at a node. Its methods are safe for concurrent use.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -40,6 +40,8 @@
 	RejectionLimits *notice.Limits[string]
 	// Suspects are the suspects that this node knows.
 	Suspects *Suspects
+	// TeamLimits are the limits of teams. It may be nil.
+	TeamLimits *TeamLimits
 	// LastNodes returns the addresses of the nodes that the last owner knew, for a node
 	// that starts without one. It may be nil.
 	LastNodes func() []string
@@ -160,6 +162,7 @@
 	report.ConfigVersion = c.ConfigVersion()
 	holder := c.Holder.Holder()
 	sent := c.addOwn(&report, holder, now)
+	limitsAskedAt := c.TeamLimits.addToReport(&report)
 	var response DemandResponse
 	switch holder {
 	case "":
@@ -168,7 +171,9 @@
 		if c.sent.to != c.Self {
 			go c.Suspects.ask(ctx, c.Others())
 		}
+		limits := c.TeamLimits.answerReport(&report)
 		response = acceptReport(c.Owner, c.Aggregator, knowledge{c.Limits, c.RejectionLimits, c.Suspects.Known}, report)
+		response.TeamLimits = limits
 	default:
 		if err := c.call(ctx, holder, demandPath, report, &response); err != nil {
 			c.sent = sentVersions{}
@@ -178,6 +183,7 @@
 	c.sent = sent
 	c.limitsReceived, c.rejectionLimitsReceived = response.LimitsVersion, response.RejectionLimitsVersion
 	c.storeResponse(holder, response)
+	c.TeamLimits.reportAnswered(response.TeamLimits, limitsAskedAt)
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/ratelimit"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -47,6 +48,8 @@
 	// version of them.
 	Suspects        []suspect.CrashMark `json:"suspects,omitempty"`
 	SuspectsVersion int64               `json:"suspects_version"`
+	// TeamLimits is what the node gets of the limits of teams, nil if it asked for nothing.
+	TeamLimits *ratelimit.NodeAnswer `json:"team_limits,omitempty"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -75,6 +78,7 @@
 	// RejectionLimits are the limits of rejections of services that this node knows.
 	RejectionLimits *notice.Limits[string]
 	Places          *Places
+	TeamLimits      *TeamLimits
 	Suspects        *Suspects
 	Origins         *Origins
 	Forwarding      *Forwarding
@@ -93,6 +97,7 @@
 	mux.HandleFunc("POST "+demandPath, s.serveDemand)
 	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
 	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
+	mux.HandleFunc("POST "+teamLimitsPath, s.TeamLimits.serveAsk)
 	mux.HandleFunc("POST "+placePath, s.Places.servePlace)
 	mux.HandleFunc("POST "+trialPath, s.Suspects.serveTrial)
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
@@ -114,7 +119,10 @@
 		return
 	}
 	s.OnConfigVersion(report.ConfigVersion)
-	writeJSON(w, acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report), s.Log)
+	limits := s.TeamLimits.answerReport(&report)
+	response := acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report)
+	response.TeamLimits = limits
+	writeJSON(w, response, s.Log)
 }
 
 // serveAdapter serves a request for an adapter.
--- /dev/null
+++ b/internal/fleet/teamlimits.go
@@ -0,0 +1,302 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/monotime"
+	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/ratelimit"
+	"chestnutgauge/internal/team"
+)
+
+// teamLimitsPath is the path of the call by which a node asks the owner for tokens of the limits
+// of teams.
+const teamLimitsPath = "/v1/quota"
+
+// Timing of asks.
+const (
+	// teamLimitsTimeout bounds a call, and the time that a request waits for the answer.
+	teamLimitsTimeout = 300 * time.Millisecond
+	// teamLimitsRetryInterval is the time between two asks for requests that wait while the
+	// owner does not answer.
+	teamLimitsRetryInterval = 20 * time.Millisecond
+)
+
+// TeamLimits keeps the limits of teams together with the other nodes: it uses what the owner of
+// the engines grants, and grants it at the owner. Its methods are safe for concurrent use, and
+// those for demand reports also on nil. The exported fields must be set before the first call.
+type TeamLimits struct {
+	Self    string
+	Holder  Holder
+	Lease   owner.Lease
+	Catalog func() *catalog.Catalog
+	// Bounds are those of the settings.
+	Bounds ratelimit.Bounds
+	// LastNodes returns the addresses of the nodes that the last owner knew.
+	LastNodes func() []string
+	// Clock counts suspension: what was granted before a suspension has expired after it.
+	Clock monotime.Clock
+	HTTP  *http.Client
+	Log   *slog.Logger
+
+	mu sync.Mutex
+	// reserve is nil until the first use.
+	reserve *ratelimit.Reserve
+	// asking is closed when the ask in progress has ended, nil if there is none.
+	asking chan struct{}
+
+	allocatorMu sync.Mutex
+	// allocator grants in the tenure with the fencing token fence.
+	allocator *ratelimit.Allocator
+	fence     int64
+}
+
+// limitOf returns the limit of a team.
+func limitOf(t *team.Team) ratelimit.Limit {
+	return ratelimit.Limit{PerSecond: t.PerSecond, Burst: t.Burst}
+}
+
+// own returns the reserve. The caller holds mu.
+func (l *TeamLimits) own(now time.Duration) *ratelimit.Reserve {
+	if l.reserve == nil {
+		l.reserve = ratelimit.NewReserve(l.Bounds, now)
+	}
+	return l.reserve
+}
+
+// Admit implements relay.TeamLimits. A request for which the node has too few tokens waits for
+// the owner's answer, at most teamLimitsTimeout.
+func (l *TeamLimits) Admit(ctx context.Context, caller *team.Team, cost float64) ratelimit.Admission {
+	admission := l.take(caller, cost, false)
+	if admission.Verdict == ratelimit.Pending {
+		admission = l.await(ctx, caller, cost)
+	}
+	l.record(admission)
+	return admission
+}
+
+// take decides on a request by what the node knows. last says that the request waits no longer.
+func (l *TeamLimits) take(caller *team.Team, cost float64, last bool) ratelimit.Admission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock()
+	reserve := l.own(now)
+	admission := reserve.Take(caller.Name, limitOf(caller), cost, now)
+	if admission.Verdict != ratelimit.Pending {
+		return admission
+	}
+	if !reserve.Told() {
+		reserve.SetNodes(l.listedNodes())
+	}
+	if last || reserve.UsesPart(caller.Name, now) {
+		return reserve.TakePart(caller.Name, limitOf(caller), cost, now)
+	}
+	return admission
+}
+
+// listedNodes returns the number of nodes that the last owner knew, or 0 if this one was not
+// among them.
+func (l *TeamLimits) listedNodes() int {
+	nodes := l.LastNodes()
+	if !slices.Contains(nodes, l.Self) {
+		return 0
+	}
+	return len(nodes)
+}
+
+// await has the owner asked until the request is decided on or has waited for teamLimitsTimeout.
+func (l *TeamLimits) await(ctx context.Context, caller *team.Team, cost float64) ratelimit.Admission {
+	ctx, cancel := context.WithTimeout(ctx, teamLimitsTimeout)
+	defer cancel()
+	l.mu.Lock()
+	l.own(l.Clock()).Wait(caller.Name, cost, l.Clock())
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.own(l.Clock()).EndWait(caller.Name, cost, l.Clock())
+	}()
+	for {
+		select {
+		case <-l.startAsk():
+		case <-ctx.Done():
+		}
+		admission := l.take(caller, cost, ctx.Err() != nil)
+		if admission.Verdict != ratelimit.Pending {
+			return admission
+		}
+	}
+}
+
+// startAsk starts an ask unless there is one in progress, and returns a channel that is closed
+// when it has ended.
+func (l *TeamLimits) startAsk() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asking == nil {
+		l.asking = make(chan struct{})
+		go l.ask(l.asking)
+	}
+	return l.asking
+}
+
+// ask asks the owner for what the waiting requests need. The call does not end with any of them.
+func (l *TeamLimits) ask(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), teamLimitsTimeout)
+	defer cancel()
+	err := l.askOwner(ctx)
+	if err != nil {
+		l.Log.Debug("limits of teams: the owner was not reached", "owner", l.Holder.Holder(), "error", err)
+		pause.For(ctx, teamLimitsRetryInterval)
+	}
+	l.mu.Lock()
+	l.asking = nil
+	l.mu.Unlock()
+	close(done)
+}
+
+func (l *TeamLimits) askOwner(ctx context.Context) error {
+	l.mu.Lock()
+	sentAt := l.Clock()
+	ask := l.own(sentAt).Ask(l.Self, true, sentAt)
+	l.mu.Unlock()
+	holder := l.Holder.Holder()
+	var answer ratelimit.NodeAnswer
+	var err error
+	switch holder {
+	case "":
+		err = errNoOwner
+	case l.Self:
+		answer, err = l.grant(ask)
+	default:
+		err = post(ctx, l.HTTP, holder, teamLimitsPath, ask, &answer)
+	}
+	if err != nil {
+		return err
+	}
+	l.answered(answer, sentAt)
+	return nil
+}
+
+func (l *TeamLimits) answered(answer ratelimit.NodeAnswer, sentAt time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock()
+	l.own(now).Answered(answer, sentAt, now)
+}
+
+// Return implements relay.TeamLimits.
+func (l *TeamLimits) Return(admission ratelimit.Admission) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock()
+	l.own(now).Return(admission, now)
+	teamTokensReturned.Inc()
+}
+
+// errNoLimits means that the owner has no configuration.
+var errNoLimits = errors.New("fleet: no configuration")
+
+// grant answers an ask at the owner. The lease is checked for each: an owner that was paused, or
+// has lost the lease, grants nothing.
+func (l *TeamLimits) grant(ask ratelimit.NodeAsk) (ratelimit.NodeAnswer, error) {
+	l.allocatorMu.Lock()
+	defer l.allocatorMu.Unlock()
+	c := l.Catalog()
+	if c == nil {
+		return ratelimit.NodeAnswer{}, errNoLimits
+	}
+	lease, ok := l.Lease.Grant()
+	if !ok {
+		return ratelimit.NodeAnswer{}, owner.ErrNotOwner
+	}
+	now := l.Clock()
+	if l.allocator == nil || l.fence != lease.Fence {
+		l.mu.Lock()
+		count := l.own(now).Nodes()
+		l.mu.Unlock()
+		l.allocator, l.fence = ratelimit.NewAllocator(l.Bounds, l.LastNodes(), count, now), lease.Fence
+	}
+	return l.allocator.Grant(ask, func(name string) (ratelimit.Limit, bool) {
+		t := c.Teams.Team(name)
+		if t == nil {
+			return ratelimit.Limit{}, false
+		}
+		return limitOf(t), true
+	}, now), nil
+}
+
+// serveAsk serves an ask of another node.
+func (l *TeamLimits) serveAsk(w http.ResponseWriter, req *http.Request) {
+	var ask ratelimit.NodeAsk
+	if !decodeBody(w, req, &ask) {
+		return
+	}
+	answer, err := l.grant(ask)
+	if err != nil {
+		http.Error(w, fmt.Sprint(err), http.StatusConflict)
+		return
+	}
+	writeJSON(w, answer, l.Log)
+}
+
+// addToReport adds to a demand report what the node asks for, and returns the time of it.
+func (l *TeamLimits) addToReport(report *demand.Report) time.Duration {
+	if l == nil || !l.limited() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock()
+	ask := l.own(now).Ask(l.Self, false, now)
+	report.TeamLimits = &ask
+	return now
+}
+
+// limited reports whether a team has a limit.
+func (l *TeamLimits) limited() bool {
+	c := l.Catalog()
+	return c != nil && c.Teams.Limited()
+}
+
+// answerReport removes from a demand report what the node asks for, and returns the answer, nil
+// if there is none.
+func (l *TeamLimits) answerReport(report *demand.Report) *ratelimit.NodeAnswer {
+	ask := report.TeamLimits
+	report.TeamLimits = nil
+	if l == nil || ask == nil {
+		return nil
+	}
+	answer, err := l.grant(*ask)
+	if err != nil {
+		return nil
+	}
+	return &answer
+}
+
+// reportAnswered adds what the owner granted with the answer to a demand report.
+func (l *TeamLimits) reportAnswered(answer *ratelimit.NodeAnswer, sentAt time.Duration) {
+	if l != nil && answer != nil {
+		l.answered(*answer, sentAt)
+	}
+}
+
+// record counts an admission and logs a refusal.
+func (l *TeamLimits) record(admission ratelimit.Admission) {
+	countAdmission(admission)
+	if admission.Verdict == ratelimit.Admitted {
+		return
+	}
+	l.Log.Info("team refused", "team", admission.Team, "cost", admission.Cost, "left", admission.Left,
+		"source", string(admission.Source), "retry_after_ms", admission.RetryAfter.Milliseconds())
+}
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -18,8 +18,10 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/ratelimit"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/reload"
 	"chestnutgauge/platform"
@@ -96,6 +98,7 @@
 	forwarding      *fleet.Forwarding
 	rejectionLimits *notice.Limits[string]
 	places          *fleet.Places
+	teamLimits      *fleet.TeamLimits
 	isolation       isolation.Detector
 	shuttingDown    atomic.Bool
 }
@@ -153,6 +156,18 @@
 	n.rateLimits.Nodes = n.client.KnownNodes
 	n.rateLimits.HTTP = fleet.NewHTTP()
 	n.rateLimits.Log = log
+	n.teamLimits = &fleet.TeamLimits{
+		Self:      self,
+		Holder:    n.keeper,
+		Lease:     n.keeper,
+		Catalog:   n.config.Get,
+		Bounds:    ratelimit.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
+		LastNodes: n.keeper.LastNodes,
+		Clock:     monotime.Now,
+		HTTP:      fleet.NewHTTP(),
+		Log:       log,
+	}
+	n.client.TeamLimits = n.teamLimits
 	n.places.Self = self
 	n.places.Holder = n.keeper
 	n.places.Lease = n.keeper
@@ -190,6 +205,7 @@
 		Forwarding:      n.forwarding,
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
+		TeamLimits:      n.teamLimits,
 		Adapters:        n.client,
 		Loads:           n.client,
 		Demand:          n.meter,
@@ -245,6 +261,7 @@
 		Forwarding:      n.forwarding,
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
+		TeamLimits:      n.teamLimits,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
 		Log:             n.log,
--- /dev/null
+++ b/internal/ratelimit/allocator.go
@@ -0,0 +1,355 @@
+package ratelimit
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// Bounds say by how much the use of a limit may exceed it: in any Window, what is used is at
+// most (rate x Window + burst) x (1 + Overage) + Slack, over all nodes.
+type Bounds struct {
+	Window  time.Duration
+	Overage float64
+	// Slack is in the unit of the limit.
+	Slack float64
+}
+
+// Limit is the limit of a team over all nodes.
+type Limit struct {
+	// PerSecond is in units a second, 0 means no limit. Burst is what may be used at once, in
+	// units.
+	PerSecond float64
+	Burst     float64
+}
+
+// Timing of the contact between the nodes and the owner. A node uses its own part of the limits
+// only after partDelay, when the owner has stopped to refill for it.
+const (
+	// maxTokenLifetime is the longest time from an ask within which its tokens must be used.
+	maxTokenLifetime = 500 * time.Millisecond
+	// contactTimeout is the time after a report from which the owner counts a node as out of
+	// contact.
+	contactTimeout = 600 * time.Millisecond
+	// partDelay is the time after the last ask that was answered from which a node uses its
+	// part of the limits, partEnd the time until which it does.
+	partDelay = 800 * time.Millisecond
+	partEnd   = 10 * time.Second
+	// maxReturnAge bounds the age of tokens that are given back. It is the longest time that a
+	// request waits.
+	maxReturnAge = time.Minute
+)
+
+// Shares of what a window allows beyond rate x Window + burst, which is
+// rate x Overage x Window + burst x Overage + Slack. Tokens that are used late take
+// lifetimeShare of the first term.
+const (
+	lifetimeShare = 0.625
+	// largeShare is for a request that costs more than the burst, bucketShare for the capacity
+	// of the bucket of a limit with a smaller burst.
+	largeShare  = 0.25
+	bucketShare = 0.25
+	// largeSlackShare is the share of Slack for such a request, partSlackShare the one that
+	// the nodes without an owner use.
+	largeSlackShare = 0.5
+	partSlackShare  = 0.5
+)
+
+// TokenLifetime returns the time from an ask within which its tokens must be used.
+func (b Bounds) TokenLifetime() time.Duration {
+	return min(maxTokenLifetime, time.Duration(lifetimeShare*b.Overage*float64(b.Window)))
+}
+
+// overageTime is the time in which the rate of a limit gives what the overage allows.
+func (b Bounds) overageTime() float64 {
+	return b.Overage * b.Window.Seconds()
+}
+
+// capacity returns the capacity of the bucket of a limit. A burst of less than a request would
+// let none pass.
+func (b Bounds) capacity(l Limit) float64 {
+	return max(l.Burst, bucketShare*b.overageTime()*l.PerSecond)
+}
+
+// windowUse returns what a limit allows in a window, without the overage and the slack.
+func (b Bounds) windowUse(l Limit) float64 {
+	return l.PerSecond*b.Window.Seconds() + l.Burst
+}
+
+// price returns what a request that costs more than the bucket holds is charged, or false if the
+// limit never allows it. Up to a size the window allows such a request next to the full rate; a
+// larger one is charged more than it costs, so that the window holds as many as it allows.
+func (b Bounds) price(l Limit, cost float64) (float64, bool) {
+	slack := largeSlackShare * b.Slack
+	margin := (1+b.Overage)*l.Burst + largeShare*b.overageTime()*l.PerSecond + slack
+	if cost <= max(b.capacity(l), margin) {
+		return cost, true
+	}
+	late := b.Window.Seconds() + b.TokenLifetime().Seconds()
+	room := (1+b.Overage)*b.windowUse(l) + slack - cost
+	if room <= 0 {
+		return 0, false
+	}
+	return cost * max(1, l.PerSecond*late/room), true
+}
+
+// NodeAsk is what a node asks of the owner for all its teams.
+type NodeAsk struct {
+	// Node is the address of the node.
+	Node string `json:"node"`
+	// AnsweredMS is the time since the node sent the last ask that was answered, or since it
+	// started, in milliseconds.
+	AnsweredMS int64     `json:"answered_ms"`
+	Teams      []TeamAsk `json:"teams,omitempty"`
+}
+
+// TeamAsk is what a node asks for a team. All amounts are in the unit of its limit.
+type TeamAsk struct {
+	Team string `json:"team"`
+	// Need is what the requests that wait need in addition to what the node has, Least what the
+	// smallest of them needs.
+	Need  float64 `json:"need,omitempty"`
+	Least float64 `json:"least,omitempty"`
+	// Ahead is what the node expects to use until its next ask.
+	Ahead   float64       `json:"ahead,omitempty"`
+	Returns []TokenReturn `json:"returns,omitempty"`
+}
+
+// TokenReturn are granted tokens that were not used.
+type TokenReturn struct {
+	Tokens float64 `json:"tokens"`
+	// AgeMS is the time since they were granted, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// NodeAnswer is the owner's answer to a NodeAsk.
+type NodeAnswer struct {
+	// Nodes is the number of nodes that share the limits.
+	Nodes int          `json:"nodes"`
+	Teams []TeamAnswer `json:"teams,omitempty"`
+}
+
+// TeamAnswer is the owner's answer to a TeamAsk.
+type TeamAnswer struct {
+	Team    string  `json:"team"`
+	Granted float64 `json:"granted,omitempty"`
+	// InMS is the time until there are the tokens that the smallest request needs, in
+	// milliseconds, if not all that was needed is granted.
+	InMS int64 `json:"in_ms,omitempty"`
+	// Unknown means that the owner's configuration does not have the team.
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+// Allocator grants the tokens of limits to the nodes, at the node that owns the engines and for
+// one tenure as their owner. Its buckets are empty at the start of the tenure. Times are on one
+// clock that never goes back. It is not safe for concurrent use.
+type Allocator struct {
+	bounds  Bounds
+	nodes   *contacts
+	buckets map[string]*teamBucket
+	// refill is the time in seconds for which buckets were refilled at their full rate.
+	refill    float64
+	startedAt time.Duration
+	updatedAt time.Duration
+}
+
+// NewAllocator returns the allocator of a tenure that starts now. known are the addresses of the
+// nodes that the previous owner knew; count is their number if that is larger.
+func NewAllocator(bounds Bounds, known []string, count int, now time.Duration) *Allocator {
+	return &Allocator{bounds: bounds, nodes: newContacts(known, count, now), buckets: map[string]*teamBucket{}, startedAt: now, updatedAt: now}
+}
+
+// Grant answers an ask. limits returns the limit of a team, or false if there is no such team.
+func (a *Allocator) Grant(ask NodeAsk, limits func(team string) (Limit, bool), now time.Duration) NodeAnswer {
+	a.advance(now)
+	answer := NodeAnswer{Nodes: a.nodes.asked(ask.Node, time.Duration(ask.AnsweredMS)*time.Millisecond, now)}
+	for _, team := range ask.Teams {
+		answer.Teams = append(answer.Teams, a.grantTeam(team, limits, now))
+	}
+	return answer
+}
+
+// advance refills for the time since the last call. Nodes fall out of contact meanwhile, so the
+// smaller of the shares at both times counts.
+func (a *Allocator) advance(now time.Duration) {
+	if now <= a.updatedAt {
+		return
+	}
+	share := a.nodes.inContact(a.updatedAt, now)
+	a.refill += share * (now - a.updatedAt).Seconds()
+	a.updatedAt = now
+}
+
+func (a *Allocator) grantTeam(ask TeamAsk, limits func(team string) (Limit, bool), now time.Duration) TeamAnswer {
+	answer := TeamAnswer{Team: ask.Team}
+	limit, known := limits(ask.Team)
+	switch {
+	case !known:
+		answer.Unknown = true
+		return answer
+	case limit.PerSecond <= 0:
+		answer.Granted = positive(ask.Need) + positive(ask.Ahead)
+		return answer
+	}
+	b := a.bucket(ask.Team, limit, now)
+	for _, returned := range ask.Returns {
+		// What a previous owner granted was not taken from this bucket.
+		if age := time.Duration(returned.AgeMS) * time.Millisecond; age <= now-a.startedAt {
+			b.giveBack(positive(returned.Tokens), age, now)
+		}
+	}
+	need := positive(ask.Need)
+	if need > 0 {
+		least := min(need, positive(ask.Least))
+		answer.Granted = a.grantNeed(b, limit, need, least, now)
+		if answer.Granted < need {
+			answer.InMS = a.untilAvailable(b, limit, least).Milliseconds() + 1
+			return answer
+		}
+	}
+	if ahead := min(positive(ask.Ahead), b.tokens.level*aheadShare); ahead > 0 {
+		b.charge(ahead, now)
+		answer.Granted += ahead
+	}
+	return answer
+}
+
+// aheadShare is the largest share of a bucket that one ask gets for requests that the node does
+// not have yet.
+const aheadShare = 0.5
+
+// grantNeed charges what the waiting requests of a node need, or as many times what the smallest
+// of them needs as the bucket holds, and returns it.
+func (a *Allocator) grantNeed(b *teamBucket, limit Limit, need, least float64, now time.Duration) float64 {
+	level := b.tokens.level
+	switch {
+	case level >= need:
+		b.charge(need, now)
+		return need
+	case least > 0 && level >= least:
+		granted := math.Floor(level/least) * least
+		b.charge(granted, now)
+		return granted
+	case level < b.capacity*fullShare || least <= 0:
+		return 0
+	}
+	price, ok := a.bounds.price(limit, least)
+	if !ok {
+		return 0
+	}
+	b.charge(price, now)
+	return least
+}
+
+// fullShare is the share of its capacity from which a bucket counts as full. The refill is a
+// sum of many small amounts, which does not reach the capacity exactly.
+const fullShare = 1 - 1e-9
+
+// untilAvailable returns the time until the bucket holds the tokens that a request needs.
+func (a *Allocator) untilAvailable(b *teamBucket, limit Limit, least float64) time.Duration {
+	if _, ok := a.bounds.price(limit, least); !ok {
+		return a.bounds.Window
+	}
+	rate := limit.PerSecond * a.nodes.share
+	if rate <= 0 {
+		return maxReturnDelay
+	}
+	return min(partEnd, max(minWait, seconds((min(least, b.capacity)-b.tokens.level)/rate)))
+}
+
+// bucket returns the bucket of a team, refilled and with its limit in force.
+func (a *Allocator) bucket(team string, limit Limit, now time.Duration) *teamBucket {
+	b, ok := a.buckets[team]
+	if !ok {
+		a.dropIdle(now)
+		b = &teamBucket{}
+		a.buckets[team] = b
+	}
+	b.capacity = a.bounds.capacity(limit)
+	b.tokens.add(limit.PerSecond*(a.refill-b.refilled), b.capacity)
+	b.refilled = a.refill
+	b.usedAt = now
+	return b
+}
+
+// dropIdle drops the buckets that no ask has used for idleRetention and that are full since: a
+// bucket that is added later is full, too, unless its limit has changed.
+func (a *Allocator) dropIdle(now time.Duration) {
+	maps.DeleteFunc(a.buckets, func(_ string, b *teamBucket) bool { return now-b.usedAt > maxReturnAge+idleRetention })
+}
+
+// positive returns a number of tokens from a message, 0 if it is not a positive number.
+func positive(n float64) float64 {
+	if !(n > 0) || math.IsInf(n, 1) {
+		return 0
+	}
+	return n
+}
+
+// teamBucket is the token bucket of a team.
+type teamBucket struct {
+	tokens   tokens
+	capacity float64
+	// refilled is the Allocator's refill at the last update, usedAt the time of it.
+	refilled float64
+	usedAt   time.Duration
+	// charges are the times of charges, with what was missing to the capacity just before them.
+	// What was missing increases from each to the next.
+	charges []charge
+}
+
+// charge is the time of a charge, and what was missing to the capacity just before.
+type charge struct {
+	at      time.Duration
+	missing float64
+}
+
+// maxCharges bounds the charges that a bucket remembers.
+const maxCharges = 32
+
+// charge takes tokens.
+func (b *teamBucket) charge(n float64, now time.Duration) {
+	if n <= 0 {
+		return
+	}
+	b.addCharge(charge{at: now, missing: max(0, b.capacity-b.tokens.level)})
+	b.tokens.level -= n
+}
+
+// addCharge adds the latest charge. Earlier ones before which as much was missing say nothing
+// more; the oldest two are joined when there are too many.
+func (b *teamBucket) addCharge(c charge) {
+	for len(b.charges) > 0 && b.charges[len(b.charges)-1].missing >= c.missing {
+		b.charges = b.charges[:len(b.charges)-1]
+	}
+	b.charges = append(b.charges, c)
+	if len(b.charges) > maxCharges {
+		b.charges[1].missing = b.charges[0].missing
+		b.charges = b.charges[1:]
+	}
+}
+
+// giveBack returns tokens that were charged a time ago and not used. Without that charge the
+// bucket would have lost what exceeds its capacity, so no more counts than what has been missing
+// to the capacity all the time since.
+func (b *teamBucket) giveBack(n float64, age, now time.Duration) {
+	chargedAt := now - age
+	if n <= 0 || age < 0 || age > maxReturnAge {
+		return
+	}
+	first := len(b.charges)
+	for i, c := range b.charges {
+		if c.at > chargedAt {
+			first = i
+			n = min(n, c.missing)
+			break
+		}
+	}
+	n = max(0, min(n, b.capacity-b.tokens.level))
+	b.tokens.level += n
+	later := append([]charge(nil), b.charges[first:]...)
+	b.charges = b.charges[:first]
+	for _, c := range later {
+		b.addCharge(charge{at: c.at, missing: c.missing - n})
+	}
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -79,18 +79,19 @@
 // bucket holds the permits of one endpoint.
 type bucket struct {
 	perSecond float64
-	permits   float64
+	permits   tokens
 	updatedAt time.Time
 	waiters   []waiter
-	// returnAt is the latest time that a request was told that can't wait for it.
-	returnAt time.Time
+	// returns are the times told to requests that can't wait for a permit, since createdAt.
+	returns   returnSpread
+	createdAt time.Time
 }
 
 // refill adds the permits since the last update.
 func (b *bucket) refill(now time.Time) {
 	elapsed := max(0, now.Sub(b.updatedAt).Seconds())
 	burst := 1 + b.perSecond*burstTime.Seconds()
-	b.permits = min(burst, b.permits+b.perSecond*elapsed)
+	b.permits.add(b.perSecond*elapsed, burst)
 	b.updatedAt = now
 }
 
@@ -109,16 +110,6 @@
 	return n
 }
 
-// delayReturn returns the time after which a request that expects a permit after in,
-// and can't wait for it, should come back: requests that are told to come back do so at
-// the rate of the limit, not all at once.
-func (b *bucket) delayReturn(in time.Duration, now time.Time) time.Duration {
-	next := b.returnAt.Add(seconds(1 / b.perSecond)).Sub(now)
-	delay := max(in, min(next, maxReturnDelay))
-	b.returnAt = now.Add(delay)
-	return delay
-}
-
 // Limiter grants permits for the requests to endpoints. For each of them it is a
 // token bucket whose permits go to the most urgent request first. Its methods are
 // safe for concurrent use.
@@ -141,9 +132,9 @@
 	b.refill(now)
 	b.perSecond = max(perSecond, MinPerSecond)
 	w := waiter{request: ask.Request, priority: ask.Priority, since: now.Add(-ask.Waited)}
-	missing := float64(b.ahead(w, now)+1) - b.permits
+	missing := float64(b.ahead(w, now)+1) - b.permits.level
 	if missing <= 0 {
-		b.permits--
+		b.permits.level--
 		return Answer{Granted: true}
 	}
 	answer := Answer{In: max(minWait, seconds(missing/b.perSecond))}
@@ -152,7 +143,7 @@
 		w.expires = now.Add(answer.Recheck() + lateAskTime)
 		b.waiters = append(b.waiters, w)
 	case ask.MaxWait > 0:
-		answer.In = b.delayReturn(answer.In, now)
+		answer.In = b.returns.delay(answer.In, seconds(1/b.perSecond), now.Sub(b.createdAt))
 	}
 	return answer
 }
@@ -164,7 +155,7 @@
 		return b
 	}
 	maps.DeleteFunc(l.buckets, func(_ K, b *bucket) bool { return now.Sub(b.updatedAt) > idleRetention })
-	b := &bucket{updatedAt: now}
+	b := &bucket{updatedAt: now, createdAt: now}
 	l.buckets[endpoint] = b
 	return b
 }
--- /dev/null
+++ b/internal/ratelimit/reserve.go
@@ -0,0 +1,433 @@
+package ratelimit
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Source says what an admission was decided by.
+type Source string
+
+// Sources. The values appear in logs and metrics.
+const (
+	// SourceOwner is what the owner of the limits granted.
+	SourceOwner Source = "owner"
+	// SourcePart is the node's own part of the limit, used while the owner is out of reach.
+	SourcePart Source = "own_part"
+)
+
+// Verdict is the result of a request for tokens.
+type Verdict int
+
+// Verdicts.
+const (
+	// Pending means that the owner has to be asked.
+	Pending Verdict = iota
+	Admitted
+	// OverLimit means that the limit is used up.
+	OverLimit
+	// NoOwner means that the owner is out of reach, and the node's part is used up.
+	NoOwner
+)
+
+// Admission is the answer to a request of a team that uses tokens of its limit.
+type Admission struct {
+	Verdict Verdict
+	Source  Source
+	Team    string
+	Cost    float64
+	// Left is what the node had left, without the cost of an admitted request.
+	Left float64
+	// RetryAfter is when a refused request should come back.
+	RetryAfter time.Duration
+	// grantedAt is when the tokens of an admitted request were granted, expiresAt when they
+	// expire.
+	grantedAt, expiresAt time.Duration
+}
+
+// Timing of the use of granted tokens.
+const (
+	// refusalMemory is the longest time for which a refusal by the owner holds without asking
+	// again.
+	refusalMemory = 50 * time.Millisecond
+	// useTime is the time constant of the average of recent use.
+	useTime = time.Second
+	// aheadTime is the time for whose expected use a node asks: the time until its next report
+	// and its answer.
+	aheadTime = 350 * time.Millisecond
+	// lateAnswer is the time from an ask from which its tokens count as granted when it was
+	// sent, not when the answer came.
+	lateAnswer = 50 * time.Millisecond
+	// partBurstTime is the time in which a node's part accumulates that is not used.
+	partBurstTime = 500 * time.Millisecond
+	// noOwnerRetry is when a request should come back that was refused since the owner is out
+	// of reach.
+	noOwnerRetry = time.Second
+	// maxLots bounds the grants, and the returns, that are kept apart for a team.
+	maxLots = 16
+)
+
+// Reserve holds the tokens that the owner granted to a node. All times are on one clock that
+// never goes back and that counts suspension. It is not safe for concurrent use.
+type Reserve struct {
+	bounds Bounds
+	teams  map[string]*teamReserve
+	// answeredAt is when the last ask that was answered was sent, or when the node started.
+	answeredAt time.Duration
+	// nodes is the number of nodes that share the limits, 0 if it is not known. told reports
+	// that an owner said it.
+	nodes   int
+	told    bool
+	sweptAt time.Duration
+}
+
+// NewReserve returns the reserve of a node that starts now.
+func NewReserve(bounds Bounds, now time.Duration) *Reserve {
+	return &Reserve{bounds: bounds, teams: map[string]*teamReserve{}, answeredAt: now}
+}
+
+// lot are tokens with a time: those of one grant, or those to return.
+type lot struct {
+	tokens    float64
+	grantedAt time.Duration
+	expiresAt time.Duration
+}
+
+// teamReserve is the reserve of a team.
+type teamReserve struct {
+	lots    []lot
+	returns []lot
+	// use is the recent use in units a second, as of usedAt.
+	use    float64
+	usedAt time.Duration
+	// waiting are the costs of the requests that wait for tokens.
+	waiting []float64
+	// refusedUntil is the end of the memory of a refusal, availableAt when the owner expects
+	// to have tokens.
+	refusedUntil, availableAt time.Duration
+	spread                    returnSpread
+	// part is what the node may use of its own part, as of partAt. extraUsed is what it used
+	// in addition, extraAt when it last did.
+	part      tokens
+	partAt    time.Duration
+	extraUsed float64
+	extraAt   time.Duration
+	// unknownSince is since when the owner does not know the team, unknownUntil until when
+	// that holds.
+	unknownSince, unknownUntil time.Duration
+}
+
+// team returns the reserve of a team, without expired tokens.
+func (r *Reserve) team(name string, now time.Duration) *teamReserve {
+	t, ok := r.teams[name]
+	if !ok {
+		r.dropIdle(now)
+		t = &teamReserve{usedAt: now, extraAt: now}
+		r.teams[name] = t
+	}
+	t.expire(now)
+	return t
+}
+
+// dropIdle drops the teams that have not used anything for idleRetention.
+func (r *Reserve) dropIdle(now time.Duration) {
+	if now-r.sweptAt < idleRetention {
+		return
+	}
+	r.sweptAt = now
+	maps.DeleteFunc(r.teams, func(_ string, t *teamReserve) bool {
+		return len(t.waiting) == 0 && now-max(t.usedAt, t.extraAt, t.partAt) > idleRetention
+	})
+}
+
+// expire moves expired tokens to those that are returned.
+func (t *teamReserve) expire(now time.Duration) {
+	t.lots = slices.DeleteFunc(t.lots, func(l lot) bool {
+		if now < l.expiresAt {
+			return false
+		}
+		t.addReturn(l.tokens, l.grantedAt)
+		return true
+	})
+}
+
+// addReturn adds tokens to return. The oldest two are joined when there are too many; joined
+// tokens count from the earlier time.
+func (t *teamReserve) addReturn(n float64, grantedAt time.Duration) {
+	if n <= 0 {
+		return
+	}
+	if last := len(t.returns) - 1; last >= 0 && t.returns[last].grantedAt == grantedAt {
+		t.returns[last].tokens += n
+		return
+	}
+	t.returns = append(t.returns, lot{tokens: n, grantedAt: grantedAt})
+	if len(t.returns) > maxLots {
+		t.returns[1].tokens += t.returns[0].tokens
+		t.returns[1].grantedAt = min(t.returns[0].grantedAt, t.returns[1].grantedAt)
+		t.returns = t.returns[1:]
+	}
+}
+
+// left returns the tokens that the node has.
+func (t *teamReserve) left() float64 {
+	left := 0.0
+	for _, l := range t.lots {
+		left += l.tokens
+	}
+	return left
+}
+
+// spend takes tokens, the earliest first, and returns the times of the first of them. The caller
+// has checked that there are enough.
+func (t *teamReserve) spend(cost float64) (grantedAt, expiresAt time.Duration) {
+	grantedAt, expiresAt = t.lots[0].grantedAt, t.lots[0].expiresAt
+	for len(t.lots) > 0 && t.lots[0].tokens <= cost {
+		cost -= t.lots[0].tokens
+		t.lots = t.lots[1:]
+	}
+	if len(t.lots) > 0 {
+		t.lots[0].tokens -= cost
+	}
+	return grantedAt, expiresAt
+}
+
+// decayedUse returns the recent use in units a second.
+func (t *teamReserve) decayedUse(now time.Duration) float64 {
+	return t.use * math.Exp(-(now-t.usedAt).Seconds()/useTime.Seconds())
+}
+
+// used records the use of tokens.
+func (t *teamReserve) used(cost float64, now time.Duration) {
+	t.use = t.decayedUse(now) + cost/useTime.Seconds()
+	t.usedAt = now
+}
+
+// Take uses tokens for a request. A positive cost is required. The verdict is Pending if the
+// owner must be asked, and never NoOwner.
+func (r *Reserve) Take(team string, limit Limit, cost float64, now time.Duration) Admission {
+	t := r.team(team, now)
+	admission := Admission{Team: team, Cost: cost, Source: SourceOwner, Left: t.left()}
+	switch {
+	case admission.Left >= cost*fullShare && len(t.lots) > 0:
+		admission.Verdict = Admitted
+		admission.grantedAt, admission.expiresAt = t.spend(cost)
+		admission.Left -= cost
+		t.used(cost, now)
+	case now < t.refusedUntil:
+		admission.Verdict = OverLimit
+		admission.RetryAfter = r.retryAfter(t, limit, cost, now)
+	}
+	return admission
+}
+
+// retryAfter returns when a refused request should come back: when the owner expects to have
+// tokens, and one interval of the node's part of the limit after the refused request before it.
+func (r *Reserve) retryAfter(t *teamReserve, limit Limit, cost float64, now time.Duration) time.Duration {
+	interval := maxReturnDelay
+	if part := limit.PerSecond / float64(max(1, r.nodes)); cost < part*maxReturnDelay.Seconds() {
+		interval = seconds(cost / part)
+	}
+	return t.spread.delay(max(minWait, t.availableAt-now), interval, now)
+}
+
+// Wait records that a request waits for the owner's answer. Each call is followed by one of
+// EndWait.
+func (r *Reserve) Wait(team string, cost float64, now time.Duration) {
+	t := r.team(team, now)
+	t.waiting = append(t.waiting, cost)
+}
+
+// EndWait records that a request no longer waits.
+func (r *Reserve) EndWait(team string, cost float64, now time.Duration) {
+	t := r.team(team, now)
+	if i := slices.Index(t.waiting, cost); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+	}
+}
+
+// Waiting reports whether requests wait for the owner's answer.
+func (r *Reserve) Waiting() bool {
+	for _, t := range r.teams {
+		if len(t.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Ask returns what the node asks of the owner, and removes what it returns with it. needs says
+// whether it asks for the requests that wait, or only for what it expects: only one of the asks
+// that are sent at the same time asks for those.
+func (r *Reserve) Ask(node string, needs bool, now time.Duration) NodeAsk {
+	ask := NodeAsk{Node: node, AnsweredMS: (now - r.answeredAt).Milliseconds()}
+	for name, t := range r.teams {
+		t.expire(now)
+		team := TeamAsk{Team: name}
+		left := t.left()
+		if needs {
+			team.Need, team.Least = t.needs(left)
+		}
+		// A node that refuses requests has no use for tokens ahead of them.
+		if ahead := t.decayedUse(now)*aheadTime.Seconds() - left; team.Need == 0 && len(t.waiting) == 0 && now >= t.refusedUntil && ahead >= 1 {
+			team.Ahead = math.Ceil(ahead)
+		}
+		for _, l := range t.returns {
+			team.Returns = append(team.Returns, TokenReturn{Tokens: l.tokens, AgeMS: (now - l.grantedAt).Milliseconds()})
+		}
+		t.returns = nil
+		if team.Need > 0 || team.Ahead > 0 || len(team.Returns) > 0 {
+			ask.Teams = append(ask.Teams, team)
+		}
+	}
+	return ask
+}
+
+// needs returns what the waiting requests need in addition to what is left, and what the
+// smallest of them does.
+func (t *teamReserve) needs(left float64) (need, least float64) {
+	if len(t.waiting) == 0 {
+		return 0, 0
+	}
+	for _, cost := range t.waiting {
+		need += cost
+	}
+	return max(0, need-left), max(0, slices.Min(t.waiting)-left)
+}
+
+// Answered adds what the owner granted to an ask that was sent at a time.
+func (r *Reserve) Answered(answer NodeAnswer, sentAt, now time.Duration) {
+	if sentAt > r.answeredAt {
+		r.answeredAt = sentAt
+	}
+	r.nodes, r.told = max(1, answer.Nodes), true
+	for _, team := range answer.Teams {
+		t := r.team(team.Team, now)
+		grantedAt := now
+		if now-sentAt > lateAnswer {
+			grantedAt = sentAt
+		}
+		if granted := positive(team.Granted); granted > 0 {
+			t.lots = append(t.lots, lot{tokens: granted, grantedAt: grantedAt, expiresAt: sentAt + r.bounds.TokenLifetime()})
+			t.expire(now)
+		}
+		if team.Unknown {
+			t.unknown(now)
+		}
+		if team.InMS > 0 {
+			in := time.Duration(team.InMS) * time.Millisecond
+			t.availableAt = now + in
+			t.refusedUntil = now + min(in, refusalMemory)
+		}
+	}
+}
+
+// unknownMemory is the time for which the owner's answer holds that it does not know a team. The
+// nodes apply a new configuration within a few seconds of each other.
+const unknownMemory = 250 * time.Millisecond
+
+// unknown records that the owner does not know the team.
+func (t *teamReserve) unknown(now time.Duration) {
+	if now-t.unknownUntil > partEnd {
+		t.unknownSince = now
+	}
+	t.unknownUntil = now + unknownMemory
+}
+
+// Return gives back the tokens of a request that did not run. They can be used again until they
+// expire.
+func (r *Reserve) Return(admission Admission, now time.Duration) {
+	if admission.Verdict != Admitted || admission.Cost <= 0 {
+		return
+	}
+	t := r.team(admission.Team, now)
+	t.use = max(0, t.decayedUse(now)-admission.Cost/useTime.Seconds())
+	t.usedAt = now
+	switch {
+	case admission.Source == SourcePart:
+		t.part.level += admission.Cost
+	case now < admission.expiresAt:
+		back := lot{tokens: admission.Cost, grantedAt: admission.grantedAt, expiresAt: admission.expiresAt}
+		t.lots = slices.Insert(t.lots, 0, back)
+	default:
+		t.addReturn(admission.Cost, admission.grantedAt)
+	}
+}
+
+// UsesPart reports whether the node uses its own part of a team's limit: no ask has been
+// answered for some time, or the owner does not know the team.
+func (r *Reserve) UsesPart(team string, now time.Duration) bool {
+	return now-r.answeredAt >= partDelay || now < r.team(team, now).unknownUntil
+}
+
+// SetNodes sets the number of nodes for a node that no owner has told it.
+func (r *Reserve) SetNodes(nodes int) {
+	if !r.told {
+		r.nodes = nodes
+	}
+}
+
+// Told reports whether an owner has told the number of nodes.
+func (r *Reserve) Told() bool {
+	return r.told
+}
+
+// Nodes returns the number of nodes that share the limits, 0 if it is not known.
+func (r *Reserve) Nodes() int {
+	return r.nodes
+}
+
+// TakePart uses the node's own part of a limit for a request. The verdict is Admitted or
+// NoOwner, the latter also while the node does not use its part.
+func (r *Reserve) TakePart(team string, limit Limit, cost float64, now time.Duration) Admission {
+	t := r.team(team, now)
+	admission := Admission{Team: team, Cost: cost, Source: SourcePart, Verdict: NoOwner, RetryAfter: noOwnerRetry}
+	from, end := r.answeredAt+partDelay, r.answeredAt+partEnd
+	if now < t.unknownUntil {
+		from, end = t.unknownSince, t.unknownSince+partEnd
+	}
+	if r.nodes == 0 || now < from || now >= end {
+		return admission
+	}
+	rate := limit.PerSecond / float64(r.nodes)
+	t.refillPart(rate, from, now)
+	extra := r.extra(t, limit, now)
+	admission.Left = t.part.level + extra
+	if admission.Left < cost {
+		admission.RetryAfter = t.spread.delay(min(noOwnerRetry, max(minWait, seconds((cost-admission.Left)/rate))), min(maxReturnDelay, seconds(cost/rate)), now)
+		return admission
+	}
+	admission.Verdict, admission.RetryAfter = Admitted, 0
+	admission.Left -= cost
+	fromPart := min(t.part.level, cost)
+	t.part.level -= fromPart
+	if fromPart < cost {
+		t.extraUsed += cost - fromPart
+		t.extraAt = now
+	}
+	return admission
+}
+
+// refillPart adds to the node's part since it may use it.
+func (t *teamReserve) refillPart(rate float64, from, now time.Duration) {
+	if t.partAt < from {
+		t.part.level, t.partAt = 0, from
+	}
+	t.part.add(rate*(now-t.partAt).Seconds(), rate*partBurstTime.Seconds())
+	t.partAt = now
+}
+
+// extra returns what the node may use in addition to its part: once in a window, its part of
+// the slack, and no more than the limit allows over all nodes. A node to which no owner has
+// told anything since it started has none, so that a restart does not renew it.
+func (r *Reserve) extra(t *teamReserve, limit Limit, now time.Duration) float64 {
+	if !r.told {
+		return 0
+	}
+	if now-t.extraAt >= r.bounds.Window {
+		t.extraUsed = 0
+	}
+	return max(0, min(partSlackShare*r.bounds.Slack/float64(r.nodes), r.bounds.windowUse(limit))-t.extraUsed)
+}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -16,6 +16,8 @@
 const (
 	ReasonNotReady           Reason = "no configuration yet"
 	ReasonUnknownKey         Reason = "no such key"
+	ReasonOverLimit          Reason = "team is over its limit"
+	ReasonNoLimitOwner       Reason = "limit of the team can't be checked"
 	ReasonNoRoute            Reason = "no such route"
 	ReasonUnknownModel       Reason = "no such model"
 	ReasonNoEndpoint         Reason = "no endpoint"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,9 @@
 	// requests, each with the number that they bear in a second.
 	RejectionLimits *notice.Limits[string]
 	Places          Places
-	Budget          Budget
+	// TeamLimits are the limits of teams.
+	TeamLimits TeamLimits
+	Budget     Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
@@ -125,7 +127,7 @@
 	defer r.inFlight.Add(-1)
 	x, failure := r.begin(req, answer)
 	if failure == nil {
-		failure = r.run(ctx, x)
+		failure = r.serveCharged(ctx, x)
 	}
 	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
 		failure = &Failure{Reason: ReasonCallerDisconnected, Run: failure.Run, Cause: failure.Cause}
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -101,6 +101,8 @@
 type Directory struct {
 	byKey  map[Digest]*Team
 	byName map[string]*Team
+	// limited reports that a team has a limit.
+	limited bool
 }
 
 // Errors of NewDirectory. The messages never contain a key.
@@ -138,6 +140,7 @@
 		}
 	}
 	d.byName[t.Name] = &t
+	d.limited = d.limited || t.Limited()
 	for _, key := range definition.Keys {
 		if key == "" {
 			return ErrEmptyKey
@@ -167,6 +170,11 @@
 	return d.byName[name]
 }
 
+// Limited reports whether any team has a limit.
+func (d *Directory) Limited() bool {
+	return d != nil && d.limited
+}
+
 // Len returns the number of teams.
 func (d *Directory) Len() int {
 	if d == nil {
