Simulate team limits, and bound requests that exceed the bucket

Cause: the limit of a team was tested with six nodes only. A simulation of 2 to 350 nodes showed three faults: tokens given out ahead of requests took half of the bucket, so that large requests found too little (0.83 of the limit used); a bucket of one request lost what it refilled until the next request came (0.8 used); requests of several times the burst broke the bound after a limit was lowered (81,984 tokens in a window of 77,000).

Change: tokens ahead of requests are granted only from the upper half of the bucket and in whole requests; the bucket holds the burst and a part of the overage; a request that costs more than the bucket holds needs room in what was granted in the last window.

--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -45,10 +45,10 @@
 // lifetimeShare of the first term.
 const (
 	lifetimeShare = 0.625
-	// largeShare is for a request that costs more than the burst, bucketShare for the capacity
-	// of the bucket of a limit with a smaller burst.
-	largeShare  = 0.25
-	bucketShare = 0.25
+	// bucketShare is for the capacity of the bucket in addition to the burst: without it, a limit
+	// whose burst is about one request loses what it would refill until the next request comes.
+	// The rest is for the time that messages take.
+	bucketShare = 0.35
 	// largeSlackShare is the share of Slack for such a request, partSlackShare the one that
 	// the nodes without an owner use.
 	largeSlackShare = 0.5
@@ -65,10 +65,9 @@
 	return b.Overage * b.Window.Seconds()
 }
 
-// capacity returns the capacity of the bucket of a limit. A burst of less than a request would
-// let none pass.
+// capacity returns the capacity of the bucket of a limit.
 func (b Bounds) capacity(l Limit) float64 {
-	return max(l.Burst, bucketShare*b.overageTime()*l.PerSecond)
+	return (1+b.Overage)*l.Burst + bucketShare*b.overageTime()*l.PerSecond
 }
 
 // windowUse returns what a limit allows in a window, without the overage and the slack.
@@ -76,21 +75,9 @@
 	return l.PerSecond*b.Window.Seconds() + l.Burst
 }
 
-// price returns what a request that costs more than the bucket holds is charged, or false if the
-// limit never allows it. Up to a size the window allows such a request next to the full rate; a
-// larger one is charged more than it costs, so that the window holds as many as it allows.
-func (b Bounds) price(l Limit, cost float64) (float64, bool) {
-	slack := largeSlackShare * b.Slack
-	margin := (1+b.Overage)*l.Burst + largeShare*b.overageTime()*l.PerSecond + slack
-	if cost <= max(b.capacity(l), margin) {
-		return cost, true
-	}
-	late := b.Window.Seconds() + b.TokenLifetime().Seconds()
-	room := (1+b.Overage)*b.windowUse(l) + slack - cost
-	if room <= 0 {
-		return 0, false
-	}
-	return cost * max(1, l.PerSecond*late/room), true
+// largeUse returns what a window may hold with a request that costs more than the bucket holds.
+func (b Bounds) largeUse(l Limit) float64 {
+	return (1+b.Overage)*b.windowUse(l) + largeSlackShare*b.Slack
 }
 
 // NodeAsk is what a node asks of the owner for all its teams.
@@ -207,19 +194,21 @@
 			return answer
 		}
 	}
-	if ahead := min(positive(ask.Ahead), b.tokens.level*aheadShare); ahead > 0 {
+	if ahead := min(positive(ask.Ahead), b.tokens.level-aheadLevel*b.capacity); ahead > 0 {
 		b.charge(ahead, now)
 		answer.Granted += ahead
 	}
 	return answer
 }
 
-// aheadShare is the largest share of a bucket that one ask gets for requests that the node does
-// not have yet.
-const aheadShare = 0.5
+// aheadLevel is the share of the capacity that is left for requests that nodes have already.
+// Without it, large requests find the bucket spread over nodes that have none.
+const aheadLevel = 0.5
 
 // grantNeed charges what the waiting requests of a node need, or as many times what the smallest
-// of them needs as the bucket holds, and returns it.
+// of them needs as the bucket holds, and returns it. A request that costs more than the bucket
+// holds gets it when the bucket is full, which is in debt afterwards; what was charged in the
+// window before must leave room for it.
 func (a *Allocator) grantNeed(b *teamBucket, limit Limit, need, least float64, now time.Duration) float64 {
 	level := b.tokens.level
 	switch {
@@ -230,14 +219,12 @@
 		granted := math.Floor(level/least) * least
 		b.charge(granted, now)
 		return granted
-	case level < b.capacity*fullShare || least <= 0:
+	case level < b.capacity*fullShare || least <= b.capacity:
 		return 0
-	}
-	price, ok := a.bounds.price(limit, least)
-	if !ok {
+	case b.recent.sum(now)+least > a.bounds.largeUse(limit):
 		return 0
 	}
-	b.charge(price, now)
+	b.charge(least, now)
 	return least
 }
 
@@ -247,14 +234,15 @@
 
 // untilAvailable returns the time until the bucket holds the tokens that a request needs.
 func (a *Allocator) untilAvailable(b *teamBucket, limit Limit, least float64) time.Duration {
-	if _, ok := a.bounds.price(limit, least); !ok {
-		return a.bounds.Window
+	window := time.Duration(0)
+	if least > b.capacity {
+		window = b.recent.until(a.bounds.largeUse(limit)-least, a.updatedAt)
 	}
 	rate := limit.PerSecond * a.nodes.share
 	if rate <= 0 {
 		return maxReturnDelay
 	}
-	return min(partEnd, max(minWait, seconds((min(least, b.capacity)-b.tokens.level)/rate)))
+	return min(partEnd, max(minWait, window, seconds((min(least, b.capacity)-b.tokens.level)/rate)))
 }
 
 // bucket returns the bucket of a team, refilled and with its limit in force.
@@ -262,7 +250,7 @@
 	b, ok := a.buckets[team]
 	if !ok {
 		a.dropIdle(now)
-		b = &teamBucket{}
+		b = &teamBucket{recent: newRecentUse(a.bounds.Window + a.bounds.TokenLifetime())}
 		a.buckets[team] = b
 	}
 	b.capacity = a.bounds.capacity(limit)
@@ -296,6 +284,9 @@
 	// charges are the times of charges, with what was missing to the capacity just before them.
 	// What was missing increases from each to the next.
 	charges []charge
+	// recent is what was charged in the last window and the lifetime of tokens. What is given
+	// back still counts.
+	recent recentUse
 }
 
 // charge is the time of a charge, and what was missing to the capacity just before.
@@ -314,6 +305,7 @@
 	}
 	b.addCharge(charge{at: now, missing: max(0, b.capacity-b.tokens.level)})
 	b.tokens.level -= n
+	b.recent.add(n, now)
 }
 
 // addCharge adds the latest charge. Earlier ones before which as much was missing say nothing
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -99,9 +99,11 @@
 type teamReserve struct {
 	lots    []lot
 	returns []lot
-	// use is the recent use in units a second, as of usedAt.
-	use    float64
-	usedAt time.Duration
+	// use is the recent use in units a second, as of usedAt, meanCost the average cost of recent
+	// requests.
+	use      float64
+	usedAt   time.Duration
+	meanCost float64
 	// waiting are the costs of the requests that wait for tokens.
 	waiting []float64
 	// refusedUntil is the end of the memory of a refusal, availableAt when the owner expects
@@ -199,10 +201,28 @@
 	return t.use * math.Exp(-(now-t.usedAt).Seconds()/useTime.Seconds())
 }
 
+// meanCostShare is the weight of the last request in the average cost.
+const meanCostShare = 0.1
+
+// expected returns what the node should ask for in addition to what is left, for the requests
+// that it expects until the next ask: whole requests, and nothing while it refuses some or while
+// some wait.
+func (t *teamReserve) expected(left float64, now time.Duration) float64 {
+	if len(t.waiting) > 0 || now < t.refusedUntil || t.meanCost == 0 {
+		return 0
+	}
+	requests := math.Floor(t.decayedUse(now) * aheadTime.Seconds() / t.meanCost)
+	return max(0, requests*t.meanCost-left)
+}
+
 // used records the use of tokens.
 func (t *teamReserve) used(cost float64, now time.Duration) {
 	t.use = t.decayedUse(now) + cost/useTime.Seconds()
 	t.usedAt = now
+	if t.meanCost == 0 {
+		t.meanCost = cost
+	}
+	t.meanCost += (cost - t.meanCost) * meanCostShare
 }
 
 // Take uses tokens for a request. A positive cost is required. The verdict is Pending if the
@@ -270,10 +290,7 @@
 		if needs {
 			team.Need, team.Least = t.needs(left)
 		}
-		// A node that refuses requests has no use for tokens ahead of them.
-		if ahead := t.decayedUse(now)*aheadTime.Seconds() - left; team.Need == 0 && len(t.waiting) == 0 && now >= t.refusedUntil && ahead >= 1 {
-			team.Ahead = math.Ceil(ahead)
-		}
+		team.Ahead = t.expected(left, now)
 		for _, l := range t.returns {
 			team.Returns = append(team.Returns, TokenReturn{Tokens: l.tokens, AgeMS: (now - l.grantedAt).Milliseconds()})
 		}
@@ -419,14 +436,15 @@
 	t.partAt = now
 }
 
-// extra returns what the node may use in addition to its part: once in a window, its part of
+// extra returns what the node may use in addition to its part: once in a window and until
+// an ask is answered again, its part of
 // the slack, and no more than the limit allows over all nodes. A node to which no owner has
 // told anything since it started has none, so that a restart does not renew it.
 func (r *Reserve) extra(t *teamReserve, limit Limit, now time.Duration) float64 {
 	if !r.told {
 		return 0
 	}
-	if now-t.extraAt >= r.bounds.Window {
+	if now-t.extraAt >= r.bounds.Window && r.answeredAt > t.extraAt {
 		t.extraUsed = 0
 	}
 	return max(0, min(partSlackShare*r.bounds.Slack/float64(r.nodes), r.bounds.windowUse(limit))-t.extraUsed)
--- /dev/null
+++ b/internal/ratelimit/simulation_test.go
@@ -0,0 +1,560 @@
+package ratelimit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The bounds on the use of a limit (docs/design/teams-and-load.md).
+const (
+	simWindow  = 8 * time.Second
+	simOverage = 0.1
+	// simTokenSlack is the slack of the settings today, simRequestSlack one that is as large
+	// in relation to limits in requests.
+	simTokenSlack   = 110000
+	simRequestSlack = 100
+	// simUse is the share of a limit that is usable in steady state.
+	simUse = 0.9
+)
+
+// Timing of the simulated nodes, as in internal/fleet.
+const (
+	simReportInterval = 250 * time.Millisecond
+	simCallTimeout    = 300 * time.Millisecond
+	simRetryInterval  = 20 * time.Millisecond
+	// simListed bounds the addresses that an owner leaves to the next one.
+	simListed = 64
+)
+
+// simTeam is a team of a simulation.
+type simTeam struct {
+	name  string
+	limit Limit
+	// asked is the demand as a multiple of the limit's rate, cost the cost of a request.
+	asked float64
+	cost  func(rng *rand.Rand) float64
+}
+
+// simRun is a request that ran.
+type simRun struct {
+	at   time.Duration
+	cost float64
+}
+
+// simNode is a node of a simulation.
+type simNode struct {
+	name    string
+	reserve *Reserve
+	// cut means that its asks don't reach the owner, deaf that the answers don't reach it.
+	cut, deaf bool
+	asking    bool
+	waiting   []*simWaiter
+	started   int
+}
+
+// simWaiter is a request that waits for the owner's answer.
+type simWaiter struct {
+	team    *simTeam
+	cost    float64
+	decided bool
+	// returns counts how often the caller has come back.
+	returns int
+}
+
+// simReturns is how often a refused caller comes back.
+const simReturns = 4
+
+// teamSimulation is a system of nodes in which messages take time and get lost. It decides as
+// fleet.TeamLimits does, without a network or a clock.
+type teamSimulation struct {
+	t      *testing.T
+	rng    *rand.Rand
+	bounds Bounds
+	now    time.Duration
+	events simEvents
+	nodes  []*simNode
+	teams  []*simTeam
+	// owner is the node that owns the engines, nil for none. tenure counts the owners.
+	owner     *simNode
+	tenure    int
+	allocator *Allocator
+	// pick returns the node that the next request reaches, failing the share of admitted
+	// requests that don't run.
+	pick    func() *simNode
+	failing float64
+	limits  map[string][]simLimit
+	runs    map[string][]simRun
+	asks    int
+}
+
+// simLimit is a limit in force from a time on.
+type simLimit struct {
+	from  time.Duration
+	limit Limit
+}
+
+type simEvent struct {
+	at   time.Duration
+	call func()
+}
+
+// simEvents is a heap of events.
+type simEvents []simEvent
+
+func (e simEvents) Len() int           { return len(e) }
+func (e simEvents) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newTeamSimulation(t *testing.T, seed uint64, nodes int, slack float64, teams ...*simTeam) *teamSimulation {
+	s := &teamSimulation{
+		t:      t,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		bounds: Bounds{Window: simWindow, Overage: simOverage, Slack: slack},
+		now:    time.Hour,
+		teams:  teams,
+		limits: map[string][]simLimit{},
+		runs:   map[string][]simRun{},
+	}
+	s.pick = func() *simNode { return s.nodes[s.rng.IntN(len(s.nodes))] }
+	for i := range nodes {
+		n := &simNode{name: fmt.Sprint("n", i)}
+		s.nodes = append(s.nodes, n)
+		s.start(n, 0)
+	}
+	s.own(s.nodes[0], nil, 0)
+	for _, team := range teams {
+		s.limits[team.name] = []simLimit{{0, team.limit}}
+		s.arrive(team)
+	}
+	return s
+}
+
+func (s *teamSimulation) after(d time.Duration, call func()) {
+	heap.Push(&s.events, simEvent{s.now + d, call})
+}
+
+func (s *teamSimulation) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(s.rng.Int64N(int64(to-from)))
+}
+
+// run runs the simulation for a time.
+func (s *teamSimulation) run(d time.Duration) {
+	end := s.now + d
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.call()
+	}
+	s.now = end
+}
+
+// start starts a node that finds a number of nodes in the lease's record, 0 if it is not
+// among them.
+func (s *teamSimulation) start(n *simNode, nodes int) {
+	n.started++
+	n.reserve = NewReserve(s.bounds, s.now)
+	n.reserve.SetNodes(nodes)
+	n.waiting, n.asking = nil, false
+	started := n.started
+	var report func()
+	report = func() {
+		if n.started == started {
+			s.ask(n, false, func() {})
+			s.after(simReportInterval, report)
+		}
+	}
+	s.after(s.between(0, simReportInterval), report)
+}
+
+// own makes a node the owner, which knows the nodes of the previous one.
+func (s *teamSimulation) own(n *simNode, known []string, count int) {
+	s.tenure++
+	s.owner = n
+	s.allocator = NewAllocator(s.bounds, known, count, s.now)
+}
+
+// loseOwner leaves the nodes without an owner for a time.
+func (s *teamSimulation) loseOwner(without time.Duration) {
+	s.owner = nil
+	s.tenure++
+	s.after(without, func() { s.own(s.pick(), s.listed(), len(s.nodes)) })
+}
+
+// listed returns the addresses that the lease's record names.
+func (s *teamSimulation) listed() []string {
+	var listed []string
+	for _, n := range s.nodes[:min(len(s.nodes), simListed)] {
+		listed = append(listed, n.name)
+	}
+	return listed
+}
+
+func (s *teamSimulation) limit(team string) (Limit, bool) {
+	limits := s.limits[team]
+	return limits[len(limits)-1].limit, true
+}
+
+// ask sends an ask of a node, and calls ended when it has ended.
+func (s *teamSimulation) ask(n *simNode, needs bool, ended func()) {
+	sentAt, started, tenure := s.now, n.started, s.tenure
+	ask := n.reserve.Ask(n.name, needs, s.now)
+	s.asks++
+	if s.owner == nil {
+		s.after(simRetryInterval, ended)
+		return
+	}
+	lost := func() { s.after(sentAt+simCallTimeout-s.now, ended) }
+	away := s.between(900*time.Microsecond, 3900*time.Microsecond)
+	if n == s.owner {
+		away = 0
+	}
+	s.after(away, func() {
+		if n != s.owner && (n.cut || s.owner != nil && s.owner.cut) || s.tenure != tenure {
+			lost()
+			return
+		}
+		answer := s.allocator.Grant(ask, s.limit, s.now)
+		if n.deaf && n != s.owner {
+			lost()
+			return
+		}
+		s.after(away, func() {
+			if n.started == started {
+				n.reserve.Answered(answer, sentAt, s.now)
+			}
+			ended()
+		})
+	})
+}
+
+// arrive makes requests of a team arrive.
+func (s *teamSimulation) arrive(team *simTeam) {
+	mean := 0.0
+	for range 1000 {
+		mean += team.cost(s.rng) / 1000
+	}
+	var next func()
+	next = func() {
+		limit, _ := s.limit(team.name)
+		s.request(s.pick(), &simWaiter{team: team, cost: team.cost(s.rng)})
+		s.after(seconds(s.rng.ExpFloat64()*mean/(limit.PerSecond*team.asked)), next)
+	}
+	s.after(0, next)
+}
+
+// request serves a request at a node.
+func (s *teamSimulation) request(n *simNode, w *simWaiter) {
+	if s.decide(n, w, false) {
+		return
+	}
+	n.waiting = append(n.waiting, w)
+	n.reserve.Wait(w.team.name, w.cost, s.now)
+	started := n.started
+	s.after(simCallTimeout, func() {
+		if !w.decided && n.started == started {
+			s.decide(n, w, true)
+			n.reserve.EndWait(w.team.name, w.cost, s.now)
+		}
+	})
+	s.startAsk(n)
+}
+
+// startAsk asks for the waiting requests of a node unless it does so already.
+func (s *teamSimulation) startAsk(n *simNode) {
+	if n.asking {
+		return
+	}
+	n.asking = true
+	started := n.started
+	s.ask(n, true, func() {
+		if n.started != started {
+			return
+		}
+		n.asking = false
+		n.waiting = slices.DeleteFunc(n.waiting, func(w *simWaiter) bool {
+			if !w.decided && s.decide(n, w, false) {
+				n.reserve.EndWait(w.team.name, w.cost, s.now)
+			}
+			return w.decided
+		})
+		if len(n.waiting) > 0 {
+			s.startAsk(n)
+		}
+	})
+}
+
+// decide decides on a request by what its node knows, and reports whether it could.
+func (s *teamSimulation) decide(n *simNode, w *simWaiter, last bool) bool {
+	limit, _ := s.limit(w.team.name)
+	admission := n.reserve.Take(w.team.name, limit, w.cost, s.now)
+	if admission.Verdict == Pending && (last || n.reserve.UsesPart(w.team.name, s.now)) {
+		admission = n.reserve.TakePart(w.team.name, limit, w.cost, s.now)
+	}
+	if admission.Verdict == Pending {
+		return false
+	}
+	w.decided = true
+	if admission.Verdict != Admitted {
+		require.Positive(s.t, admission.RetryAfter)
+		if w.returns < simReturns {
+			again := &simWaiter{team: w.team, cost: w.cost, returns: w.returns + 1}
+			s.after(admission.RetryAfter, func() { s.request(s.pick(), again) })
+		}
+		return true
+	}
+	if s.rng.Float64() < s.failing {
+		s.after(s.between(0, 3*time.Second), func() { n.reserve.Return(admission, s.now) })
+		return true
+	}
+	s.runs[w.team.name] = append(s.runs[w.team.name], simRun{s.now, w.cost})
+	return true
+}
+
+// setLimit changes the limit of a team.
+func (s *teamSimulation) setLimit(team string, limit Limit) {
+	s.limits[team] = append(s.limits[team], simLimit{s.now, limit})
+}
+
+// allowed returns what a team may use in a window. A changed limit binds one window after it is
+// in force.
+func (s *teamSimulation) allowed(team string, from time.Duration) float64 {
+	allowed := 0.0
+	limits := s.limits[team]
+	for i, l := range limits {
+		ended := i+1 < len(limits) && limits[i+1].from <= from-simWindow
+		if l.from <= from+simWindow && !ended {
+			allowed = max(allowed, (l.limit.PerSecond*simWindow.Seconds()+l.limit.Burst)*(1+simOverage)+s.bounds.Slack)
+		}
+	}
+	return allowed
+}
+
+// checkBound checks all windows of all teams.
+func (s *teamSimulation) checkBound() {
+	s.t.Helper()
+	for team, runs := range s.runs {
+		used, first, worst := 0.0, 0, 0.0
+		for _, last := range runs {
+			used += last.cost
+			for last.at-runs[first].at >= simWindow {
+				used -= runs[first].cost
+				first++
+			}
+			allowed := s.allowed(team, runs[first].at)
+			worst = max(worst, used/allowed)
+			if used > allowed {
+				s.t.Fatalf("team %s used %.0f in %v from %v, %.0f are allowed", team, used, simWindow, runs[first].at-time.Hour, allowed)
+			}
+		}
+		s.t.Logf("team %s: at most %.2f of what a window allows, %d requests ran, %d asks", team, worst, len(runs), s.asks)
+	}
+}
+
+// checkUse runs the simulation for a time in steady state, and checks that each team gets what is
+// usable of its limit.
+func (s *teamSimulation) checkUse(d time.Duration) {
+	s.t.Helper()
+	from := s.now
+	s.run(d)
+	for _, team := range s.teams {
+		used := 0.0
+		for _, r := range s.runs[team.name] {
+			if r.at >= from {
+				used += r.cost
+			}
+		}
+		limit, _ := s.limit(team.name)
+		require.GreaterOrEqual(s.t, used, simUse*limit.PerSecond*d.Seconds(), "team %s", team.name)
+	}
+}
+
+// one is the cost of a request of a limit in requests.
+func one(*rand.Rand) float64 { return 1 }
+
+// requestTeams are teams with limits in requests.
+func requestTeams() []*simTeam {
+	return []*simTeam{
+		{"forty", Limit{40, 40}, 3.75, one},
+		{"small", Limit{5, 0}, 4, one},
+		{"burst", Limit{20, 300}, 2, one},
+	}
+}
+
+// tokenTeams are teams with limits in tokens: one whose requests differ by a factor of 30, and
+// one whose requests all cost more than its burst. The bucket of the latter holds one request and
+// is full a moment after there is enough for it, so it is used only if callers ask often: several
+// times in the time that the bucket needs for a request.
+func tokenTeams() []*simTeam {
+	return []*simTeam{
+		{"mixed", Limit{40000, 30000}, 4, func(rng *rand.Rand) float64 { return 1000 + rng.Float64()*29000 }},
+		{"large", Limit{20000, 10000}, 8, func(rng *rand.Rand) float64 { return 12000 + rng.Float64()*4000 }},
+	}
+}
+
+// simSizes are the numbers of nodes.
+var simSizes = []int{2, 6, 50, 350}
+
+// simSlackNodes bounds the nodes of the simulations with a slack, to save time.
+const simSlackNodes = 50
+
+// TestLimitIsUsable guards against limits of which teams get too little, when they ask for more
+// at all nodes, at one node, or at nodes that change.
+func TestLimitIsUsable(t *testing.T) {
+	for _, size := range simSizes {
+		for name, teams := range map[string]func() []*simTeam{"requests": requestTeams, "tokens": tokenTeams} {
+			t.Run(fmt.Sprint(size, " nodes, ", name), func(t *testing.T) {
+				t.Parallel()
+				s := newTeamSimulation(t, uint64(size), size, 0, teams()...)
+				s.run(2 * time.Second)
+				s.checkUse(15 * time.Second)
+				only := s.nodes[size-1]
+				s.pick = func() *simNode { return only }
+				s.checkUse(10 * time.Second)
+				s.pick = func() *simNode { return s.nodes[(int(s.now/time.Second)*7)%size] }
+				s.checkUse(15 * time.Second)
+				s.checkBound()
+			})
+		}
+	}
+}
+
+// TestLimitHoldsUnderFaults guards against use above the bound while nodes lose the owner, are
+// cut off, restart, or give tokens back, and against limits that stay unusable afterwards. The
+// bound holds without a slack, too.
+func TestLimitHoldsUnderFaults(t *testing.T) {
+	faults := map[string]func(s *teamSimulation){
+		"owner lost": func(s *teamSimulation) {
+			s.loseOwner(4 * time.Second)
+			s.run(15 * time.Second)
+		},
+		"owner lost for long": func(s *teamSimulation) {
+			s.loseOwner(14 * time.Second)
+			s.run(25 * time.Second)
+		},
+		"owners lost in turn": func(s *teamSimulation) {
+			for range 6 {
+				s.loseOwner(s.between(100*time.Millisecond, 3*time.Second))
+				s.run(s.between(3*time.Second, 5*time.Second))
+			}
+		},
+		"demand after an idle time without an owner": func(s *teamSimulation) {
+			pick := s.pick
+			idle := &simNode{name: "idle", reserve: NewReserve(s.bounds, s.now), asking: true}
+			s.pick = func() *simNode { return idle }
+			s.loseOwner(9 * time.Second)
+			s.run(8500 * time.Millisecond)
+			s.pick = pick
+			s.run(15 * time.Second)
+		},
+		"a share of the nodes cut off": func(s *teamSimulation) {
+			for i, n := range s.nodes {
+				n.cut = i%3 == 1
+			}
+			s.run(14 * time.Second)
+			for _, n := range s.nodes {
+				n.cut = false
+			}
+			s.run(12 * time.Second)
+		},
+		"answers lost": func(s *teamSimulation) {
+			for _, n := range s.nodes {
+				n.deaf = true
+			}
+			s.run(14 * time.Second)
+			for _, n := range s.nodes {
+				n.deaf = false
+			}
+			s.run(12 * time.Second)
+		},
+		"links that come and go": func(s *teamSimulation) {
+			for range 30 {
+				for _, n := range s.nodes {
+					n.cut, n.deaf = s.rng.IntN(4) == 0, s.rng.IntN(4) == 0
+				}
+				s.run(s.between(100*time.Millisecond, 1500*time.Millisecond))
+			}
+			for _, n := range s.nodes {
+				n.cut, n.deaf = false, false
+			}
+			s.run(12 * time.Second)
+		},
+		"all nodes restarted": func(s *teamSimulation) {
+			for range 2 {
+				s.owner, s.tenure = nil, s.tenure+1
+				listed := s.listed()
+				for _, n := range s.nodes {
+					nodes := 0
+					if slices.Contains(listed, n.name) {
+						nodes = len(s.nodes)
+					}
+					s.start(n, nodes)
+				}
+				s.run(s.between(time.Second, 4*time.Second))
+				s.own(s.pick(), listed, len(s.nodes))
+				s.run(8 * time.Second)
+			}
+			s.run(6 * time.Second)
+		},
+		"requests that don't run": func(s *teamSimulation) {
+			s.failing = 0.5
+			s.run(20 * time.Second)
+			s.failing = 0
+		},
+		"limits lowered and raised": func(s *teamSimulation) {
+			for _, factor := range []float64{0.2, 3, 1} {
+				for _, team := range s.teams {
+					s.setLimit(team.name, Limit{team.limit.PerSecond * factor, team.limit.Burst * factor})
+				}
+				s.run(20 * time.Second)
+			}
+		},
+		"all demand through one node that is cut off": func(s *teamSimulation) {
+			pick := s.pick
+			only := s.nodes[len(s.nodes)-1]
+			s.pick = func() *simNode { return only }
+			s.run(5 * time.Second)
+			only.cut = true
+			s.run(14 * time.Second)
+			only.cut = false
+			s.run(10 * time.Second)
+			s.pick = pick
+		},
+	}
+	for _, size := range simSizes {
+		for name, fault := range faults {
+			for _, c := range []struct {
+				unit  string
+				teams []*simTeam
+				slack float64
+			}{
+				{"both units", append(requestTeams(), tokenTeams()...), 0},
+				{"requests", requestTeams(), simRequestSlack},
+				{"tokens", tokenTeams(), simTokenSlack},
+			} {
+				if c.slack > 0 && size > simSlackNodes {
+					continue
+				}
+				t.Run(fmt.Sprintf("%d nodes, %s, %s, slack %.0f", size, name, c.unit, c.slack), func(t *testing.T) {
+					t.Parallel()
+					s := newTeamSimulation(t, uint64(size), size, c.slack, c.teams...)
+					s.run(12 * time.Second)
+					fault(s)
+					s.checkUse(15 * time.Second)
+					s.checkBound()
+				})
+			}
+		}
+	}
+}
