--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -42,8 +42,10 @@
 	Catalog func() *catalog.Catalog
 	// Bounds are those of the settings.
 	Bounds ratelimit.Bounds
-	// LastNodes returns the addresses of the nodes that the last owner knew.
-	LastNodes func() []string
+	// LastNodes returns the addresses of the nodes that the last owner knew, LastNodeCount their
+	// number, also of those whose addresses are not known.
+	LastNodes     func() []string
+	LastNodeCount func() int
 	// Clock counts suspension: what was granted before a suspension has expired after it.
 	Clock monotime.Clock
 	HTTP  *http.Client
@@ -52,6 +54,8 @@
 	mu sync.Mutex
 	// reserve is nil until the first use.
 	reserve *ratelimit.Reserve
+	// refusals are the log lines on refusals by team.
+	refusals map[string]refusalLog
 	// asking is closed when the ask in progress has ended, nil if there is none.
 	asking chan struct{}
 
@@ -107,11 +111,10 @@
 // listedNodes returns the number of nodes that the last owner knew, or 0 if this one was not
 // among them.
 func (l *TeamLimits) listedNodes() int {
-	nodes := l.LastNodes()
-	if !slices.Contains(nodes, l.Self) {
+	if !slices.Contains(l.LastNodes(), l.Self) {
 		return 0
 	}
-	return len(nodes)
+	return l.LastNodeCount()
 }
 
 // await has the owner asked until the request is decided on or has waited for teamLimitsTimeout.
@@ -223,7 +226,7 @@
 	now := l.Clock()
 	if l.allocator == nil || l.fence != lease.Fence {
 		l.mu.Lock()
-		count := l.own(now).Nodes()
+		count := max(l.own(now).Nodes(), l.LastNodeCount())
 		l.mu.Unlock()
 		l.allocator, l.fence = ratelimit.NewAllocator(l.Bounds, l.LastNodes(), count, now), lease.Fence
 	}
@@ -297,6 +300,43 @@
 	if admission.Verdict == ratelimit.Admitted {
 		return
 	}
+	notLogged, logs := l.logsRefusal(admission.Team)
+	if !logs {
+		return
+	}
 	l.Log.Info("team refused", "team", admission.Team, "cost", admission.Cost, "left", admission.Left,
-		"source", string(admission.Source), "retry_after_ms", admission.RetryAfter.Milliseconds())
+		"source", string(admission.Source), "over_limit", admission.Verdict == ratelimit.OverLimit,
+		"retry_after_ms", admission.RetryAfter.Milliseconds(), "not_logged", notLogged)
+}
+
+// refusalLogInterval is the shortest time between two log lines on refusals of a team.
+const refusalLogInterval = time.Second
+
+// maxRefusalLogs bounds the teams whose last line is remembered, also of former configurations.
+const maxRefusalLogs = 4096
+
+// refusalLog is what was logged of the refusals of a team.
+type refusalLog struct {
+	at time.Duration
+	// notLogged counts the refusals since without a line.
+	notLogged int
+}
+
+// logsRefusal reports whether a refusal of a team is logged, and how many were not since the last
+// one that was.
+func (l *TeamLimits) logsRefusal(team string) (notLogged int, logs bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock()
+	entry, found := l.refusals[team]
+	if found && now-entry.at < refusalLogInterval {
+		entry.notLogged++
+		l.refusals[team] = entry
+		return 0, false
+	}
+	if l.refusals == nil || len(l.refusals) >= maxRefusalLogs {
+		l.refusals = map[string]refusalLog{}
+	}
+	l.refusals[team] = refusalLog{at: now}
+	return entry.notLogged, true
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -147,17 +147,32 @@
 	maxNodes = 64
 )
 
-// nodes returns the addresses that a record of this process names: those of the record
-// before while it knows none itself.
-func (k *Keeper) nodes(before string) string {
+// LastNodeCount returns the number of processes that the writer of the last record knew. It is
+// larger than the number of LastNodes if the record does not name all of them.
+func (k *Keeper) LastNodeCount() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.record.Nodes == "" {
+		return 0
+	}
+	return max(k.record.NodeCount, strings.Count(k.record.Nodes, nodeSeparator)+1)
+}
+
+// nameNodes adds to a record of this process the nodes that it knows: those of the record before
+// while it knows none itself.
+func (k *Keeper) nameNodes(record *Record, before Record) {
+	record.Nodes, record.NodeCount = before.Nodes, before.NodeCount
 	if k.Nodes == nil {
-		return before
+		return
 	}
 	nodes := k.Nodes()
 	if len(nodes) == 0 {
-		return before
+		return
+	}
+	record.Nodes, record.NodeCount = strings.Join(nodes[:min(maxNodes, len(nodes))], nodeSeparator), 0
+	if len(nodes) > maxNodes {
+		record.NodeCount = len(nodes)
 	}
-	return strings.Join(nodes[:min(maxNodes, len(nodes))], nodeSeparator)
 }
 
 func (k *Keeper) now() (time.Duration, error) {
@@ -300,7 +315,8 @@
 	k.mu.Lock()
 	latest, _ := k.clock.LatestMS(sentAt)
 	k.mu.Unlock()
-	record := Record{Holder: k.Self, Peer: k.Peer, GrantID: uuid.NewString(), RenewedMS: latest, Era: r.row.Era, Nodes: k.nodes(r.record.Nodes)}
+	record := Record{Holder: k.Self, Peer: k.Peer, GrantID: uuid.NewString(), RenewedMS: latest, Era: r.row.Era}
+	k.nameNodes(&record, r.record)
 	fence, err := k.writeGrant(ctx, r.row.Version, record)
 	if err != nil {
 		k.Log.Info("lease not taken", "error", err)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -30,6 +30,9 @@
 	// Nodes are the addresses of the processes that the holder knows, separated by
 	// commas.
 	Nodes string `json:"nodes,omitempty"`
+	// NodeCount is the number of processes that the holder knows if Nodes does not have all of
+	// them.
+	NodeCount int `json:"node_count,omitempty"`
 }
 
 // Settings are the settings of a lease.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -396,6 +396,7 @@
 		known = strings.Split(strings.Repeat("n:1,", 1000), ",")
 		time.Sleep(time.Second)
 		require.Len(t, a.LastNodes(), maxNodes)
+		require.Equal(t, len(known), a.LastNodeCount(), "the number counts those that are not named, too")
 		known = []string{"a:1", "b:1"}
 		time.Sleep(time.Second)
 		s.set(s.unavailable, "a", true)
@@ -406,5 +407,6 @@
 		time.Sleep(10 * time.Second)
 		require.True(t, holds(late))
 		require.Equal(t, known, late.LastNodes())
+		require.Equal(t, len(known), late.LastNodeCount())
 	})
 }
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -20,7 +20,8 @@
 	k.renewals++
 	record.Renewal = k.renewals
 	k.mu.Unlock()
-	record.RenewedMS, record.Era, record.Nodes = latest, at.era, k.nodes(record.Nodes)
+	record.RenewedMS, record.Era = latest, at.era
+	k.nameNodes(&record, record)
 	written, err := k.write(ctx, at.version, record)
 	if err != nil {
 		return k.renewFailed(ctx, err, record, sentAt)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -157,15 +157,16 @@
 	n.rateLimits.HTTP = fleet.NewHTTP()
 	n.rateLimits.Log = log
 	n.teamLimits = &fleet.TeamLimits{
-		Self:      self,
-		Holder:    n.keeper,
-		Lease:     n.keeper,
-		Catalog:   n.config.Get,
-		Bounds:    ratelimit.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
-		LastNodes: n.keeper.LastNodes,
-		Clock:     monotime.Now,
-		HTTP:      fleet.NewHTTP(),
-		Log:       log,
+		Self:          self,
+		Holder:        n.keeper,
+		Lease:         n.keeper,
+		Catalog:       n.config.Get,
+		Bounds:        ratelimit.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
+		LastNodes:     n.keeper.LastNodes,
+		LastNodeCount: n.keeper.LastNodeCount,
+		Clock:         monotime.Now,
+		HTTP:          fleet.NewHTTP(),
+		Log:           log,
 	}
 	n.client.TeamLimits = n.teamLimits
 	n.places.Self = self
