Measure how long ago the configuration was confirmed

Cause: a node can't tell whether the configuration in force is still the one in the store. StoreAge counts from the end of a call, and while the owner's stream is fresh nothing tells a node of changes that the owner has not read.

Change: feed.Follower.ConfirmedAge counts from the start of the last call of either kind whose rows were passed on, catalog.Follower.ConfirmedAge adds what the responses to demand reports confirm (version and age of the owner's confirmation, counted from the sending of the report, and only if the version in force is not older). A configuration with teams that was not confirmed for 1.5 s is read again. Since a confirmation counts from the start of its call, the owner waits 0.5 s instead of 1 s for changes while there are teams; otherwise the owner's own confirmation would be up to 2 s old and all nodes would read. The gauge chestnut_config_confirmation_age_seconds shows the age.

Measured: tests of feed, catalog, fleet, inventory and noded pass, and of platform TestTeamReachesEndpoint, TestTwoNodes, TestStoreFaults, TestRequestKinds, TestShutdown.

--- /dev/null
+++ b/internal/catalog/confirm.go
@@ -0,0 +1,74 @@
+package catalog
+
+import "time"
+
+const (
+	// maxNotifiedAge is the age of the last confirmation from which a node reads the store
+	// itself although new versions are announced to it.
+	maxNotifiedAge = 1500 * time.Millisecond
+	// ownerWait is the wait of one call of Changes at the owner while the configuration has
+	// teams. A confirmation counts from the start of its call, so at the owner it gets as old
+	// as two waits; with the time until the next report that must stay below maxNotifiedAge,
+	// or every node would read the store itself.
+	ownerWait = 500 * time.Millisecond
+	// followerWait is the wait in all other cases.
+	followerWait = time.Second
+)
+
+// ConfirmedAge returns the time since the configuration in force was confirmed to be the one
+// in the store, or false if it never was. It counts from the start of the call that confirmed
+// it, on a clock that includes suspension. A caller that uses the age and the configuration
+// reads the age first.
+func (f *Follower) ConfirmedAge() (time.Duration, bool) {
+	age, known := f.feed.ConfirmedAge()
+	announced, ok := f.announcedAt.Age(f.clock())
+	if ok && (!known || announced < age) {
+		age, known = announced, true
+	}
+	return age, known
+}
+
+// Confirm records that, as of a time at on the clock of monotime, another node had a version
+// in force that was the one in the store. Announcements of an older time, and of a version
+// that is newer than the one in force here, don't confirm it; the latter makes the store be
+// read at once.
+func (f *Follower) Confirm(version int64, at time.Duration) {
+	if f.Version() < version {
+		f.NotifyVersion(version)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	if age, known := f.announcedAt.Age(now); !known || now-at < age {
+		f.announcedAt.Set(at)
+	}
+}
+
+// Confirmation returns the version in force and the age of its confirmation. ok is false if
+// there is none. The age is that of a version that is at most as new.
+func (f *Follower) Confirmation() (version int64, age time.Duration, ok bool) {
+	age, known := f.ConfirmedAge()
+	version = f.Version()
+	return version, age, known && version > 0
+}
+
+// confirmationDue reports whether the store is to be read since the configuration, which has
+// teams, was not confirmed for a time.
+func (f *Follower) confirmationDue() bool {
+	age, known := f.ConfirmedAge()
+	return f.hasTeams() && (!known || age > maxNotifiedAge)
+}
+
+// changesWait returns the wait of one call of Changes.
+func (f *Follower) changesWait() time.Duration {
+	if f.IsOwner != nil && f.IsOwner() && f.hasTeams() {
+		return ownerWait
+	}
+	return followerWait
+}
+
+func (f *Follower) hasTeams() bool {
+	c := f.Get()
+	return c != nil && c.Teams != nil
+}
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -26,6 +26,12 @@
 	decode Decode
 	log    *slog.Logger
 	clock  monotime.Clock
+	// IsOwner reports whether this node confirms the configuration to others. It may be nil.
+	IsOwner func() bool
+
+	// announcedAt is the latest time as of which another node has confirmed the
+	// configuration in force.
+	announcedAt monotime.Mark
 
 	mu     sync.Mutex
 	dating dating
@@ -49,7 +55,8 @@
 func NewFollower(source feed.Source, decode Decode, notified func() bool, datingPeriod time.Duration, log *slog.Logger) *Follower {
 	f := &Follower{decode: decode, log: log, clock: monotime.Now, dating: dating{period: datingPeriod}}
 	f.feed = feed.New(source, "configuration", f.replace, f.apply, log)
-	f.feed.Idle = func() bool { return f.Get() != nil && notified() }
+	f.feed.Idle = func() bool { return f.Get() != nil && notified() && !f.confirmationDue() }
+	f.feed.Wait = f.changesWait
 	return f
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -93,6 +93,10 @@
 	MaxStartDelay time.Duration
 	// IsOwner reports whether this node acts on the changes.
 	IsOwner func() bool
+	// Clock measures ages and outages.
+	Clock monotime.Clock
+	// Wait returns the wait of one call of Changes, at most changesWait. It may be nil.
+	Wait func() time.Duration
 
 	// Restored, which may be nil, is called after the whole table was read because
 	// the store was restored, with the position and the number of rows.
@@ -102,8 +106,6 @@
 	notify chan struct{}
 	// restored is set until the whole table is read after the store was restored.
 	restored atomic.Bool
-	// clock measures outages.
-	clock monotime.Clock
 	// lost is set while the store is unavailable. lostAt is the start of the
 	// outage, recoveredAt the end of the last one.
 	lost        bool
@@ -113,6 +115,8 @@
 	lastOutage atomic.Int64
 	// confirmedAt is when the store last answered a read or a call of Changes.
 	confirmedAt monotime.Mark
+	// appliedAt is the start of the last call whose result has been passed on.
+	appliedAt monotime.Mark
 }
 
 // New returns a follower of a table that passes all rows to replace and changed
@@ -125,7 +129,7 @@
 		Update:  update,
 		Log:     log,
 		notify:  make(chan struct{}, 1),
-		clock:   monotime.Now,
+		Clock:   monotime.Now,
 
 		MaxStartDelay: maxStartDelay,
 	}
@@ -134,7 +138,7 @@
 // OutageDuration returns how long the store has been unavailable, or 0 if it is
 // available.
 func (f *Follower) OutageDuration() time.Duration {
-	duration, _ := f.lostAt.Age(f.clock())
+	duration, _ := f.lostAt.Age(f.Clock())
 	return duration
 }
 
@@ -142,13 +146,20 @@
 // or false if it never did. It grows from the last answer on, not from the moment
 // at which the store counts as unavailable.
 func (f *Follower) Age() (time.Duration, bool) {
-	return f.confirmedAt.Age(f.clock())
+	return f.confirmedAt.Age(f.Clock())
+}
+
+// ConfirmedAge returns the time since the start of the last call of the store whose result
+// has been passed on, or false if there was none. What was passed on is at least as new as
+// the table was at that start, also if the process was suspended during the call.
+func (f *Follower) ConfirmedAge() (time.Duration, bool) {
+	return f.appliedAt.Age(f.Clock())
 }
 
 // LastOutage returns the time since the store last recovered from an outage and
 // the duration of that outage, both 0 if there was none.
 func (f *Follower) LastOutage() (sinceRecovery, duration time.Duration) {
-	age, _ := f.recoveredAt.Age(f.clock())
+	age, _ := f.recoveredAt.Age(f.Clock())
 	return age, time.Duration(f.lastOutage.Load())
 }
 
@@ -232,7 +243,7 @@
 		return false
 	}
 	f.lost = true
-	f.lostAt.Set(f.clock())
+	f.lostAt.Set(f.Clock())
 	f.Log.Warn("store lost", "table", f.Name, "error", err)
 	return true
 }
@@ -255,8 +266,8 @@
 	limited, cancel := context.WithTimeout(ctx, changesWait+changesSlack)
 	defer cancel()
 	notified := f.cancelOnNotify(limited, cancel)
-	sentAt := f.clock()
-	rows, err := f.Source.Changes(limited, last.Version, changesWait)
+	sentAt := f.Clock()
+	rows, err := f.Source.Changes(limited, last.Version, f.wait())
 	if notified() {
 		return f.readAll(ctx)
 	}
@@ -270,6 +281,9 @@
 	f.recordConfirmed(sentAt, changesWait+changesSlack)
 	if len(rows.Rows) > 0 {
 		f.Update(rows.Rows)
+	}
+	f.appliedAt.Set(sentAt)
+	if len(rows.Rows) > 0 {
 		pause.For(ctx, f.batchPause())
 	}
 	return rows.Position, nil
@@ -279,13 +293,21 @@
 // it took longer than its limit, the process was suspended meanwhile, and the answer
 // may be as old as the call.
 func (f *Follower) recordConfirmed(sentAt, limit time.Duration) {
-	now := f.clock()
+	now := f.Clock()
 	if now-sentAt > limit {
 		now = sentAt
 	}
 	f.confirmedAt.Set(now)
 }
 
+// wait returns the wait of one call of Changes.
+func (f *Follower) wait() time.Duration {
+	if f.Wait == nil {
+		return changesWait
+	}
+	return min(f.Wait(), changesWait)
+}
+
 // batchPause returns the pause after a change.
 func (f *Follower) batchPause() time.Duration {
 	if isTrue(f.IsOwner) {
@@ -330,7 +352,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	sentAt := f.clock()
+	sentAt := f.Clock()
 	rows, err := f.Source.Read(ctx)
 	if err != nil {
 		if restored {
@@ -341,9 +363,10 @@
 	f.recordConfirmed(sentAt, readTimeout)
 	if f.lost {
 		f.lastOutage.Store(int64(f.OutageDuration()))
-		f.recoveredAt.Set(f.clock())
+		f.recoveredAt.Set(f.Clock())
 	}
 	f.Replace(rows)
+	f.appliedAt.Set(sentAt)
 	if restored && f.Restored != nil {
 		f.Restored(rows.Position, len(rows.Rows))
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -110,7 +110,7 @@
 		replace := func(rows Rows) { record(rows.Rows) }
 		f := New(source, "t", replace, record, slog.New(slog.DiscardHandler))
 		start := time.Now()
-		f.clock = func() time.Duration { return time.Since(start) }
+		f.Clock = func() time.Duration { return time.Since(start) }
 		f.MaxStartDelay = 0
 		set(f)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -361,8 +361,8 @@
 	const suspended = 5 * time.Second
 	var jump atomic.Int64
 	set := func(f *Follower) {
-		clock := f.clock
-		f.clock = func() time.Duration { return clock() + time.Duration(jump.Load()) }
+		clock := f.Clock
+		f.Clock = func() time.Duration { return clock() + time.Duration(jump.Load()) }
 	}
 	runFollower(t, set, func(_ *fakeSource, f *Follower, _ func() []string) {
 		time.Sleep(changesWait / 2)
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -15,6 +15,7 @@
 
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/pause"
@@ -45,8 +46,11 @@
 	LastNodes func() []string
 	// ConfigVersion returns the version of the active configuration, 0 if none.
 	ConfigVersion func() int64
-	HTTP          *http.Client
-	Log           *slog.Logger
+	// OnConfigConfirmed is called with a version of the configuration that the owner confirms
+	// as of a time on the clock of monotime. It may be nil.
+	OnConfigConfirmed func(version int64, at time.Duration)
+	HTTP              *http.Client
+	Log               *slog.Logger
 
 	mu    sync.Mutex
 	peers []string
@@ -161,6 +165,7 @@
 	holder := c.Holder.Holder()
 	sent := c.addOwn(&report, holder, now)
 	var response DemandResponse
+	sentAt := monotime.Now()
 	switch holder {
 	case "":
 		return errNoOwner
@@ -178,6 +183,7 @@
 	c.sent = sent
 	c.limitsReceived, c.rejectionLimitsReceived = response.LimitsVersion, response.RejectionLimitsVersion
 	c.storeResponse(holder, response)
+	c.confirmConfig(response.Config, sentAt)
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,8 @@
 	// version of them.
 	Suspects        []suspect.CrashMark `json:"suspects,omitempty"`
 	SuspectsVersion int64               `json:"suspects_version"`
+	// Config confirms a version of the configuration. It is nil if the owner can't.
+	Config *ConfigConfirmation `json:"config,omitempty"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -82,7 +84,10 @@
 	// OnConfigVersion is called with the version of the configuration in force at
 	// each node that reports demand.
 	OnConfigVersion func(version int64)
-	Log             *slog.Logger
+	// ConfigConfirmation returns the version of the configuration in force and the time since
+	// that was confirmed, or false. It may be nil.
+	ConfigConfirmation func() (version int64, age time.Duration, ok bool)
+	Log                *slog.Logger
 }
 
 // Handler returns the handler of the calls.
@@ -114,7 +119,9 @@
 		return
 	}
 	s.OnConfigVersion(report.ConfigVersion)
-	writeJSON(w, acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report), s.Log)
+	response := acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report)
+	response.Config = s.configConfirmation()
+	writeJSON(w, response, s.Log)
 }
 
 // serveAdapter serves a request for an adapter.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -120,6 +120,7 @@
 	}
 	n.follower = &fleet.Follower{Self: self, Holder: n.keeper, Inventory: n.inventory, HTTP: fleet.NewHTTP(), Log: log}
 	n.config = catalog.NewFollower(store.Configuration(), platform.DecodeConfiguration, n.follower.Fresh, datingPeriod(n.keeper.Settings), log)
+	n.config.IsOwner = n.owns
 	n.follower.OnConfigVersion = n.config.NotifyVersion
 	n.follower.OnStoreEra = store.Eras().Learn
 	n.entries = inventory.NewEntries(store.Endpoints(), platform.DecodeEndpoint, n.inventory, s.EndpointHeartbeat, n.follower.Fresh, n.owns, log)
@@ -144,8 +145,11 @@
 		Suspects:        n.suspects,
 		LastNodes:       n.keeper.LastNodes,
 		ConfigVersion:   n.config.Version,
-		HTTP:            fleet.NewHTTP(),
-		Log:             log,
+
+		OnConfigConfirmed: n.config.Confirm,
+
+		HTTP: fleet.NewHTTP(),
+		Log:  log,
 	}
 	n.rateLimits.Self = self
 	n.rateLimits.Holder = n.keeper
@@ -247,7 +251,10 @@
 		Places:          n.places,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
-		Log:             n.log,
+
+		ConfigConfirmation: n.config.Confirmation,
+
+		Log: n.log,
 	}
 }
 
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -39,6 +39,7 @@
 	metrics.GetOrCreateGauge("chestnut_links_cut", func() float64 { return float64(n.forwarding.Cuts()) })
 	metrics.GetOrCreateGauge("chestnut_store_era", func() float64 { return float64(n.store.Eras().Era()) })
 	metrics.GetOrCreateGauge("chestnut_store_position_age_seconds", n.storePositionAge)
+	metrics.GetOrCreateGauge("chestnut_config_confirmation_age_seconds", n.configConfirmationAge)
 }
 
 // storePositionAge returns the time in seconds since the last answer of the store
@@ -51,6 +52,16 @@
 	return age.Seconds()
 }
 
+// configConfirmationAge returns the time in seconds since the configuration in force was
+// confirmed, or infinity if it never was.
+func (n *Node) configConfirmationAge() float64 {
+	age, known := n.config.ConfirmedAge()
+	if !known {
+		return math.Inf(1)
+	}
+	return age.Seconds()
+}
+
 // Run runs the node until ctx ends, then shuts it down gracefully. It returns an
 // error if a server can't be started or fails.
 func (n *Node) Run(ctx context.Context) error {
