--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,8 @@
 	SuspectsVersion int64               `json:"suspects_version"`
 	// TeamLimits is what the node gets of the limits of teams, nil if it asked for nothing.
 	TeamLimits *ratelimit.NodeAnswer `json:"team_limits,omitempty"`
+	// Config confirms a version of the configuration. It is nil if the owner can't.
+	Config *ConfigConfirmation `json:"config,omitempty"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -94,7 +96,10 @@
 	// OnConfigVersion is called with the version of the configuration in force at
 	// each node that reports demand.
 	OnConfigVersion func(version int64)
-	Log             *slog.Logger
+	// ConfigConfirmation returns the version of the configuration in force and the time since
+	// that was confirmed, or false. It may be nil.
+	ConfigConfirmation func() (version int64, age time.Duration, ok bool)
+	Log                *slog.Logger
 }
 
 // Handler returns the handler of the calls.
@@ -130,6 +135,7 @@
 	limits := s.TeamLimits.answerReport(&report)
 	response := acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known}, report)
 	response.TeamLimits = limits
+	response.Config = s.configConfirmation()
 	writeJSON(w, response, s.Log)
 }
 
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -126,6 +126,7 @@
 	// The owner streams its inventory only while the store has just confirmed what it knows of
 	// the configuration too.
 	n.config.Feed().IsOwner = n.owns
+	n.config.IsOwner = n.owns
 	n.follower.OnConfigVersion = n.config.NotifyVersion
 	n.follower.OnStoreEra = store.Eras().Learn
 	n.entries = inventory.NewEntries(store.Endpoints(), platform.DecodeEndpoint, n.inventory, s.EndpointHeartbeat, n.follower.Fresh, n.owns, log)
@@ -150,8 +151,11 @@
 		Suspects:        n.suspects,
 		LastNodes:       n.keeper.LastNodes,
 		ConfigVersion:   n.config.Version,
-		HTTP:            fleet.NewHTTP(),
-		Log:             log,
+
+		OnConfigConfirmed: n.config.Confirm,
+
+		HTTP: fleet.NewHTTP(),
+		Log:  log,
 	}
 	n.rateLimits.Self = self
 	n.rateLimits.Holder = n.keeper
@@ -268,7 +272,10 @@
 		TeamLimits:      n.teamLimits,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
-		Log:             n.log,
+
+		ConfigConfirmation: n.config.Confirmation,
+
+		Log: n.log,
 	}
 }
 
