--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -141,6 +141,7 @@
 		c.logReportState(err)
 		if err != nil {
 			c.Suspects.exchange(ctx, c.Others(), time.Now())
+			c.TeamLimits.joinPool(ctx)
 		}
 		if !pause.For(ctx, minReportInterval) || !pause.Either(ctx, c.Meter.Urgent(), c.Suspects.Known.OwnChanged(), reportInterval-minReportInterval) {
 			break
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,7 @@
 	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
 	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
 	mux.HandleFunc("POST "+teamLimitsPath, s.TeamLimits.serveAsk)
+	mux.HandleFunc("POST "+teamPoolPath, s.TeamLimits.servePoolAsk)
 	mux.HandleFunc("POST "+placePath, s.Places.servePlace)
 	mux.HandleFunc("POST "+trialPath, s.Suspects.serveTrial)
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -46,6 +46,8 @@
 	// number, also of those whose addresses are not known.
 	LastNodes     func() []string
 	LastNodeCount func() int
+	// Others returns the addresses of the other nodes that this one knows.
+	Others func() []string
 	// Clock counts suspension: what was granted before a suspension has expired after it.
 	Clock monotime.Clock
 	HTTP  *http.Client
@@ -58,11 +60,15 @@
 	refusals map[string]refusalLog
 	// asking is closed when the ask in progress has ended, nil if there is none.
 	asking chan struct{}
+	// poolFailures are the times of failed calls to nodes as the pool.
+	poolFailures map[string]time.Duration
 
 	allocatorMu sync.Mutex
 	// allocator grants in the tenure with the fencing token fence.
 	allocator *ratelimit.Allocator
 	fence     int64
+	// pool grants the parts of nodes that don't reach the owner and ask this one.
+	pool *ratelimit.Allocator
 }
 
 // limitOf returns the limit of a team.
@@ -73,6 +79,7 @@
 // own returns the reserve. The caller holds mu.
 func (l *TeamLimits) own(now time.Duration) *ratelimit.Reserve {
 	if l.reserve == nil {
+		l.poolFailures = map[string]time.Duration{}
 		l.reserve = ratelimit.NewReserve(l.Bounds, now)
 	}
 	return l.reserve
@@ -102,7 +109,7 @@
 	if !reserve.Told() {
 		reserve.SetNodes(l.listedNodes())
 	}
-	if last || reserve.UsesPart(caller.Name, now) {
+	if last || reserve.UsesPart(caller.Name, now) && (!reserve.MayPool(now) || l.poolNode(now) == "") {
 		return reserve.TakePart(caller.Name, limitOf(caller), cost, now)
 	}
 	return admission
@@ -157,9 +164,12 @@
 func (l *TeamLimits) ask(done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), teamLimitsTimeout)
 	defer cancel()
-	err := l.askOwner(ctx)
-	if err != nil {
-		l.Log.Debug("limits of teams: the owner was not reached", "owner", l.Holder.Holder(), "error", err)
+	ask := l.askOwner
+	if l.mayPool() {
+		ask = func(ctx context.Context) error { return l.askPool(ctx, true) }
+	}
+	if err := ask(ctx); err != nil {
+		l.Log.Debug("limits of teams: no answer", "owner", l.Holder.Holder(), "error", err)
 		pause.For(ctx, teamLimitsRetryInterval)
 	}
 	l.mu.Lock()
@@ -215,9 +225,9 @@
 func (l *TeamLimits) grant(ask ratelimit.NodeAsk) (ratelimit.NodeAnswer, error) {
 	l.allocatorMu.Lock()
 	defer l.allocatorMu.Unlock()
-	c := l.Catalog()
-	if c == nil {
-		return ratelimit.NodeAnswer{}, errNoLimits
+	limits, err := l.limits()
+	if err != nil {
+		return ratelimit.NodeAnswer{}, err
 	}
 	lease, ok := l.Lease.Grant()
 	if !ok {
@@ -230,22 +240,36 @@
 		l.mu.Unlock()
 		l.allocator, l.fence = ratelimit.NewAllocator(l.Bounds, l.LastNodes(), count, now), lease.Fence
 	}
-	return l.allocator.Grant(ask, func(name string) (ratelimit.Limit, bool) {
+	return l.allocator.Grant(ask, limits, now), nil
+}
+
+// limits returns a function that finds the limit of a team in the configuration in force.
+func (l *TeamLimits) limits() (func(team string) (ratelimit.Limit, bool), error) {
+	c := l.Catalog()
+	if c == nil {
+		return nil, errNoLimits
+	}
+	return func(name string) (ratelimit.Limit, bool) {
 		t := c.Teams.Team(name)
 		if t == nil {
 			return ratelimit.Limit{}, false
 		}
 		return limitOf(t), true
-	}, now), nil
+	}, nil
 }
 
 // serveAsk serves an ask of another node.
 func (l *TeamLimits) serveAsk(w http.ResponseWriter, req *http.Request) {
+	l.serve(w, req, l.grant)
+}
+
+// serve answers an ask of another node.
+func (l *TeamLimits) serve(w http.ResponseWriter, req *http.Request, grant func(ratelimit.NodeAsk) (ratelimit.NodeAnswer, error)) {
 	var ask ratelimit.NodeAsk
 	if !decodeBody(w, req, &ask) {
 		return
 	}
-	answer, err := l.grant(ask)
+	answer, err := grant(ask)
 	if err != nil {
 		http.Error(w, fmt.Sprint(err), http.StatusConflict)
 		return
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -175,6 +175,7 @@
 		HTTP:          fleet.NewHTTP(),
 		Log:           log,
 	}
+	n.teamLimits.Others = n.client.Others
 	n.client.TeamLimits = n.teamLimits
 	n.places.Self = self
 	n.places.Holder = n.keeper
--- a/internal/ratelimit/contacts.go
+++ b/internal/ratelimit/contacts.go
@@ -14,6 +14,9 @@
 	unlisted     int
 	unlistedPart float64
 	unlistedEnd  time.Duration
+	// pooled is the number of nodes that share the limits if only the parts of those in
+	// contact count, 0 otherwise.
+	pooled int
 	// share is the part of the limits that nodes out of contact don't use, as of checkedAt.
 	share     float64
 	checkedAt time.Duration
@@ -46,6 +49,12 @@
 	return c
 }
 
+// newPoolContacts returns the contacts of a pool to which any of count nodes can give their
+// parts.
+func newPoolContacts(count int) *contacts {
+	return &contacts{nodes: map[string]*contact{}, pooled: count}
+}
+
 // asked records an ask of a node that had its last answer a time ago, and returns the number of
 // nodes that share the limits.
 func (c *contacts) asked(node string, answered, now time.Duration) int {
@@ -70,6 +79,9 @@
 
 // count returns the number of nodes that share the limits.
 func (c *contacts) count(now time.Duration) int {
+	if c.pooled > 0 {
+		return c.pooled
+	}
 	count := len(c.nodes)
 	if now < c.unlistedEnd {
 		count += c.unlisted
@@ -86,6 +98,9 @@
 
 // shareAt returns the part of the limits that nodes out of contact don't use.
 func (c *contacts) shareAt(now time.Duration) float64 {
+	if c.pooled > 0 {
+		return c.pooledShareAt(now)
+	}
 	share := 1.0
 	if now < c.unlistedEnd {
 		share -= float64(c.unlisted) * c.unlistedPart
@@ -98,6 +113,17 @@
 	return max(0, share)
 }
 
+// pooledShareAt returns the parts of the nodes in contact.
+func (c *contacts) pooledShareAt(now time.Duration) float64 {
+	in := 0
+	for _, n := range c.nodes {
+		if now < n.until {
+			in++
+		}
+	}
+	return min(1, float64(in)/float64(c.pooled))
+}
+
 // inContact returns the part of the limits that the owner refills from one time to another.
 func (c *contacts) inContact(from, to time.Duration) float64 {
 	if to-c.checkedAt <= contactCheckInterval {
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -76,6 +76,8 @@
 	teams  map[string]*teamReserve
 	// answeredAt is when the last ask that was answered was sent, or when the node started.
 	answeredAt time.Duration
+	// pooledAt is when the last ask that a pool answered was sent, 0 if there was none.
+	pooledAt time.Duration
 	// nodes is the number of nodes that share the limits, 0 if it is not known. told reports
 	// that an owner said it.
 	nodes   int
@@ -282,7 +284,7 @@
 // whether it asks for the requests that wait, or only for what it expects: only one of the asks
 // that are sent at the same time asks for those.
 func (r *Reserve) Ask(node string, needs bool, now time.Duration) NodeAsk {
-	ask := NodeAsk{Node: node, AnsweredMS: (now - r.answeredAt).Milliseconds()}
+	ask := NodeAsk{Node: node, AnsweredMS: r.answeredAge(now).Milliseconds()}
 	for name, t := range r.teams {
 		t.expire(now)
 		team := TeamAsk{Team: name}
@@ -320,6 +322,11 @@
 		r.answeredAt = sentAt
 	}
 	r.nodes, r.told = max(1, answer.Nodes), true
+	r.addGranted(answer, sentAt, now)
+}
+
+// addGranted adds what was granted to an ask that was sent at a time.
+func (r *Reserve) addGranted(answer NodeAnswer, sentAt, now time.Duration) {
 	for _, team := range answer.Teams {
 		t := r.team(team.Team, now)
 		grantedAt := now
@@ -376,7 +383,7 @@
 // UsesPart reports whether the node uses its own part of a team's limit: no ask has been
 // answered for some time, or the owner does not know the team.
 func (r *Reserve) UsesPart(team string, now time.Duration) bool {
-	return now-r.answeredAt >= partDelay || now < r.team(team, now).unknownUntil
+	return now-max(r.answeredAt, r.pooledAt) >= partDelay || now < r.team(team, now).unknownUntil
 }
 
 // SetNodes sets the number of nodes for a node that no owner has told it.
@@ -401,7 +408,7 @@
 func (r *Reserve) TakePart(team string, limit Limit, cost float64, now time.Duration) Admission {
 	t := r.team(team, now)
 	admission := Admission{Team: team, Cost: cost, Source: SourcePart, Verdict: NoOwner, RetryAfter: noOwnerRetry}
-	from, end := r.answeredAt+partDelay, r.answeredAt+partEnd
+	from, end := max(r.answeredAt, r.pooledAt)+partDelay, r.answeredAt+partEnd
 	if now < t.unknownUntil {
 		from, end = t.unknownSince, t.unknownSince+partEnd
 	}
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -84,6 +84,9 @@
 	owner     *simNode
 	tenure    int
 	allocator *Allocator
+	// pools are the pools of nodes that don't reach the owner, by the node that keeps them,
+	// nil if nodes keep their parts to themselves.
+	pools map[*simNode]*Allocator
 	// pick returns the node that the next request reaches, failing the share of admitted
 	// requests that don't run.
 	pick    func() *simNode
@@ -126,6 +129,7 @@
 		teams:  teams,
 		limits: map[string][]simLimit{},
 		runs:   map[string][]simRun{},
+		pools:  map[*simNode]*Allocator{},
 	}
 	s.pick = func() *simNode { return s.nodes[s.rng.IntN(len(s.nodes))] }
 	for i := range nodes {
@@ -208,6 +212,13 @@
 
 // ask sends an ask of a node, and calls ended when it has ended.
 func (s *teamSimulation) ask(n *simNode, needs bool, ended func()) {
+	if s.mayPool(n) {
+		s.askPool(n, needs, ended)
+		if needs {
+			return
+		}
+		ended = func() {}
+	}
 	sentAt, started, tenure := s.now, n.started, s.tenure
 	ask := n.reserve.Ask(n.name, needs, s.now)
 	s.asks++
@@ -239,6 +250,37 @@
 	})
 }
 
+func (s *teamSimulation) mayPool(n *simNode) bool {
+	return s.pools != nil && n.reserve.MayPool(s.now)
+}
+
+// askPool gives the part of a node to the pool, asks for its waiting requests if needs, and calls
+// ended when the ask has ended. The first node that it reaches keeps the pool: one that is cut off as it is.
+func (s *teamSimulation) askPool(n *simNode, needs bool, ended func()) {
+	sentAt, started := s.now, n.started
+	ask := n.reserve.PoolAsk(n.name, needs, s.now)
+	keeper := s.nodes[slices.IndexFunc(s.nodes, func(other *simNode) bool { return other.cut == n.cut || other == n })]
+	way := s.between(900*time.Microsecond, 3900*time.Microsecond)
+	s.after(way, func() {
+		pool := s.pools[keeper]
+		if pool == nil || pool.Idle(s.now) {
+			pool = NewPool(s.bounds, len(s.nodes), s.now)
+			s.pools[keeper] = pool
+		}
+		answer := pool.Grant(ask, s.limit, s.now)
+		if n.deaf && n != keeper {
+			s.after(simCallTimeout-way, ended)
+			return
+		}
+		s.after(way, func() {
+			if n.started == started {
+				n.reserve.Pooled(answer, sentAt, s.now)
+			}
+			ended()
+		})
+	})
+}
+
 // arrive makes requests of a team arrive.
 func (s *teamSimulation) arrive(team *simTeam) {
 	mean := 0.0
@@ -299,7 +341,7 @@
 func (s *teamSimulation) decide(n *simNode, w *simWaiter, last bool) bool {
 	limit, _ := s.limit(w.team.name)
 	admission := n.reserve.Take(w.team.name, limit, w.cost, s.now)
-	if admission.Verdict == Pending && (last || n.reserve.UsesPart(w.team.name, s.now)) {
+	if admission.Verdict == Pending && (last || n.reserve.UsesPart(w.team.name, s.now) && !s.mayPool(n)) {
 		admission = n.reserve.TakePart(w.team.name, limit, w.cost, s.now)
 	}
 	if admission.Verdict == Pending {
@@ -558,3 +600,32 @@
 		}
 	}
 }
+
+// TestPoolServesSmallLimits guards against refusals of a team within its limit while nodes don't
+// reach the owner: the part of a node is less than one request.
+func TestPoolServesSmallLimits(t *testing.T) {
+	const size, away, asked = 88, 5 * time.Second, 0.55
+	cost := func(rng *rand.Rand) float64 { return 600 + rng.Float64()*250 }
+	served := func(pooling bool) float64 {
+		team := &simTeam{"small", Limit{29000, 29000}, asked, cost}
+		s := newTeamSimulation(t, 1, size, 0, team)
+		if !pooling {
+			s.pools = nil
+		}
+		s.run(10 * time.Second)
+		from := s.now + time.Second
+		s.loseOwner(away)
+		s.run(away)
+		used := 0.0
+		for _, r := range s.runs[team.name] {
+			if r.at >= from {
+				used += r.cost
+			}
+		}
+		s.run(15 * time.Second)
+		s.checkBound()
+		return used / (asked * team.limit.PerSecond * (away - time.Second).Seconds())
+	}
+	require.GreaterOrEqual(t, served(true), simUse)
+	require.Less(t, served(false), simUse, "the test tells a pool from none")
+}
