Measure messages of team limits, and tell callers when there is capacity

Cause: a node with all the demand of a team told callers to come back at 1/nodes of its rate. With an overage of 0 in the settings, tokens would have expired before their answer came. The messages at the design size had not been measured.

Change: the times told follow what the node used recently if that is more than its part; tokens live for at least 100 ms.

--- a/internal/fleet/teamlimits_test.go
+++ b/internal/fleet/teamlimits_test.go
@@ -19,6 +19,7 @@
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/ratelimit"
 	"chestnutgauge/internal/team"
 )
@@ -270,6 +271,28 @@
 	})
 }
 
+// BenchmarkTeamLimitAsk measures a call for tokens over the loopback interface, at both ends.
+func BenchmarkTeamLimitAsk(b *testing.B) {
+	teams, err := team.NewDirectory([]team.Definition{{Team: team.Team{Name: "a", PerSecond: 1e9, Burst: 1e9}}})
+	require.NoError(b, err)
+	l := &TeamLimits{
+		Lease:         leaseOf{&teamSystem{holder: "n"}, "n"},
+		Catalog:       func() *catalog.Catalog { return &catalog.Catalog{Teams: teams} },
+		LastNodes:     func() []string { return nil },
+		LastNodeCount: func() int { return 0 },
+		Clock:         monotime.Now,
+		Log:           discard,
+	}
+	server := httptest.NewServer(http.HandlerFunc(l.serveAsk))
+	defer server.Close()
+	client, to := NewHTTP(), strings.TrimPrefix(server.URL, "http://")
+	ask := ratelimit.NodeAsk{Node: "10.0.0.1:7380", AnsweredMS: 40, Teams: []ratelimit.TeamAsk{{Team: "a", Need: 1, Least: 1}}}
+	for b.Loop() {
+		var answer ratelimit.NodeAnswer
+		require.NoError(b, post(b.Context(), client, to, teamLimitsPath, ask, &answer))
+	}
+}
+
 // TestNoLimitsNoMessages guards against fields in messages, and calls, where no team has a limit.
 func TestNoLimitsNoMessages(t *testing.T) {
 	for name, teams := range map[string][]team.Definition{"no teams": nil, "no limits": {{Team: team.Team{Name: "b"}}}} {
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -28,6 +28,9 @@
 const (
 	// maxTokenLifetime is the longest time from an ask within which its tokens must be used.
 	maxTokenLifetime = 500 * time.Millisecond
+	// minTokenLifetime applies to bounds with little overage: an answer must come before its
+	// tokens expire.
+	minTokenLifetime = 100 * time.Millisecond
 	// contactTimeout is the time after a report from which the owner counts a node as out of
 	// contact.
 	contactTimeout = 600 * time.Millisecond
@@ -57,7 +60,7 @@
 
 // TokenLifetime returns the time from an ask within which its tokens must be used.
 func (b Bounds) TokenLifetime() time.Duration {
-	return min(maxTokenLifetime, time.Duration(lifetimeShare*b.Overage*float64(b.Window)))
+	return min(maxTokenLifetime, max(minTokenLifetime, time.Duration(lifetimeShare*b.Overage*float64(b.Window))))
 }
 
 // overageTime is the time in which the rate of a limit gives what the overage allows.
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -244,10 +244,11 @@
 }
 
 // retryAfter returns when a refused request should come back: when the owner expects to have
-// tokens, and one interval of the node's part of the limit after the refused request before it.
+// tokens, and one interval after the refused request before it. The interval is that of the node's
+// part of the limit, or of what it used recently if that is more.
 func (r *Reserve) retryAfter(t *teamReserve, limit Limit, cost float64, now time.Duration) time.Duration {
 	interval := maxReturnDelay
-	if part := limit.PerSecond / float64(max(1, r.nodes)); cost < part*maxReturnDelay.Seconds() {
+	if part := max(limit.PerSecond/float64(max(1, r.nodes)), t.decayedUse(now)); cost < part*maxReturnDelay.Seconds() {
 		interval = seconds(cost / part)
 	}
 	return t.spread.delay(max(minWait, t.availableAt-now), interval, now)
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -91,6 +91,9 @@
 	limits  map[string][]simLimit
 	runs    map[string][]simRun
 	asks    int
+	tries   int
+	// asked is called for each ask that is answered. It may be nil.
+	asked func(ask NodeAsk, answer NodeAnswer)
 }
 
 // simLimit is a limit in force from a time on.
@@ -226,6 +229,9 @@
 			return
 		}
 		answer := s.allocator.Grant(ask, s.limit, s.now)
+		if s.asked != nil {
+			s.asked(ask, answer)
+		}
 		if n.deaf && n != s.owner {
 			lost()
 			return
@@ -256,6 +262,7 @@
 
 // request serves a request at a node.
 func (s *teamSimulation) request(n *simNode, w *simWaiter) {
+	s.tries++
 	if s.decide(n, w, false) {
 		return
 	}
--- a/internal/ratelimit/teams_test.go
+++ b/internal/ratelimit/teams_test.go
@@ -258,3 +258,38 @@
 	}
 	require.InDelta(t, 100*5, granted, 15, "the nodes that don't report no longer use a part")
 }
+
+// TestBoundsWithoutOverage guards against settings with which every answer comes too late, or with
+// which no request fits into the bucket.
+func TestBoundsWithoutOverage(t *testing.T) {
+	for _, burst := range []float64{0, 20} {
+		s := newTeamSimulation(t, 1, 6, 0, &simTeam{"a", Limit{40, burst}, 3, one})
+		s.bounds.Overage = 0
+		for _, n := range s.nodes {
+			s.start(n, 0)
+		}
+		s.own(s.nodes[0], nil, 0)
+		s.run(20 * time.Second)
+		require.Greater(t, len(s.runs["a"]), 200)
+	}
+}
+
+// TestRetryAfterFollowsUse guards against a node with all the demand of a team that tells its
+// callers to come back at the rate of the smallest part of the limit.
+func TestRetryAfterFollowsUse(t *testing.T) {
+	r := NewReserve(testBounds(), 0)
+	limit := Limit{PerSecond: 100, Burst: 100}
+	now := time.Second
+	for range 100 {
+		now += 10 * time.Millisecond
+		r.Answered(NodeAnswer{Nodes: 350, Teams: []TeamAnswer{{Team: "a", Granted: 1, InMS: 20}}}, now, now)
+		require.Equal(t, Admitted, r.Take("a", limit, 1, now).Verdict)
+	}
+	var last time.Duration
+	for range 10 {
+		refused := r.Take("a", limit, 1, now)
+		require.Equal(t, OverLimit, refused.Verdict)
+		last = refused.RetryAfter
+	}
+	require.Less(t, last, 250*time.Millisecond)
+}
