--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -46,7 +46,8 @@
 	// number, also of those whose addresses are not known.
 	LastNodes     func() []string
 	LastNodeCount func() int
-	// Others returns the addresses of the other nodes that this one knows.
+	// Others returns the addresses of the other nodes that this one knows. Without it, the node
+	// keeps its part of the limits to itself.
 	Others func() []string
 	// Clock counts suspension: what was granted before a suspension has expired after it.
 	Clock monotime.Clock
--- a/internal/fleet/teamlimits_pool.go
+++ b/internal/fleet/teamlimits_pool.go
@@ -24,6 +24,9 @@
 // poolNode returns the node that keeps the pool, "" if there is none. All nodes choose the same
 // one of those that they reach.
 func (l *TeamLimits) poolNode(now time.Duration) string {
+	if l.Others == nil {
+		return ""
+	}
 	nodes := append(l.Others(), l.Self)
 	nodes = slices.DeleteFunc(nodes, func(node string) bool {
 		failedAt, failed := l.poolFailures[node]
--- a/internal/fleet/teamlimits_test.go
+++ b/internal/fleet/teamlimits_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +21,7 @@
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/ratelimit"
 	"chestnutgauge/internal/team"
 )
@@ -55,7 +58,11 @@
 		return nil, errCut
 	}
 	recorder := httptest.NewRecorder()
-	s.nodes[req.URL.Host].serveAsk(recorder, req)
+	serve := s.nodes[req.URL.Host].serveAsk
+	if req.URL.Path == teamPoolPath {
+		serve = s.nodes[req.URL.Host].servePoolAsk
+	}
+	serve(recorder, req)
 	return recorder.Result(), nil
 }
 
@@ -132,6 +139,7 @@
 			var report demand.Report
 			sentAt := l.addToReport(&report)
 			if s.holder == "" || name != s.holder && (s.cut[name] || s.cut[s.holder]) || ctx.Err() != nil {
+				l.joinPool(ctx)
 				continue
 			}
 			l.reportAnswered(s.nodes[s.holder].answerReport(&report), sentAt)
@@ -270,6 +278,58 @@
 	})
 }
 
+// TestPoolOfParts guards against refusals of a team within its limit at nodes that don't reach
+// the owner and whose own parts are less than a request, and against a pool that grants more than
+// the parts of the nodes that reach it.
+func TestPoolOfParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, away = 5, 6 * time.Second
+		s := newTeamSystem(t, size, ratelimit.Limit{PerSecond: 2, Burst: 2})
+		for name, l := range s.nodes {
+			l.Others = func() []string {
+				return slices.DeleteFunc(slices.Sorted(maps.Keys(s.nodes)), func(other string) bool { return other == name })
+			}
+		}
+		s.report(t.Context(), 3*time.Second)
+		s.holder = ""
+		s.cut["n0"] = true
+		admitted := 0
+		for start := time.Now(); time.Since(start) < away; {
+			s.report(t.Context(), reportInterval)
+			for _, name := range []string{"n1", "n2", "n3", "n4"} {
+				n, _ := s.admit(t, name, 1)
+				admitted += n
+			}
+		}
+		// Four of five parts, from the time on at which the nodes use them.
+		most := 2 * away.Seconds() * 4 / size
+		require.LessOrEqual(t, float64(admitted), most+2)
+		require.GreaterOrEqual(t, float64(admitted), most/2)
+	})
+}
+
+// BenchmarkTeamLimitAsk measures a call for tokens over the loopback interface, at both ends.
+func BenchmarkTeamLimitAsk(b *testing.B) {
+	teams, err := team.NewDirectory([]team.Definition{{Team: team.Team{Name: "a", PerSecond: 1e9, Burst: 1e9}}})
+	require.NoError(b, err)
+	l := &TeamLimits{
+		Lease:         leaseOf{&teamSystem{holder: "n"}, "n"},
+		Catalog:       func() *catalog.Catalog { return &catalog.Catalog{Teams: teams} },
+		LastNodes:     func() []string { return nil },
+		LastNodeCount: func() int { return 0 },
+		Clock:         monotime.Now,
+		Log:           discard,
+	}
+	server := httptest.NewServer(http.HandlerFunc(l.serveAsk))
+	defer server.Close()
+	client, to := NewHTTP(), strings.TrimPrefix(server.URL, "http://")
+	ask := ratelimit.NodeAsk{Node: "10.0.0.1:7380", AnsweredMS: 40, Teams: []ratelimit.TeamAsk{{Team: "a", Need: 1, Least: 1}}}
+	for b.Loop() {
+		var answer ratelimit.NodeAnswer
+		require.NoError(b, post(b.Context(), client, to, teamLimitsPath, ask, &answer))
+	}
+}
+
 // TestNoLimitsNoMessages guards against fields in messages, and calls, where no team has a limit.
 func TestNoLimitsNoMessages(t *testing.T) {
 	for name, teams := range map[string][]team.Definition{"no teams": nil, "no limits": {{Team: team.Team{Name: "b"}}}} {
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -28,6 +28,9 @@
 const (
 	// maxTokenLifetime is the longest time from an ask within which its tokens must be used.
 	maxTokenLifetime = 500 * time.Millisecond
+	// minTokenLifetime applies to bounds with little overage: an answer must come before its
+	// tokens expire.
+	minTokenLifetime = 100 * time.Millisecond
 	// contactTimeout is the time after a report from which the owner counts a node as out of
 	// contact.
 	contactTimeout = 600 * time.Millisecond
@@ -57,7 +60,7 @@
 
 // TokenLifetime returns the time from an ask within which its tokens must be used.
 func (b Bounds) TokenLifetime() time.Duration {
-	return min(maxTokenLifetime, time.Duration(lifetimeShare*b.Overage*float64(b.Window)))
+	return min(maxTokenLifetime, max(minTokenLifetime, time.Duration(lifetimeShare*b.Overage*float64(b.Window))))
 }
 
 // overageTime is the time in which the rate of a limit gives what the overage allows.
@@ -216,7 +219,8 @@
 		b.charge(need, now)
 		return need
 	case least > 0 && level >= least:
-		granted := math.Floor(level/least) * least
+		// The quotient of a very small least overflows.
+		granted := min(level, math.Floor(level/least)*least)
 		b.charge(granted, now)
 		return granted
 	case level < b.capacity*fullShare || least <= b.capacity:
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -184,16 +184,19 @@
 	return left
 }
 
-// spend takes tokens, the earliest first, and returns the times of the first of them. The caller
-// has checked that there are enough.
+// spend takes tokens, those granted first first, and returns the earliest times of those that it
+// takes. The caller has checked that there are enough.
 func (t *teamReserve) spend(cost float64) (grantedAt, expiresAt time.Duration) {
 	grantedAt, expiresAt = t.lots[0].grantedAt, t.lots[0].expiresAt
-	for len(t.lots) > 0 && t.lots[0].tokens <= cost {
-		cost -= t.lots[0].tokens
-		t.lots = t.lots[1:]
-	}
-	if len(t.lots) > 0 {
-		t.lots[0].tokens -= cost
+	for len(t.lots) > 0 && cost > 0 {
+		first := &t.lots[0]
+		grantedAt, expiresAt = min(grantedAt, first.grantedAt), min(expiresAt, first.expiresAt)
+		taken := min(cost, first.tokens)
+		cost -= taken
+		first.tokens -= taken
+		if first.tokens <= 0 {
+			t.lots = t.lots[1:]
+		}
 	}
 	return grantedAt, expiresAt
 }
@@ -246,10 +249,11 @@
 }
 
 // retryAfter returns when a refused request should come back: when the owner expects to have
-// tokens, and one interval of the node's part of the limit after the refused request before it.
+// tokens, and one interval after the refused request before it. The interval is that of the node's
+// part of the limit, or of what it used recently if that is more.
 func (r *Reserve) retryAfter(t *teamReserve, limit Limit, cost float64, now time.Duration) time.Duration {
 	interval := maxReturnDelay
-	if part := limit.PerSecond / float64(max(1, r.nodes)); cost < part*maxReturnDelay.Seconds() {
+	if part := max(limit.PerSecond/float64(max(1, r.nodes)), t.decayedUse(now)); cost < part*maxReturnDelay.Seconds() {
 		interval = seconds(cost / part)
 	}
 	return t.spread.delay(max(minWait, t.availableAt-now), interval, now)
