Refuse keys that were taken away within the limit, at every node

Cause: a key was checked once, when its request arrived, by whatever configuration was in force. A node that could not learn of a change, or had been paused, went on to accept the key, and requests that waited, were retried or resumed kept it.

Change: settings bounds.revokeStrict and bounds.revokeMs (both optional). With the former, a configuration whose confirmation is older than revokeMs less 500 ms accepts no key: 503, Retry-After 1 s. The relay checks the key at arrival, before each attempt, and on its connection before the first byte, always reading the age before the configuration. A key that is gone gives 401, one of another team 503 with Retry-After 0.1 s; such an attempt counts neither as sent nor against the endpoint, its link or the other node. A request that may have run gets 502 instead of any status that says it has not, now also instead of 4xx. Forwarded requests carry the team and the version that accepted the key; the serving node checks both by its own configuration and confirmation. If it is behind that version it declines, and the forwarding node tries another one.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -53,6 +53,9 @@
 	Required inventory.Requirement `json:"required,omitzero"`
 	// Credential identifies the caller's team.
 	Credential team.Credential `json:"credential,omitzero"`
+	// Team is the name of that team by version ConfigVersion of the configuration.
+	Team          string `json:"team,omitempty"`
+	ConfigVersion int64  `json:"config_version,omitempty"`
 }
 
 // forwardedReply describes an endpoint's response that another node passes on.
@@ -81,6 +84,8 @@
 	relay.ReasonNotReady:     true,
 	relay.ReasonNoRoute:      true,
 	relay.ReasonUnknownModel: true,
+
+	relay.ReasonConfigurationOld: true,
 }
 
 // errForwarded is the error of a request that another node could not serve.
@@ -90,7 +95,16 @@
 func (f *Forwarding) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
 	end := f.nodes.Begin(node)
 	requestsForwarded.Inc()
+	var refusal *relay.Failure
+	ctx, guard := httpclient.NewGuard(ctx, func() bool {
+		refusal = attempt.Authorized()
+		return refusal == nil
+	})
 	resp, err := f.callForward(ctx, node, req, attempt)
+	if guard.Refused() {
+		end()
+		return nil, &relay.SendError{Sent: guard.Written(), Refusal: refusal, Err: err}
+	}
 	if err != nil {
 		end()
 		if ctx.Err() == nil {
@@ -129,6 +143,9 @@
 		MaxRuns:      attempt.MaxRuns,
 		Required:     attempt.Required,
 		Credential:   req.Credential,
+		Team:         attempt.Team,
+
+		ConfigVersion: attempt.ConfigVersion,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("fleet: encode: %w", err)
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -18,6 +18,7 @@
 	"chestnutgauge/internal/reachability"
 	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/streamorigin"
+	"chestnutgauge/internal/team"
 )
 
 // deadLinks reach no endpoint.
@@ -61,8 +62,9 @@
 		ID: "r1", Method: "PUT", Target: "/a%20b?c=d", Path: "/a b", Host: "h.example", Model: "m", Adapter: "x",
 		Header: http.Header{"Chestnutgauge-Request-Id": {"r1"}, "Some": {"1", "2"}}, Body: []byte("body"),
 		PromptTokens: 7, MaxTokens: 9, Prompt: []relay.PromptPart{{ID: "p", Tokens: 3}}, Resumes: "r0",
+		Credential: team.Credential{Digest: team.DigestOf("key"), Presented: true},
 	}
-	attempt := relay.Attempt{Deadline: time.Now().Add(time.Minute), LastEvent: "4", Service: "s", MaxRuns: 2, Required: inventory.OnlyVersion("v2")}
+	attempt := relay.Attempt{Deadline: time.Now().Add(time.Minute), LastEvent: "4", Service: "s", MaxRuns: 2, Required: inventory.OnlyVersion("v2"), Team: "t", ConfigVersion: 5}
 	return req, attempt
 }
 
@@ -92,7 +94,7 @@
 	require.WithinDuration(t, attempt.Deadline, got.Deadline, time.Second)
 	want := *req
 	want.LastEvent = "4"
-	want.Forwarded = &relay.Forwarded{Service: "s", MaxRuns: 2, Required: attempt.Required}
+	want.Forwarded = &relay.Forwarded{Service: "s", MaxRuns: 2, Required: attempt.Required, Team: "t", ConfigVersion: 5}
 	want.Arrived, want.Deadline = got.Arrived, got.Deadline
 	require.Equal(t, &want, got)
 }
@@ -110,6 +112,9 @@
 	}{
 		{name: "refused", failure: relay.Failure{Reason: relay.ReasonFull, Run: outcome.NotRun, RetryAfter: 1500 * time.Millisecond}, final: true},
 		{name: "cut off as well", failure: relay.Failure{Reason: relay.ReasonUnreachable, Run: outcome.NotRun}, avoided: true},
+		{name: "key unknown there", failure: relay.Failure{Reason: relay.ReasonUnknownKey, Run: outcome.NotRun}, final: true},
+		{name: "key of another team there", failure: relay.Failure{Reason: relay.ReasonKeyMoved, Run: outcome.NotRun, RetryAfter: 100 * time.Millisecond}, final: true},
+		{name: "old configuration there", failure: relay.Failure{Reason: relay.ReasonConfigurationOld, Run: outcome.NotRun, RetryAfter: time.Second}, avoided: true},
 		{name: "shutting down", closing: true, avoided: true},
 		{name: "may have run", failure: relay.Failure{Reason: relay.ReasonTruncated, Run: outcome.Unknown}, sent: true},
 	}
@@ -135,6 +140,50 @@
 	}
 }
 
+// TestKeyTakenAwayBeforeForwarding guards against a request that another node gets although its
+// key was taken away while the connection to that node was made, and against a node that then
+// counts as failed.
+func TestKeyTakenAwayBeforeForwarding(t *testing.T) {
+	d, node := forwarding(t, func(context.Context, *relay.Request, relay.Answer) (int, *relay.Failure) {
+		t.Error("forwarded")
+		return 0, nil
+	}, false)
+	refusal := &relay.Failure{Reason: relay.ReasonUnknownKey, Run: outcome.NotRun}
+	req, attempt := forwardedCall()
+	attempt.Authorize = func() *relay.Failure { return refusal }
+	_, err := d.Send(t.Context(), node, req, attempt)
+	var failed *relay.SendError
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+	require.Equal(t, refusal, failed.Refusal)
+	require.NotNil(t, d.PickNode(nil, time.Now()))
+}
+
+// refusingLinks refuse each request after the check of its key.
+type refusingLinks struct{ countingLinks }
+
+func (*refusingLinks) Send(context.Context, *inventory.Endpoint, *relay.Request, relay.Attempt) (*relay.Reply, error) {
+	return nil, &relay.SendError{Refusal: &relay.Failure{Reason: relay.ReasonUnknownKey}, Err: errDead}
+}
+
+// TestRefusedAttemptIsNoLostLink guards against links that are checked since a key was taken
+// away.
+func TestRefusedAttemptIsNoLostLink(t *testing.T) {
+	d, _ := forwarding(t, nil, false)
+	links := &refusingLinks{countingLinks{result: reachability.Made}}
+	d.Direct = links
+	endpoint := &inventory.Endpoint{ID: "e", Address: "127.0.0.1:1"}
+	for range 20 {
+		_, err := d.Send(t.Context(), endpoint, &relay.Request{}, relay.Attempt{})
+		require.Error(t, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	require.Empty(t, d.checks)
+	require.Empty(t, d.checkedAt)
+	require.Zero(t, links.connections.Load())
+}
+
 // TestForwardedStream guards against streams that another node holds back, ends without a
 // word, or goes on with after the caller has left.
 func TestForwardedStream(t *testing.T) {
--- a/internal/fleet/forwarding.go
+++ b/internal/fleet/forwarding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -85,12 +86,19 @@
 	switch {
 	case err == nil:
 		f.links.Reached(to.Key(), time.Now())
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !attemptRefused(err):
 		f.Lost(to)
 	}
 	return reply, err
 }
 
+// attemptRefused reports whether an attempt failed since it was refused, so that its failure says
+// nothing of the link.
+func attemptRefused(err error) bool {
+	var failed *relay.SendError
+	return errors.As(err, &failed) && failed.Refusal != nil
+}
+
 // Refuses implements relay.Sender. An endpoint that another node reaches does not count.
 func (f *Forwarding) Refuses(ctx context.Context, to *inventory.Endpoint) bool {
 	check := f.check(to)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -203,6 +203,7 @@
 		Trials:          n.suspects,
 		Origins:         n.origins,
 		Isolated:        n.isolation.Isolated,
+		Authority:       keyAuthority{n.settings.Load, n.config.ConfirmedAge},
 		Budget:          relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:             log,
 	})
--- a/internal/noded/settings.go
+++ b/internal/noded/settings.go
@@ -44,5 +44,7 @@
 	next.ShutdownLimit = active.ShutdownLimit
 	next.RetryShare = active.RetryShare
 	next.RetryExtra = active.RetryExtra
+	next.StrictRevocation = active.StrictRevocation
+	next.RevocationLimit = active.RevocationLimit
 	return next != active
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,12 +47,12 @@
 // afterFailure decides whether a failed attempt is retried. If not, it returns
 // the final failure.
 func (x *exchange) afterFailure(ctx context.Context, endpoint *inventory.Endpoint, result attemptResult) (*Failure, bool) {
-	if result.refusal != nil {
-		return x.withEarlierRun(result.refusal), false
-	}
 	if result.run != outcome.NotRun {
 		x.possibleRuns += max(1, result.runs)
 	}
+	if result.refusal != nil {
+		return x.withEarlierRun(result.refusal), false
+	}
 	x.tried = append(x.tried, endpoint.ID)
 	if result.unsent {
 		x.unsent++
@@ -126,7 +126,7 @@
 	if run != outcome.NotRun {
 		x.attempts++
 	}
-	if ctx.Err() == nil && !errors.Is(err, errSuspected) {
+	if ctx.Err() == nil && !errors.Is(err, errSuspected) && (failed == nil || failed.Refusal == nil) {
 		x.wayTo(endpoint).failed(run, alone)
 	}
 	result := attemptResult{run: run, unsent: run == outcome.NotRun, cause: err}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -27,6 +27,9 @@
 	// team is the caller's team. It is nil if the configuration has no teams, or on a public
 	// route.
 	team *team.Team
+	// authorizedBy is the version of the configuration by which authorize last accepted the
+	// request's key.
+	authorizedBy int64
 	// required is the version at which the stream goes on that the request has begun or
 	// resumes.
 	required inventory.Requirement
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -16,6 +16,8 @@
 const (
 	ReasonNotReady           Reason = "no configuration yet"
 	ReasonUnknownKey         Reason = "no such key"
+	ReasonKeyMoved           Reason = "key belongs to another team"
+	ReasonConfigurationOld   Reason = "configuration too old"
 	ReasonNoRoute            Reason = "no such route"
 	ReasonUnknownModel       Reason = "no such model"
 	ReasonNoEndpoint         Reason = "no endpoint"
@@ -52,7 +54,7 @@
 		return http.StatusBadGateway
 	case f.Run == outcome.NotRun && status == http.StatusGatewayTimeout:
 		return http.StatusServiceUnavailable
-	case f.Run != outcome.NotRun && status == http.StatusServiceUnavailable:
+	case f.Run != outcome.NotRun && (status < http.StatusInternalServerError || status == http.StatusServiceUnavailable):
 		return http.StatusBadGateway
 	}
 	return status
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,6 +47,8 @@
 	RejectionLimits *notice.Limits[string]
 	Places          Places
 	Budget          Budget
+	// Authority decides on keys. With nil they are accepted by the configuration in force.
+	Authority Authority
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
@@ -151,15 +153,11 @@
 
 // begin finds the route and service of a request.
 func (r *Relay) begin(req *Request, answer Answer) (*exchange, *Failure) {
-	c := r.Catalog()
-	if c == nil {
-		return nil, refuse(ReasonNotReady, notReadyRetryAfter)
-	}
-	route := c.Route(req.Host, req.Path)
-	caller := c.Teams.Find(req.Credential)
-	if caller == nil && needsKey(c, route) {
-		return nil, refuse(ReasonUnknownKey, 0)
+	key, failure := r.checkKey(req)
+	if failure != nil {
+		return nil, failure
 	}
+	c, route := key.catalog, key.route
 	if route == nil {
 		return nil, refuse(ReasonNoRoute, 0)
 	}
@@ -178,7 +176,7 @@
 	if req.Deadline.Before(deadline) {
 		deadline = req.Deadline
 	}
-	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, team: caller, deadline: deadline}
+	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, team: key.team, deadline: deadline}
 	x.identity = identify(req, name)
 	if service.Engine != nil && req.Model != "" {
 		if _, ok := service.Engine.Models[req.Model]; !ok {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -65,6 +65,10 @@
 	MaxRuns int
 	// Required restricts the endpoints.
 	Required inventory.Requirement
+	// Team is the name of the caller's team, or empty, by version ConfigVersion of the
+	// configuration.
+	Team          string
+	ConfigVersion int64
 }
 
 // Attempt describes one attempt to send a request.
@@ -74,6 +78,11 @@
 	LastEvent string
 	// Team is the name of the caller's team, or empty.
 	Team string
+	// ConfigVersion is the version of the configuration by which the request's key was
+	// accepted.
+	ConfigVersion int64
+	// Authorize checks whether the request may still be sent. It may be nil.
+	Authorize func() *Failure
 	// If a node chooses the endpoints, Service is their service, MaxRuns the number of them
 	// on which the request may still run, and Required restricts them.
 	Service  string
@@ -129,7 +138,8 @@
 	Sent bool
 	// Runs is the number of endpoints that may have run it if it is more than one.
 	Runs int
-	// Refusal is the failure at a node that did not serve the request, if that is final.
+	// Refusal is the failure, if that is final, at a node that did not serve the request, or
+	// of the check of the attempt.
 	Refusal *Failure
 	Err     error
 }
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -42,10 +42,14 @@
 // attempt must be closed unless there is an error.
 func (x *exchange) open(ctx context.Context, endpoint *inventory.Endpoint, lastEvent string) (*sending, error) {
 	r := x.relay
-	attemptsTotal.Inc()
 	s := &sending{endpoint: endpoint, way: x.wayTo(endpoint), started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
 	s.place, x.place = x.place, nil
 	s.release = s.way.begin(s)
+	if failure := x.authorize(); failure != nil {
+		s.release()
+		return nil, notAuthorized(failure)
+	}
+	attemptsTotal.Inc()
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
 	s.cause = func() error { return context.Cause(ctx) }
@@ -57,9 +61,12 @@
 		Priority:  x.priority(),
 		LastEvent: lastEvent,
 		Team:      x.teamName(),
+		Authorize: x.authorize,
 		Service:   x.service.Name,
 		MaxRuns:   x.maxRuns() - x.possibleRuns,
 		Required:  x.required,
+
+		ConfigVersion: x.authorizedBy,
 	}
 	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
 		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes)
--- a/internal/relay/team.go
+++ b/internal/relay/team.go
@@ -1,6 +1,9 @@
 package relay
 
-import "chestnutgauge/internal/catalog"
+import (
+	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/team"
+)
 
 // needsKey reports whether a request needs a key. route is nil if the configuration has none
 // for the request.
@@ -15,8 +18,13 @@
 
 // teamName returns the name of the caller's team, or "" if it has none.
 func (x *exchange) teamName() string {
-	if x.team == nil {
+	return nameOf(x.team)
+}
+
+// nameOf returns the name of a team, or "" for nil.
+func nameOf(t *team.Team) string {
+	if t == nil {
 		return ""
 	}
-	return x.team.Name
+	return t.Name
 }
