--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -18,6 +18,8 @@
 	ReasonUnknownKey         Reason = "no such key"
 	ReasonOverLimit          Reason = "team is over its limit"
 	ReasonNoLimitOwner       Reason = "limit of the team can't be checked"
+	ReasonKeyMoved           Reason = "key belongs to another team"
+	ReasonConfigurationOld   Reason = "configuration too old"
 	ReasonNoRoute            Reason = "no such route"
 	ReasonUnknownModel       Reason = "no such model"
 	ReasonNoEndpoint         Reason = "no endpoint"
@@ -54,7 +56,7 @@
 		return http.StatusBadGateway
 	case f.Run == outcome.NotRun && status == http.StatusGatewayTimeout:
 		return http.StatusServiceUnavailable
-	case f.Run != outcome.NotRun && status == http.StatusServiceUnavailable:
+	case f.Run != outcome.NotRun && (status < http.StatusInternalServerError || status == http.StatusServiceUnavailable):
 		return http.StatusBadGateway
 	}
 	return status
