Count the slowness that endpoints state in the load header

Cause: a load header with four figures was dropped whole, so that a node knew neither the load of such an endpoint nor how long work takes there.

An endpoint's expected times (first token, rate, plain requests) are its measured averages times the ratio of the last slowness to its own average, which fades to 1 with a time constant of 0.4 s.

Measured: TestParseLoad, TestSlowness, TestSlownessInAverage, TestSlownessIgnored, TestSlownessOfReply and the packages load and relay pass. Of ./platform, all passed but four tests (TestHangupWhileStarting, TestHangupSeries, TestSoak, TestShutdownAwaitsForwardedRequests), which start ../bin/chestnut-node that was not built.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -77,6 +77,7 @@
 	// seconds, as of pausedAt.
 	pause    float64
 	pausedAt time.Time
+	slowness slowness
 	// failures is the number of consecutive failures.
 	failures     int
 	ejectedUntil time.Time
@@ -91,7 +92,8 @@
 	// Limit is the number of requests that the endpoint was observed to run
 	// concurrently while others were queued, or 0 if that was not observed.
 	Limit int
-	// FirstToken and TokensPerSecond are 0 until they are measured.
+	// FirstToken and TokensPerSecond are 0 until they are measured. They contain the
+	// slowness that the endpoint reported, as far as it still counts.
 	FirstToken      time.Duration
 	TokensPerSecond float64
 	// Pause is the expected longest pause between two events of a stream.
@@ -286,12 +288,13 @@
 	if !ok {
 		return View{}
 	}
+	factor := e.slowness.factor(now)
 	return View{
 		InFlight:        e.inFlight,
 		OtherLoad:       e.expectedOtherLoad(now),
 		Limit:           e.limit,
-		FirstToken:      time.Duration(e.firstToken * float64(time.Second)),
-		TokensPerSecond: e.speed,
+		FirstToken:      time.Duration(e.firstToken * factor * float64(time.Second)),
+		TokensPerSecond: e.speed / factor,
 		Pause:           time.Duration(e.decayedPause(now, t.settings.PauseTime) * float64(time.Second)),
 		EjectedUntil:    e.ejectedUntil,
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -158,7 +158,9 @@
 func (r *Relay) recordReply(s *sending) {
 	r.recordNotices(s)
 	if s.reply.HasLoad {
-		r.loads.Report(s.endpoint.ID, s.reply.Load.Running, s.reply.Load.Waiting, time.Now())
+		now := time.Now()
+		r.loads.Report(s.endpoint.ID, s.reply.Load.Running, s.reply.Load.Waiting, now)
+		r.loads.ReportSlowness(s.endpoint.ID, s.reply.Load.Slowness, now)
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -86,6 +86,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work takes there at the moment, compared with the usual time,
+	// which is 1. 0 means that the endpoint does not state it.
+	Slowness float64
 }
 
 // Reply is the status and header of an endpoint's response, with its unread
