Hold back teams that are ahead of their fair share over all nodes

Cause: each node shares only its own dispatches. A team that floods through one node meets no other team in that node's queue, refills each slot that its requests leave, and takes nearly all capacity.

Change: nodes report the work of teams by service and priority with their demand reports (nothing without teams). internal/fairshare adds them up at the owner, whose answer names the teams ahead of their max-min fair share of a service while others wait for it, by how much, and what their share is. A node limits the dispatches of such a team to its part of the share, starts the team behind in its queues, and refuses at once what comes too late by that. A hold ends one second after the last report that was answered, spares streams that have begun, and leaves slots alone where endpoints are less than 0.6 full. waitqueue measures its rate of dispatch only while requests wait that are not held back.

--- a/internal/demand/aggregator.go
+++ b/internal/demand/aggregator.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 )
 
@@ -45,6 +46,8 @@
 // so a new owner knows the demand after one report from each node. Its methods
 // are safe for concurrent use and do not read the clock.
 type Aggregator struct {
+	shares *fairshare.Aggregator
+
 	mu    sync.Mutex
 	nodes map[string]nodeReport
 }
@@ -57,12 +60,14 @@
 
 // NewAggregator returns an aggregator without reports.
 func NewAggregator() *Aggregator {
-	return &Aggregator{nodes: map[string]nodeReport{}}
+	return &Aggregator{shares: fairshare.NewAggregator(), nodes: map[string]nodeReport{}}
 }
 
 // Add records a node's report. urgent reports whether more requests wait for
 // some model than in the node's previous report.
 func (a *Aggregator) Add(report Report, now time.Time) (urgent bool) {
+	a.shares.Add(report.Node, report.Uses, now)
+	report.Uses = nil
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before := waiting(a.nodes[report.Node].report)
@@ -73,6 +78,11 @@
 	return urgent
 }
 
+// Leads returns the teams that are ahead of their fair share while others wait.
+func (a *Aggregator) Leads(now time.Time) []fairshare.Lead {
+	return a.shares.Leads(now)
+}
+
 // waitingKey identifies requests that wait for the same: a model, on an engine that meets
 // a requirement.
 type waitingKey struct {
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/suspect"
@@ -167,6 +168,8 @@
 	// SuspectsVersion is the version of the owner's suspects that the node has received,
 	// 0 if none.
 	SuspectsVersion int64 `json:"suspects_version,omitempty"`
+	// Uses is the work of teams since the node's last report.
+	Uses []fairshare.Use `json:"uses,omitempty"`
 }
 
 // Meter measures the demand at a node. Its methods are safe for concurrent use.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
@@ -45,8 +46,13 @@
 	LastNodes func() []string
 	// ConfigVersion returns the version of the active configuration, 0 if none.
 	ConfigVersion func() int64
-	HTTP          *http.Client
-	Log           *slog.Logger
+	// Shares measures the work of this node's teams. It may be nil.
+	Shares *fairshare.Meter
+	// OnLeads is called with the teams that are ahead of their fair share, as the owner answered a
+	// report that was sent at a time. It may be nil.
+	OnLeads func(leads []fairshare.Lead, sent time.Time)
+	HTTP    *http.Client
+	Log     *slog.Logger
 
 	mu    sync.Mutex
 	peers []string
@@ -158,6 +164,7 @@
 	report := c.Meter.Report(now)
 	report.Drains = c.Owner.Inventory.Current().UnlistedDrains(now)
 	report.ConfigVersion = c.ConfigVersion()
+	report.Uses = c.Shares.Report(now)
 	holder := c.Holder.Holder()
 	sent := c.addOwn(&report, holder, now)
 	var response DemandResponse
@@ -178,6 +185,9 @@
 	c.sent = sent
 	c.limitsReceived, c.rejectionLimitsReceived = response.LimitsVersion, response.RejectionLimitsVersion
 	c.storeResponse(holder, response)
+	if c.OnLeads != nil {
+		c.OnLeads(response.Leads, now)
+	}
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
@@ -47,6 +48,8 @@
 	// version of them.
 	Suspects        []suspect.CrashMark `json:"suspects,omitempty"`
 	SuspectsVersion int64               `json:"suspects_version"`
+	// Leads are the teams that are ahead of their fair share of a service while others wait for it.
+	Leads []fairshare.Lead `json:"leads,omitempty"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -151,7 +154,7 @@
 	if urgent {
 		engineOwner.Notify()
 	}
-	response := DemandResponse{Peers: aggregator.Nodes(now)}
+	response := DemandResponse{Peers: aggregator.Nodes(now), Leads: aggregator.Leads(now)}
 	response.Limits, response.LimitsVersion = known.limits.AllSince(report.LimitsVersion, now)
 	response.RejectionLimits, response.RejectionLimitsVersion = known.rejectionLimits.AllSince(report.RejectionLimitsVersion, now)
 	response.Suspects, response.SuspectsVersion = known.suspects.AllSince(report.SuspectsVersion, now)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -12,6 +12,7 @@
 
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/fleet"
 	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/httpserver"
@@ -110,6 +111,7 @@
 	store := platform.NewStore(s.StoreAddress, log)
 	self := n.peerAddress()
 	n.meter = demand.NewMeter(self)
+	shares := fairshare.NewMeter()
 	n.keeper = &lease.Keeper{
 		Self:         s.IP,
 		Peer:         self,
@@ -144,6 +146,7 @@
 		Suspects:        n.suspects,
 		LastNodes:       n.keeper.LastNodes,
 		ConfigVersion:   n.config.Version,
+		Shares:          shares,
 		HTTP:            fleet.NewHTTP(),
 		Log:             log,
 	}
@@ -193,6 +196,7 @@
 		Adapters:        n.client,
 		Loads:           n.client,
 		Demand:          n.meter,
+		Shares:          shares,
 		Limits:          n.rateLimits.Known,
 		Permits:         n.rateLimits,
 		Suspects:        n.suspects.Known,
@@ -202,6 +206,7 @@
 		Budget:          relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:             log,
 	})
+	n.client.OnLeads = n.relay.HoldBack
 	return n
 }
 
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -52,7 +52,7 @@
 	}
 	w := x.newWait()
 	endpoint, failure := x.await(ctx, w)
-	w.finish(endpoint != nil)
+	w.finish(endpoint)
 	return endpoint, failure
 }
 
@@ -95,7 +95,7 @@
 			return nil, verdict, nil
 		}
 		limited := x.limitsRejections()
-		if !w.mayDispatch() && !x.rateLimited(endpoint) && !limited {
+		if w.heldBack(endpoint) || !w.mayDispatch() && !x.rateLimited(endpoint) && !limited {
 			return nil, choose.Full, nil
 		}
 		if limited && x.req.Adapter == "" {
--- a/internal/relay/fair_test.go
+++ b/internal/relay/fair_test.go
@@ -10,7 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/fairshare"
+	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/team"
+	"chestnutgauge/internal/waitqueue"
 )
 
 // withTeams gives the configuration of a relay one team for each name, whose key is its name.
@@ -70,3 +73,78 @@
 		require.GreaterOrEqual(t, answered["calm"]+answered["flood"], perSecond*seconds*9/10, "slots were left unused")
 	})
 }
+
+// leadOf is the owner's answer that a team is ahead of its fair share, of which all is this node's
+// part.
+func leadOf(name string, perSecond float64) []fairshare.Lead {
+	return []fairshare.Lead{{Key: fairshare.Key{Service: "s", Team: name}, Ahead: 50, PerSecond: perSecond, Demand: 100}}
+}
+
+// busyRelay returns a relay all of whose slots are taken by requests without a team but one, and
+// whose meter has reported work of the flood.
+func busyRelay(t *testing.T, callers *sync.WaitGroup) *Relay {
+	r := newRelay(&slowEndpoints{latency: 2 * time.Second})
+	r.Shares = fairshare.NewMeter()
+	withTeams(t, r, "flood", "calm")
+	for range 11 {
+		callers.Go(func() { _ = r.Serve(context.Background(), requestOf("calm", "once", "m"), &fakeAnswer{}) })
+		synctest.Wait()
+	}
+	r.Shares.Served(fairshare.Key{Service: "s", Team: "flood"}, 100)
+	r.Shares.Report(time.Now())
+	return r
+}
+
+// TestHeldBack guards against a team that takes the last slots although it is ahead of its fair share
+// over all nodes while others wait: its request waits for its turn, one of another team does not, and
+// once the owner no longer names the team, its request goes at once.
+func TestHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var callers sync.WaitGroup
+		r := busyRelay(t, &callers)
+		defer callers.Wait()
+		r.HoldBack(leadOf("flood", 1), time.Now())
+		sent := func() int { return len(r.Sender.(*slowEndpoints).ids) }
+		callers.Go(func() {
+			require.Nil(t, r.Serve(context.Background(), requestOf("flood", "repeat", "m"), &fakeAnswer{}))
+		})
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, 11, sent())
+		want := fairshare.Use{Key: fairshare.Key{Service: "s", Team: "flood"}, Waiting: 1}
+		require.Equal(t, []fairshare.Use{want}, r.Shares.Report(time.Now()))
+		r.HoldBack(nil, time.Now())
+		time.Sleep(2 * fullPollInterval)
+		require.Equal(t, 12, sent())
+	})
+}
+
+// TestHoldTooLong guards against a request that waits although its team may not dispatch it in time,
+// and against a Retry-After at which it would be refused again: it is refused at once, with the time
+// until the turn of its team.
+func TestHoldTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var callers sync.WaitGroup
+		r := busyRelay(t, &callers)
+		defer callers.Wait()
+		r.HoldBack(leadOf("flood", 0.5), time.Now())
+		// The team has just dispatched a request, and may dispatch the next one after two seconds more.
+		key := waitqueue.Key{Service: "s", Model: "m"}
+		r.queues.Dispatched(key, waitqueue.Request{Team: "flood", Work: 1}, time.Now())
+		started := time.Now()
+		failure := r.Serve(context.Background(), requestOf("flood", "repeat", "m"), &fakeAnswer{})
+		require.Equal(t, ReasonFull, failure.Reason)
+		require.Equal(t, outcome.NotRun, failure.Run)
+		require.Zero(t, time.Since(started))
+		require.InDelta(t, 2500*time.Millisecond, failure.RetryAfter, float64(time.Millisecond))
+	})
+}
+
+// TestNoTeams guards against reports of work while the configuration has no teams.
+func TestNoTeams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelay(&slowEndpoints{latency: 100 * time.Millisecond})
+		r.Shares = fairshare.NewMeter()
+		require.Nil(t, r.Serve(context.Background(), request("repeat", "m"), &fakeAnswer{}))
+		require.Empty(t, r.Shares.Report(time.Now()))
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/load"
 	"chestnutgauge/internal/notice"
@@ -33,6 +34,8 @@
 	Adapters   Adapters
 	Loads      Loads
 	Demand     *demand.Meter
+	// Shares measures the work of teams, if the configuration has any. It may be nil.
+	Shares *fairshare.Meter
 	// Limits are the rate limits of endpoints.
 	Limits *notice.Limits[inventory.Key]
 	// Permits grants the requests to endpoints that name a rate limit.
@@ -65,6 +68,7 @@
 	stale     *staleEntries
 	adapters  *adapterLocations
 	queues    *waitqueue.Queues
+	held      heldTeams
 	inFlight  atomic.Int64
 	// shutdown is cancelled when the process is about to exit.
 	shutdown      context.Context
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/waitqueue"
 )
 
@@ -18,6 +19,8 @@
 	// reason says what the request last waited for, or is empty if it did not
 	// wait.
 	reason string
+	// held reports whether the request was held back for other teams.
+	held bool
 	// waiter is nil while the request is not in a queue.
 	waiter *waitqueue.Waiter
 }
@@ -43,6 +46,7 @@
 		Team:       w.x.teamName(),
 		Work:       w.x.work(),
 		Arrived:    w.x.req.Arrived,
+		Exempt:     w.x.started || w.x.required.Required,
 		Restricted: len(w.x.tried) > 0 || w.x.req.Adapter != "" || w.x.required.Required,
 	}
 	if w.x.required.Required {
@@ -56,6 +60,7 @@
 
 func (w *wait) enqueue() {
 	w.waiter = w.x.relay.queues.Enqueue(w.key, w.request(), time.Now())
+	w.measureWaiting(1)
 }
 
 // mayDispatch reports whether the request may take an endpoint.
@@ -76,6 +81,9 @@
 // endpoints serve the model but have no room.
 func (w *wait) blocked(verdict choose.Verdict) {
 	w.reason = waitReasons[verdict]
+	if w.held {
+		w.reason = waitedForShare
+	}
 	if !w.counted && w.key.Model != "" {
 		w.counted = true
 		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, w.x.required, 1)
@@ -94,8 +102,11 @@
 	return w.waiter.PredictedWait(now)
 }
 
-// finish ends the wait. dispatched reports whether the request has an endpoint.
-func (w *wait) finish(dispatched bool) {
+// finish ends the wait. endpoint is nil if the request has none.
+func (w *wait) finish(endpoint *inventory.Endpoint) {
+	// A node that forwards the request counts as none: it counts the request itself.
+	dispatched := endpoint != nil && !endpoint.Node
+	w.measureEnd(endpoint != nil, dispatched)
 	if w.waiter != nil {
 		w.waiter.Remove(time.Now(), dispatched)
 	} else if dispatched {
--- a/internal/waitqueue/class.go
+++ b/internal/waitqueue/class.go
@@ -55,27 +55,29 @@
 	return c
 }
 
-// team returns the flow of a team, which starts at the current virtual time if it has none.
-func (c *class) team(name string) *teamFlow {
+// team returns the flow of a team. If it has none, it starts the given work behind the current
+// virtual time.
+func (c *class) team(name string, lead float64) *teamFlow {
 	t, ok := c.teams[name]
 	if !ok {
 		t = &teamFlow{}
-		c.clock.Join(&t.flow, 0)
+		c.clock.Join(&t.flow, lead)
 		c.teams[name] = t
 	}
 	return t
 }
 
-// add counts a request that is added to the queue.
-func (q *queue) add(r Request) {
+// add counts a request that is added to the queue. lead is the work by which its team is ahead of
+// its fair share elsewhere.
+func (q *queue) add(r Request, lead float64) {
 	c := q.class(r.Priority)
 	c.waiting++
-	c.team(r.Team).waiting++
+	c.team(r.Team, lead).waiting++
 }
 
 // charge counts a request that is dispatched.
 func (c *class) charge(r Request) {
-	c.clock.Charge(&c.team(r.Team).flow, r.work())
+	c.clock.Charge(&c.team(r.Team, 0).flow, r.work())
 	fairqueue.Advance(&c.clock, c.waitingTeams())
 }
 
@@ -123,7 +125,7 @@
 	for _, w := range waiters {
 		g, ok := byTeam[w.Team]
 		if !ok {
-			g = &group{team: w.Team, flow: c.team(w.Team).flow}
+			g = &group{team: w.Team, flow: c.team(w.Team, 0).flow}
 			byTeam[w.Team] = g
 			out = append(out, g)
 		}
@@ -147,32 +149,56 @@
 	return first
 }
 
-// order sorts the requests of one class into dispatch order.
-func (c *class) order(waiters []*Waiter, now time.Time) {
+// sort sorts the requests of a group into dispatch order.
+func (g *group) sort(now time.Time) {
+	slices.SortStableFunc(g.items, func(a, b *Waiter) int {
+		switch {
+		case a.before(b.Request, now):
+			return -1
+		case b.before(a.Request, now):
+			return 1
+		}
+		return 0
+	})
+}
+
+// order sorts the requests of one class into dispatch order, and sets until when each is held back.
+// Those that are held back come last, in the order in which they are held.
+func (c *class) order(qs *Queues, waiters []*Waiter, now time.Time) {
 	groups := c.groups(waiters)
+	var held []*Waiter
 	for _, g := range groups {
-		slices.SortStableFunc(g.items, func(a, b *Waiter) int {
-			switch {
-			case a.before(b.Request, now):
-				return -1
-			case b.before(a.Request, now):
-				return 1
+		g.sort(now)
+		g.markHeld(qs, now)
+		if i := slices.IndexFunc(g.items, func(w *Waiter) bool { return w.heldUntil.After(now) }); i >= 0 {
+			free := make([]*Waiter, 0, len(g.items))
+			for _, w := range g.items {
+				if w.heldUntil.After(now) {
+					held = append(held, w)
+				} else {
+					free = append(free, w)
+				}
 			}
-			return 0
-		})
+			g.items = free
+		}
 	}
+	slices.SortStableFunc(held, func(a, b *Waiter) int { return a.heldUntil.Compare(b.heldUntil) })
 	clock := c.clock
-	for i := range waiters {
+	for i := range len(waiters) - len(held) {
 		g := next(&clock, groups, now)
 		waiters[i] = g.items[0]
 		clock.Charge(&g.flow, g.items[0].work())
 		g.items = g.items[1:]
 	}
+	copy(waiters[len(waiters)-len(held):], held)
 }
 
 // hasAhead reports whether one of the requests of the class, which are in dispatch order, is
-// dispatched before a request that arrives now.
+// dispatched before a request that arrives now and is not held back.
 func (c *class) hasAhead(waiters []*Waiter, req Request, now time.Time) bool {
+	if i := slices.IndexFunc(waiters, func(w *Waiter) bool { return w.heldUntil.After(now) }); i >= 0 {
+		waiters = waiters[:i]
+	}
 	groups := c.groups(waiters)
 	newcomer := &Waiter{Request: req}
 	i := slices.IndexFunc(groups, func(g *group) bool { return g.team == req.Team })
--- a/internal/waitqueue/fair_test.go
+++ b/internal/waitqueue/fair_test.go
@@ -12,7 +12,7 @@
 // dispatchHead removes the first request of the queue of key, dispatched, and returns it.
 func dispatchHead(t *testing.T, queues *Queues, now time.Time) Request {
 	q := queues.queues[key]
-	q.rank(now)
+	q.rank(queues, now)
 	w := q.waiters[0]
 	require.True(t, w.MayDispatch(now))
 	w.Remove(now, true)
@@ -107,7 +107,7 @@
 	for _, i := range []int{6, 5, 4, 3, 2, 1, 0} {
 		queues.Enqueue(key, want[i], now)
 	}
-	queues.queues[key].rank(now)
+	queues.rank(key, now)
 	for i, w := range queues.queues[key].waiters {
 		require.Equal(t, want[i], w.Request, "%d", i)
 	}
@@ -148,7 +148,7 @@
 			}, now)
 		}
 		for q := queues.queues[key]; len(queues.queues) > 0; {
-			q.rank(now)
+			q.rank(queues, now)
 			for i, w := range q.waiters[1:] {
 				previous := q.waiters[i]
 				require.LessOrEqual(t, previous.Priority, w.Priority)
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -9,13 +9,16 @@
 	"slices"
 	"sync"
 	"time"
+
+	"chestnutgauge/internal/fairshare"
 )
 
 const (
 	// rateWindow is the period over which the dispatch rate of a queue is
 	// measured.
 	rateWindow = 2 * time.Second
-	// minRateAge is the minimum age of a queue at which its dispatch rate is used.
+	// minRateAge is the minimum time for which a queue must have been busy for its dispatch rate to
+	// be used.
 	minRateAge = time.Second
 	// rankTTL is the time for which the computed order of a queue is used while
 	// no request is added or removed. Meanwhile, the order can change only
@@ -35,6 +38,8 @@
 type Queues struct {
 	mu     sync.Mutex
 	queues map[Key]*queue
+	// holds are the limits on teams that are ahead of their fair share.
+	holds map[fairshare.Key]*hold
 }
 
 // New returns an empty set of queues.
@@ -44,7 +49,9 @@
 
 // queue holds the requests that wait for one key.
 type queue struct {
-	createdAt time.Time
+	// busySince is the time since which requests that are not held back wait, or zero if none do.
+	// What is dispatched at other times says nothing of the room at endpoints.
+	busySince time.Time
 	// waiters are in dispatch order as of rankedAt. A zero rankedAt means that the
 	// order has to be computed again.
 	waiters  []*Waiter
@@ -73,6 +80,9 @@
 	// failed them or because they need an adapter. They do not block other
 	// requests.
 	Restricted bool
+	// Exempt requests are never held back for other teams, because a part of their response was
+	// sent.
+	Exempt bool
 }
 
 // Waiter is a request in a queue.
@@ -83,20 +93,26 @@
 	// ahead is the number of requests ahead of this one, blockedBy the number of
 	// those that must be dispatched first, which excludes restricted ones.
 	ahead, blockedBy int
+	// heldUntil is the time until which the request is held back because its team is ahead of its
+	// fair share, or zero.
+	heldUntil time.Time
 	// ready receives a value when the request may be dispatched.
 	ready chan struct{}
 }
 
 // HasAhead reports whether a queued request for the key would be dispatched
-// before a request that arrives now.
+// before a request that arrives now, or that one is held back.
 func (qs *Queues) HasAhead(key Key, req Request, now time.Time) bool {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	if h := qs.hold(key, req, now); h != nil && h.wait(0) > 0 {
+		return true
+	}
 	q, ok := qs.queues[key]
 	if !ok {
 		return false
 	}
-	q.rank(now)
+	q.rank(qs, now)
 	if first := q.waiters[0].Priority; first != req.Priority {
 		return first < req.Priority
 	}
@@ -109,6 +125,7 @@
 func (qs *Queues) Dispatched(key Key, req Request, now time.Time) {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	qs.chargeHold(key, req, now)
 	q, ok := qs.queues[key]
 	if !ok {
 		return
@@ -127,19 +144,30 @@
 	defer qs.mu.Unlock()
 	q, ok := qs.queues[key]
 	if !ok {
-		q = &queue{createdAt: now, classes: map[int]*class{}}
+		q = &queue{busySince: now, classes: map[int]*class{}}
 		qs.queues[key] = q
 	}
 	w := &Waiter{Request: req, queues: qs, key: key, ready: make(chan struct{}, 1)}
 	q.waiters = append(q.waiters, w)
-	q.add(req)
+	lead := 0.0
+	if h := qs.hold(key, req, now); h != nil {
+		lead = h.Ahead
+	}
+	q.add(req, lead)
 	q.rankedAt = time.Time{}
 	return w
 }
 
+// rank ranks the queue of a key. The caller holds mu.
+func (qs *Queues) rank(key Key, now time.Time) *queue {
+	q := qs.queues[key]
+	q.rank(qs, now)
+	return q
+}
+
 // rank sorts the requests into dispatch order, unless the order was computed
 // within rankTTL.
-func (q *queue) rank(now time.Time) {
+func (q *queue) rank(qs *Queues, now time.Time) {
 	if now.Sub(q.rankedAt) < rankTTL {
 		return
 	}
@@ -147,14 +175,15 @@
 	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int { return cmp.Compare(a.Priority, b.Priority) })
 	for from := 0; from < len(q.waiters); {
 		c := q.classes[q.waiters[from].Priority]
-		c.order(q.waiters[from:from+c.waiting], now)
+		c.order(qs, q.waiters[from:from+c.waiting], now)
 		from += c.waiting
 	}
+	q.markBusy(now)
 	blockedBy := 0
 	for i, w := range q.waiters {
 		w.ahead = i
 		w.blockedBy = blockedBy
-		if !w.Restricted {
+		if !w.Restricted && !w.heldUntil.After(now) {
 			blockedBy++
 		}
 	}
@@ -166,6 +195,9 @@
 		if w.blockedBy > 0 {
 			return
 		}
+		if w.heldUntil.After(q.rankedAt) {
+			continue
+		}
 		select {
 		case w.ready <- struct{}{}:
 		default:
@@ -200,7 +232,7 @@
 func (w *Waiter) MayDispatch(now time.Time) bool {
 	w.queues.mu.Lock()
 	defer w.queues.mu.Unlock()
-	w.queues.queues[w.key].rank(now)
+	w.queues.rank(w.key, now)
 	return w.blockedBy == 0
 }
 
@@ -211,13 +243,13 @@
 }
 
 // PredictedWait returns the time until the request is dispatched, as predicted
-// from the queue's dispatch rate. It returns 0 while the rate is not known.
+// from the queue's dispatch rate and for how long the request is held back. It
+// returns 0 while neither is known.
 func (w *Waiter) PredictedWait(now time.Time) time.Duration {
 	w.queues.mu.Lock()
 	defer w.queues.mu.Unlock()
-	q := w.queues.queues[w.key]
-	q.rank(now)
-	return time.Duration(w.ahead+1) * q.dispatchInterval(now)
+	q := w.queues.rank(w.key, now)
+	return max(time.Duration(w.ahead+1)*q.dispatchInterval(now), w.heldUntil.Sub(now))
 }
 
 // Remove removes the request from its queue. dispatched reports that it is sent
@@ -227,6 +259,7 @@
 	defer w.queues.mu.Unlock()
 	q := w.queues.queues[w.key]
 	if dispatched {
+		w.queues.chargeHold(w.key, w.Request, now)
 		q.classes[w.Priority].charge(w.Request)
 	}
 	q.remove(w.Request)
@@ -240,14 +273,28 @@
 	if dispatched {
 		q.dispatched = append(q.dispatched, now)
 	}
-	q.rank(now)
+	q.rank(w.queues, now)
 	q.notifyReady()
 }
 
+// markBusy updates busySince.
+func (q *queue) markBusy(now time.Time) {
+	switch free := slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return !w.heldUntil.After(now) }); {
+	case !free:
+		q.busySince = time.Time{}
+		q.dispatched = nil
+	case q.busySince.IsZero():
+		q.busySince = now
+	}
+}
+
 // dispatchInterval returns the mean interval between dispatches, or 0 if the
-// queue is not old enough to measure it.
+// queue has not been busy for long enough to measure it.
 func (q *queue) dispatchInterval(now time.Time) time.Duration {
-	period := min(rateWindow, now.Sub(q.createdAt))
+	if q.busySince.IsZero() {
+		return 0
+	}
+	period := min(rateWindow, now.Sub(q.busySince))
 	if period < minRateAge {
 		return 0
 	}
