--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/ratelimit"
@@ -179,6 +180,8 @@
 	SuspectsVersion int64 `json:"suspects_version,omitempty"`
 	// TeamLimits is what the node asks for the limits of teams, nil if none has one.
 	TeamLimits *ratelimit.NodeAsk `json:"team_limits,omitempty"`
+	// Uses is the work of teams since the node's last report.
+	Uses []fairshare.Use `json:"uses,omitempty"`
 }
 
 // Meter measures the demand at a node. Its methods are safe for concurrent use.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
@@ -51,8 +52,13 @@
 	// OnConfigConfirmed is called with a version of the configuration that the owner confirms
 	// as of a time on the clock of monotime. It may be nil.
 	OnConfigConfirmed func(version int64, at time.Duration)
-	HTTP              *http.Client
-	Log               *slog.Logger
+	// Shares measures the work of this node's teams. It may be nil.
+	Shares *fairshare.Meter
+	// OnLeads is called with the teams that are ahead of their fair share, as the owner answered a
+	// report that was sent at a time. It may be nil.
+	OnLeads func(leads []fairshare.Lead, sent time.Time)
+	HTTP    *http.Client
+	Log     *slog.Logger
 
 	mu    sync.Mutex
 	peers []string
@@ -179,6 +185,7 @@
 	report.Drains = c.Owner.Inventory.Current().UnlistedDrains(now)
 	report.ConfigVersion = c.ConfigVersion()
 	c.reported = nil
+	report.Uses = c.Shares.Report(now)
 	sent := c.addOwn(&report, holder, now)
 	limitsAskedAt := c.TeamLimits.addToReport(&report)
 	var response DemandResponse
@@ -211,6 +218,9 @@
 	c.storeResponse(holder, response)
 	c.TeamLimits.reportAnswered(response.TeamLimits, limitsAskedAt)
 	c.confirmConfig(response.Config, sentAt)
+	if c.OnLeads != nil {
+		c.OnLeads(response.Leads, now)
+	}
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
@@ -60,6 +61,8 @@
 	TeamLimits *ratelimit.NodeAnswer `json:"team_limits,omitempty"`
 	// Config confirms a version of the configuration. It is nil if the owner can't.
 	Config *ConfigConfirmation `json:"config,omitempty"`
+	// Leads are the teams that are ahead of their fair share of a service while others wait for it.
+	Leads []fairshare.Lead `json:"leads,omitempty"`
 }
 
 // AdapterResponse names the engine that has an adapter. ReadyMS is the time
@@ -174,7 +177,7 @@
 	if urgent {
 		engineOwner.Notify()
 	}
-	response := DemandResponse{Peers: aggregator.Nodes(now)}
+	response := DemandResponse{Peers: aggregator.Nodes(now), Leads: aggregator.Leads(now)}
 	response.PeersVersion = peersVersion(response.Peers)
 	if report.PeersVersion == response.PeersVersion {
 		response.Peers = nil
