Use one trace for an attempt's connection

Cause: Sender.Send kept its own record of the connection beside that of the guard. Two traces of one request are combined by reflection for each attempt. The record knew only the last connection, so an attempt that net/http had repeated on its own could count as not sent.

TestConfirmedAfterRowsArePassedOn lets a call of Changes end first, as otherwise it did not tell the two orders apart for changes.

--- a/internal/feed/confirmed_test.go
+++ b/internal/feed/confirmed_test.go
@@ -58,7 +58,7 @@
 	}
 	runFollower(t, set, func(s *fakeSource, _ *Follower, got func() []string) {
 		got()
-		time.Sleep(changesWait/2 + time.Millisecond)
+		time.Sleep(changesWait + changesWait/4)
 		s.next <- nil
 		got()
 		require.Equal(t, []bool{false, false}, ages)
--- a/internal/httpclient/guard.go
+++ b/internal/httpclient/guard.go
@@ -64,6 +64,13 @@
 	return g.refused
 }
 
+// Connected reports whether the request had a connection.
+func (g *Guard) Connected() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.conn != nil
+}
+
 // Written reports whether bytes of the request were written to a connection.
 func (g *Guard) Written() bool {
 	g.mu.Lock()
