Name the team of a forwarded request in the test of its charge

Change: the test names it.

Measured: TestTeamLimitCharges passes, and TestPausedNodeRefusesKey on the built program.

--- a/internal/relay/teamlimits_test.go
+++ b/internal/relay/teamlimits_test.go
@@ -79,7 +79,7 @@
 		"no limit":    {func(_ *Relay, req *Request) { req.Credential.Digest = team.DigestOf("b") }, nil},
 		"public":      {func(r *Relay, _ *Request) { r.Catalog().Route("h", "/repeat/x").Public = true }, nil},
 		"forwarded": {func(_ *Relay, req *Request) {
-			req.Forwarded = &Forwarded{Service: "s", MaxRuns: 1}
+			req.Forwarded = &Forwarded{Service: "s", MaxRuns: 1, Team: "a", ConfigVersion: 1}
 		}, nil},
 	}
 	for name, c := range cases {
