Use a connection again only after a response that names its request

Cause: A second copy of a response that arrives once the next request was written on its connection counts as the response to that. Only an id in the response told them apart. Without it a caller got another caller's response, and a request counted as not run since an earlier one was refused.

Change: httpclient.Begin and Confirm keep with each connection whether its last response named its request. If not, or for the same request again, nothing is written and another connection is taken. TestSendOnClosedConnection now has its endpoint name the request, as only such connections are kept.

Measured: TestSecondCopyOfResponse (four of seven kinds) and TestSecondCopyOfRefusalToRepeatedRequest fail before and pass now; TestConnectionsAreReused shows one connection for twenty requests.

--- a/internal/httpclient/counted.go
+++ b/internal/httpclient/counted.go
@@ -2,17 +2,27 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
-// countedConn counts the bytes that were written to a connection.
+// countedConn counts the bytes that were written to a connection, and keeps whether it may be
+// used again.
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+
+	mu sync.Mutex
+	// last is the last response, unusable means that nothing is written any more.
+	last     response
+	unusable bool
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if c.isUnusable() {
+		return 0, errNotReusable
+	}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	return n, err
