Send the end of a response though its caller has sent more

Cause: A response during a stop closes its connection. If the caller had sent its next request by then, the connection was closed with unread bytes. The kernel then resets it and drops what it has not sent yet, so a slow caller lost the end of a response that was written completely.

Measured: TestShutdownSendsWholeResponse fails in both cases before (connection reset) and passes now. All tests of internal/httpserver pass; TestBrokenOffResponseOfOldCaller passes.

--- a/internal/httpserver/abort.go
+++ b/internal/httpserver/abort.go
@@ -20,7 +20,8 @@
 		return
 	}
 	if c, ok := taken.(*conn); ok {
-		_ = c.SetLinger(0)
+		_ = c.Reset()
+		return
 	}
 	_ = taken.Close()
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -64,6 +64,8 @@
 	// with a response.
 	ending  bool
 	refused bool
+	// lingering means that the connection is being closed.
+	lingering bool
 	// deadline is the read deadline set by the HTTP server, deadlinesSet how often
 	// it was set since the last response.
 	deadline     time.Time
@@ -207,6 +209,9 @@
 // applyDeadline sets the deadline of the connection's reads. It returns an error
 // if the connection is closed. The caller holds mu.
 func (c *conn) applyDeadline() error {
+	if c.lingering {
+		return nil
+	}
 	if c.ending {
 		return c.TCPConn.SetReadDeadline(inThePast)
 	}
@@ -265,11 +270,12 @@
 	return connView{state: c.state, used: c.used, age: now.Sub(c.since), idleLimit: c.idleLimit}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A response that has been written is sent first, for a time.
 func (c *conn) Close() error {
 	if unread(c.TCPConn) {
 		closedUnread.Inc()
 	}
+	c.linger()
 	return c.TCPConn.Close()
 }
 
