Check permissions again before the first byte is written

Cause: The lease was checked before an order's call, permits and places when they were granted. A process that was paused afterwards wrote its bytes before the timers of its contexts ran: orders beside those of the new owner, requests beyond a rate limit. A former owner also granted places to requests that had waited since before its lease ended.

Change: httpclient.WithGuard checks a call's permission in the write of its first byte. Orders are guarded by lease and token, requests by their deadline and by a permit for 1 s from the ask, on the clock that counts suspension. The owner checks its lease before each grant of a place.

--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -223,6 +223,11 @@
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(request.MaxWaitMS)*time.Millisecond, maxPlaceWait))
 	defer cancel()
 	for {
+		// The lease may have been lost while the request waited.
+		if _, ok := p.Lease.Grant(); !ok {
+			p.limiter.Forget(ask.Request)
+			return placeResponse{}, owner.ErrNotOwner
+		}
 		endpoint, granted, changed := p.limiter.Begin(ask, time.Now())
 		if granted {
 			return placeResponse{Granted: true, Endpoint: endpoint}, nil
--- a/internal/httpclient/counted.go
+++ b/internal/httpclient/counted.go
@@ -16,12 +16,14 @@
 	// last is the last response, unusable means that nothing is written any more.
 	last     response
 	unusable bool
+	// allowed is checked before the next write, unless it is nil.
+	allowed func() bool
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
-	if c.isUnusable() {
-		return 0, errNotReusable
+	if err := c.checkWrite(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,6 +17,7 @@
 
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
+	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/lease"
 	"chestnutgauge/internal/orders"
@@ -329,7 +330,7 @@
 }
 
 // call sends an order if the lease is still held under the given fencing token.
-// It checks the lease immediately before the call.
+// It checks the lease immediately before the call, and again before its first byte is written.
 func (o *Owner) call(ctx context.Context, to orders.Engine, order orders.Order, accepted, fence int64) (orders.Result, error) {
 	grant, ok := o.Lease.Grant()
 	if !ok || grant.Fence != fence {
@@ -337,7 +338,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, grant.Left))
 	defer cancel()
-	return o.Engines.Order(ctx, to, order, accepted, fence)
+	holds := func() bool {
+		grant, ok := o.Lease.Grant()
+		return ok && grant.Fence == fence
+	}
+	return o.Engines.Order(httpclient.WithGuard(ctx, holds), to, order, accepted, fence)
 }
 
 // report requests an engine's report and records it.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -126,7 +126,7 @@
 	if run != outcome.NotRun {
 		x.attempts++
 	}
-	if ctx.Err() == nil && !errors.Is(err, errSuspected) {
+	if ctx.Err() == nil && !errors.Is(err, errSuspected) && !errors.Is(err, ErrPermissionExpired) {
 		x.wayTo(endpoint).failed(run, alone)
 	}
 	result := attemptResult{run: run, unsent: run == outcome.NotRun, cause: err}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,6 +66,9 @@
 	// permits are the expected permits for endpoints with a rate limit that granted
 	// none yet.
 	permits map[inventory.Key]expectedPermit
+	// permittedUntil is the end of the permit that the next attempt has, on the clock of
+	// monotime, or 0 if it needs none.
+	permittedUntil time.Duration
 	// identity is what crashes of endpoints can be blamed on.
 	identity suspect.Request
 	// trialPermit is the expected permit to run alone on any endpoint, or zero.
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -56,10 +56,12 @@
 // is to ask again. maxWait is how long the request can wait for a permit.
 func (x *exchange) permitted(ctx context.Context, endpoint *inventory.Endpoint, priority int, maxWait time.Duration) bool {
 	key := endpoint.Key()
+	x.permittedUntil = 0
 	perSecond, state := x.relay.Limits.Get(key)
 	if state != notice.LimitNamed {
 		return true
 	}
+	asked := x.relay.monotime()
 	answer := x.relay.Permits.Ask(ctx, key, perSecond, ratelimit.Ask{
 		Request:  x.req.ID,
 		Priority: priority,
@@ -68,6 +70,7 @@
 	})
 	if answer.Granted {
 		permitsGranted.Inc()
+		x.permittedUntil = asked + permitValidity
 		delete(x.permits, key)
 		return true
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/load"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/retry"
 	"chestnutgauge/internal/suspect"
@@ -51,6 +52,8 @@
 	// others, so that no load can be ordered.
 	Isolated func() bool
 	Log      *slog.Logger
+	// Clock measures for how long permissions hold. Nil means monotime.Now.
+	Clock monotime.Clock
 }
 
 // Relay serves requests. Its methods are safe for concurrent use.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -79,8 +80,15 @@
 	Service  string
 	MaxRuns  int
 	Required inventory.Requirement
+	// Allowed reports whether the permission to send the request still holds. It is checked
+	// right before the first byte is written. Nil means that it needs none.
+	Allowed func() bool
 }
 
+// ErrPermissionExpired is the cause of attempts that were not sent since the permission to
+// send them had expired.
+var ErrPermissionExpired = errors.New("relay: the permission to send the request has expired")
+
 // Load is the load that an endpoint reports with a response.
 type Load struct {
 	Running int
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -62,6 +62,7 @@
 		Service:   x.service.Name,
 		MaxRuns:   x.maxRuns() - x.possibleRuns,
 		Required:  x.required,
+		Allowed:   x.sendPermission(),
 	}
 	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
 		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes)
