--- a/internal/httpclient/guard.go
+++ b/internal/httpclient/guard.go
@@ -5,75 +5,52 @@
 	"errors"
 	"net"
 	"net/http/httptrace"
-	"sync"
 )
 
-// errGuard is the cause of calls that a guard prevented.
-var errGuard = errors.New("httpclient: request is no longer permitted")
+// ErrNotAllowed is the error of a call that was not made since its permission had expired.
+// Nothing of it was written.
+var ErrNotAllowed = errors.New("httpclient: the permission for the call has expired")
 
-// Guard makes a check when a request has its connection, before the first byte is written. If
-// the check fails, the connection is closed, so that nothing is written to it.
-type Guard struct {
-	check  func() bool
-	cancel context.CancelCauseFunc
+// guardKey is the key of a context's guard.
+type guardKey struct{}
 
-	mu      sync.Mutex
-	refused bool
-	// conn is the connection of the request, before the number of bytes that had been written
-	// to it when the request got it.
-	conn   net.Conn
-	before int64
-	// written means that bytes were written to an earlier connection: net/http repeats some
-	// requests on its own.
-	written bool
+// WithGuard returns a context whose calls over a transport of this package are made only if
+// allowed, which is checked once the connection is established, right before the first byte
+// is written. The process may have been suspended since it was checked before: the timeouts of
+// a context end a call that is due only once their timers run.
+func WithGuard(ctx context.Context, allowed func() bool) context.Context {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { guard(info.Conn, allowed) }}
+	return context.WithValue(httptrace.WithClientTrace(ctx, trace), guardKey{}, allowed)
 }
 
-// NewGuard returns a guard of one request, and the context for it. ctx must end after the
-// request; check must be quick.
-func NewGuard(ctx context.Context, check func() bool) (context.Context, *Guard) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	g := &Guard{check: check, cancel: cancel}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: g.gotConn}), g
+// Allowed reports whether a call with the context may still be made.
+func Allowed(ctx context.Context) bool {
+	allowed, ok := ctx.Value(guardKey{}).(func() bool)
+	return !ok || allowed()
 }
 
-func (g *Guard) gotConn(info httptrace.GotConnInfo) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.written = g.written || g.wroteHere()
-	g.conn, g.before = info.Conn, BytesWritten(info.Conn)
-	if g.check() {
+// guard has the next write to a connection checked.
+func guard(conn net.Conn, allowed func() bool) {
+	c, ok := conn.(*countedConn)
+	if !ok {
 		return
 	}
-	g.refused = true
-	// The cancellation alone would not keep net/http from writing the request, and without it
-	// net/http could repeat the request on another connection.
-	g.cancel(errGuard)
-	_ = info.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.allowed = allowed
 }
 
-// wroteHere reports whether bytes of the request were written to its connection. The caller
-// holds mu.
-func (g *Guard) wroteHere() bool {
-	return g.conn != nil && BytesWritten(g.conn) > g.before
-}
-
-// Refused reports whether the check failed.
-func (g *Guard) Refused() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.refused
-}
-
-// Connected reports whether the request had a connection.
-func (g *Guard) Connected() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.conn != nil
-}
-
-// Written reports whether bytes of the request were written to a connection.
-func (g *Guard) Written() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.written || g.wroteHere()
+// checkWrite returns an error if nothing may be written.
+func (c *countedConn) checkWrite() error {
+	c.mu.Lock()
+	unusable, allowed := c.unusable, c.allowed
+	c.allowed = nil
+	c.mu.Unlock()
+	switch {
+	case unusable:
+		return errNotReusable
+	case allowed != nil && !allowed():
+		return ErrNotAllowed
+	}
+	return nil
 }
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -67,6 +67,7 @@
 		Service:   x.service.Name,
 		MaxRuns:   x.maxRuns() - x.possibleRuns,
 		Required:  x.required,
+		Allowed:   x.sendPermission(),
 
 		ConfigVersion: x.authorizedBy,
 	}
