Don't wait for tokens beyond the caller's deadline

Cause: a request waits for up to 300 ms for the owner's answer, also if its caller waits for less. A caller that left meanwhile was logged and counted as a refusal of its team.

Change: the wait ends at the request's deadline; requests that were cancelled are not recorded.

Measured: internal/relay and internal/fleet pass.

--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -85,7 +85,9 @@
 	if admission.Verdict == ratelimit.Pending {
 		admission = l.await(ctx, caller, cost)
 	}
-	l.record(admission)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		l.record(admission)
+	}
 	return admission
 }
 
--- a/internal/relay/teamlimits.go
+++ b/internal/relay/teamlimits.go
@@ -28,6 +28,8 @@
 	if cost <= 0 {
 		return ratelimit.Admission{}, nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
 	admission := x.relay.TeamLimits.Admit(ctx, x.team, cost)
 	switch admission.Verdict {
 	case ratelimit.Admitted:
--- a/internal/relay/teamlimits_test.go
+++ b/internal/relay/teamlimits_test.go
@@ -19,9 +19,12 @@
 	verdict  ratelimit.Verdict
 	costs    []float64
 	returned int
+	// deadline is the one of the last request.
+	deadline time.Time
 }
 
-func (f *fakeTeamLimits) Admit(_ context.Context, _ *team.Team, cost float64) ratelimit.Admission {
+func (f *fakeTeamLimits) Admit(ctx context.Context, _ *team.Team, cost float64) ratelimit.Admission {
+	f.deadline, _ = ctx.Deadline()
 	f.costs = append(f.costs, cost)
 	return ratelimit.Admission{Verdict: f.verdict, RetryAfter: 7 * time.Second}
 }
@@ -58,7 +61,9 @@
 	for verdict, reason := range map[ratelimit.Verdict]Reason{ratelimit.OverLimit: ReasonOverLimit, ratelimit.NoOwner: ReasonNoLimitOwner} {
 		endpoints := &fakeEndpoints{}
 		r, limits := newLimitedRelay(t, endpoints, verdict)
-		failure := r.Serve(t.Context(), keyedRequest("a"), &fakeAnswer{})
+		req := keyedRequest("a")
+		failure := r.Serve(t.Context(), req, &fakeAnswer{})
+		require.Equal(t, req.Deadline, limits.deadline, "the request does not wait for longer than its caller")
 		require.Equal(t, &Failure{Reason: reason, Run: outcome.NotRun, RetryAfter: 7 * time.Second}, failure)
 		require.Equal(t, []float64{120}, limits.costs)
 		require.Empty(t, endpoints.attempts)
