Leave room to waiting requests that can use few endpoints, and refuse with the predicted wait

Cause: queues are kept by service and model, so that a less urgent request for a model that many endpoints hold took the last free slot of the only endpoint that an urgent request for another model could use. A request that had waited for as long as it could was told to return after a second, whatever the queue.

Change: internal/reserve decides what a request leaves to others. A waiting request that can use at most eight endpoints, and not all of its service, claims them; requests that have a choice go elsewhere, for two seconds, and less urgent ones leave it the slots that become free. The choice sees what is left as full. The late refusal names the predicted wait, if one is known.

Packages relay, reserve, noded, fleet, waitqueue and testsystem pass.

--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -138,7 +138,7 @@
 		return refuse(reason, availableAt.Sub(now))
 	}
 	if now.After(latest) {
-		return refuse(reason, loadRetryAfter)
+		return refuse(reason, x.lateRetryAfter(queued, w, now))
 	}
 	if verdict == choose.Absent && x.req.Model != "" && !x.started && x.relay.Isolated() {
 		return refuse(reason, isolatedRetryAfter)
@@ -154,6 +154,15 @@
 	return nil
 }
 
+// lateRetryAfter returns the retry delay of a request that has waited for as long as it can: the wait
+// that is predicted for it if endpoints have no room, as the next try would take its place.
+func (x *exchange) lateRetryAfter(queued bool, w *wait, now time.Time) time.Duration {
+	if predicted := w.predictedWait(now); queued && predicted > 0 && !x.limited {
+		return min(predicted, maxRetryAfter)
+	}
+	return loadRetryAfter
+}
+
 // latestWait returns the time until which a request waits, and when an endpoint
 // can take it, zero if that is unknown.
 func (x *exchange) latestWait(verdict choose.Verdict, queued bool) (latest, availableAt time.Time) {
@@ -205,6 +214,7 @@
 	candidates := x.candidateList(snapshot, now)
 	x.markCached(candidates)
 	x.recordCandidates(candidates, now)
+	candidates = x.leaveRoom(candidates, now)
 	chosen, verdict := x.relay.chooser.Choose(x.choiceRequest(now), candidates, newRand())
 	if verdict != choose.Found {
 		return nil, verdict
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,6 +55,8 @@
 	candidates, ejected, leaving, cooling int
 	// cut is the number of candidates that stay and that only other nodes reach.
 	cut int
+	// fewEndpoints are the endpoints that the request could use when one was last chosen, if they are few.
+	fewEndpoints []string
 	// budgetCounted reports whether the request was counted in the retry budget.
 	budgetCounted bool
 	// throttleEnd is when the first of them should be available if all of them that
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -25,6 +25,7 @@
 	requestsHeldBack  = metrics.NewCounter(`chestnut_fair_share_requests_held_total`)
 	heldRefused       = metrics.NewCounter(`chestnut_fair_share_requests_held_refused_total`)
 	teamsHeldBack     = metrics.NewGauge(`chestnut_fair_share_teams_held`, nil)
+	roomLeft          = metrics.NewCounter(`chestnut_room_left_to_others_total`)
 	requestSeconds    = metrics.NewHistogram(`chestnut_relay_request_seconds`)
 	firstSeconds      = metrics.NewHistogram(`chestnut_relay_first_byte_seconds`)
 	modelWaitSeconds  = metrics.NewHistogram(`chestnut_relay_model_wait_seconds`)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/load"
 	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/reserve"
 	"chestnutgauge/internal/retry"
 	"chestnutgauge/internal/suspect"
 	"chestnutgauge/internal/waitqueue"
@@ -69,6 +70,7 @@
 	adapters  *adapterLocations
 	queues    *waitqueue.Queues
 	held      heldTeams
+	claims    *reserve.Book
 	inFlight  atomic.Int64
 	// shutdown is cancelled when the process is about to exit.
 	shutdown      context.Context
@@ -93,6 +95,7 @@
 		stale:         newStaleEntries(),
 		adapters:      newAdapterLocations(),
 		queues:        waitqueue.New(),
+		claims:        reserve.NewBook(),
 		budgets:       map[string]*retry.Budget{},
 	}
 }
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -21,6 +21,8 @@
 	reason string
 	// held reports whether the request was held back for other teams.
 	held bool
+	// claimed reports whether the request has claimed the endpoints that it can use.
+	claimed bool
 	// waiter is nil while the request is not in a queue.
 	waiter *waitqueue.Waiter
 }
@@ -42,16 +44,13 @@
 
 func (w *wait) request() waitqueue.Request {
 	req := waitqueue.Request{
-		Priority:   w.x.priority(),
+		Priority:   w.x.queuePriority(),
 		Team:       w.x.teamName(),
 		Work:       w.x.work(),
 		Arrived:    w.x.req.Arrived,
 		Exempt:     w.x.started || w.x.required.Required,
 		Restricted: len(w.x.tried) > 0 || w.x.req.Adapter != "" || w.x.required.Required,
 	}
-	if w.x.required.Required {
-		req.Priority = resumedPriority
-	}
 	if target := w.x.route.TargetLatency; target > 0 {
 		req.Due = req.Arrived.Add(target)
 	}
@@ -91,6 +90,7 @@
 	if w.waiter == nil && verdict != choose.Absent {
 		w.enqueue()
 	}
+	w.claim(verdict)
 }
 
 // predictedWait returns how long the request is expected to remain in the
@@ -112,6 +112,9 @@
 	} else if dispatched {
 		w.x.relay.queues.Dispatched(w.key, w.request(), time.Now())
 	}
+	if w.claimed {
+		w.x.relay.claims.Release(w.key.Service, w.x.req.ID, time.Now())
+	}
 	if w.counted {
 		w.x.relay.Demand.AddWaiting(w.key.Service, w.key.Model, w.x.required, -1)
 		modelWaitSeconds.Update(time.Since(w.startTime).Seconds())
