Skip the shares where only one team waits, and fix a race in a test

Cause: without teams, each ranking of a queue still simulated the dispatches one by one. TestHeldBack read the requests that were sent without the lock.

Change: the requests of a class with one team are only sorted.

Measured: waitqueue, relay, reserve, fleet, demand and router pass; with the race detector relay fails before (TestHeldBack only) and passes after, the others pass.

--- a/internal/relay/fair_test.go
+++ b/internal/relay/fair_test.go
@@ -104,7 +104,12 @@
 		r := busyRelay(t, &callers)
 		defer callers.Wait()
 		r.HoldBack(leadOf("flood", 1), time.Now())
-		sent := func() int { return len(r.Sender.(*slowEndpoints).ids) }
+		sent := func() int {
+			endpoints := r.Sender.(*slowEndpoints)
+			endpoints.mu.Lock()
+			defer endpoints.mu.Unlock()
+			return len(endpoints.ids)
+		}
 		callers.Go(func() {
 			require.Nil(t, r.Serve(context.Background(), requestOf("flood", "repeat", "m"), &fakeAnswer{}))
 		})
--- a/internal/waitqueue/class.go
+++ b/internal/waitqueue/class.go
@@ -183,6 +183,12 @@
 		}
 	}
 	slices.SortStableFunc(held, func(a, b *Waiter) int { return a.heldUntil.Compare(b.heldUntil) })
+	if len(groups) == 1 {
+		// Without teams, the order needs no shares.
+		copy(waiters, groups[0].items)
+		copy(waiters[len(groups[0].items):], held)
+		return
+	}
 	clock := c.clock
 	for i := range len(waiters) - len(held) {
 		g := next(&clock, groups, now)
