Run the floods without limits across nodes for 15 s

Cause: with one node as the way in, the others lose their requests over several seconds.

Change: 15 s for the runs that must break the bound.

Package fairshare passes.

--- a/internal/fairshare/flood_test.go
+++ b/internal/fairshare/flood_test.go
@@ -82,7 +82,7 @@
 			}
 			require.LessOrEqual(t, cost(true, 20*time.Second), maxFloodCost)
 			if !tc.alone {
-				require.Greater(t, cost(false, 6*time.Second), maxFloodCost, "the load does not need limits across nodes")
+				require.Greater(t, cost(false, 15*time.Second), maxFloodCost, "the load does not need limits across nodes")
 			}
 		})
 	}
