Bound what a node holds for slow callers and endpoints

Cause: Bodies of requests were held without a bound in total, and each response up to 1 MiB. A caller that took nothing held its response for as long as it kept its connection open.

Change: internal/membudget accounts for bodies and buffered responses, at most 0.1 of limits.memoryMb. Beyond it large requests are refused at once with 503, not run, and responses are forwarded as the caller takes them. A caller that takes nothing for 10 s is closed. docs/design/ memory.md says what is bounded and what not; tokens of engines (kvCacheTokens) are not.

Measured: TestSlowBodiesAreBounded (12 of 12 bodies held instead of 5), TestCallerThatTakesNothing and TestResponsesBeyondMemory fail without it and pass now; TestSlowCallerIsServed shows that slow callers are not cut. The tests of internal/relay, fleet, noded, httpserver and membudget pass.

--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/relay"
 )
@@ -16,6 +18,8 @@
 	Serve func(ctx context.Context, req *relay.Request, answer relay.Answer) (runs int, failure *relay.Failure)
 	// Closing reports whether the node shuts down.
 	Closing func() bool
+	// Memory bounds the bytes of the requests that are held. Nil means no bound.
+	Memory *membudget.Budget
 }
 
 // ServeHTTP implements http.Handler.
@@ -25,15 +29,20 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	share := f.Memory.Open()
+	defer share.Close()
+	body, err := io.ReadAll(share.Reader(r.Body))
+	full := errors.Is(err, membudget.ErrFull)
+	if err != nil && !full {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	w.Header().Set("Trailer", headerForwardEnd)
 	answer := &forwardAnswer{w: w, control: http.NewResponseController(w)}
 	var ended forwardEnd
-	if f.Closing() {
+	if full {
+		ended = forwardEnd{Reason: relay.ReasonNotReady, Run: outcome.NotRun}
+	} else if f.Closing() {
 		ended = forwardEnd{Reason: relay.ReasonShuttingDown, Run: outcome.NotRun}
 	} else {
 		runs, failure := f.Serve(r.Context(), described.request(r.Header, body), answer)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -248,6 +248,8 @@
 	defer c.mu.Unlock()
 	c.state, c.since, c.idleLimit = connIdle, time.Now(), idleLimit
 	c.deadlinesSet = 0
+	// A handler may have limited the time of its writes.
+	_ = c.SetWriteDeadline(time.Time{})
 }
 
 // connView is the state of a connection at one time.
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"chestnutgauge/internal/membudget"
 )
 
 const (
@@ -14,8 +16,44 @@
 	// refusedBodyTimeout bounds the time for which the rest of a refused request is
 	// read, so that closing its connection does not reset the response.
 	refusedBodyTimeout = time.Second
+	// fullRetryAfter is the time, in seconds, after which a caller whose body there was no
+	// memory for may come back.
+	fullRetryAfter = "1"
+	// smallBody is the length of bodies for which there is always memory.
+	smallBody = 16 << 10
 )
 
+// HoldBody has the body of a request be held by a share of the memory for bodies. It makes
+// room for all of it at once if its length is known and allowed: otherwise a body would be
+// refused after most of it has been read.
+func HoldBody(r *http.Request, share *membudget.Share, limits Limits) {
+	known := r.ContentLength >= 0
+	if known && r.ContentLength <= smallBody {
+		return
+	}
+	if known && (limits.BodyBytes == 0 || r.ContentLength <= limits.BodyBytes) && !share.Grow(r.ContentLength) {
+		r.Body = noMemory{r.Body}
+		return
+	}
+	r.Body = heldBody{share.Reader(r.Body), r.Body}
+}
+
+// heldBody is a body whose bytes a share of memory holds.
+type heldBody struct {
+	io.Reader
+	io.Closer
+}
+
+// noMemory is a body that there is no memory for.
+type noMemory struct {
+	io.Closer
+}
+
+// Read implements io.Reader.
+func (noMemory) Read([]byte) (int, error) {
+	return 0, membudget.ErrFull
+}
+
 // ReadBody reads a request's body within limits. If the request exceeds them,
 // it sends the error response and returns false.
 func ReadBody(w http.ResponseWriter, r *http.Request, limits Limits) ([]byte, bool) {
@@ -40,6 +78,9 @@
 		return body, true
 	case errors.As(err, &tooLarge):
 		refuse(w, "body too large", http.StatusRequestEntityTooLarge)
+	case errors.Is(err, membudget.ErrFull):
+		w.Header().Set("Retry-After", fullRetryAfter)
+		refuse(w, "no memory for the body", http.StatusServiceUnavailable)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		refuse(w, "body not read in time", http.StatusRequestTimeout)
 	default:
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -18,6 +18,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/relay"
@@ -96,6 +97,7 @@
 	forwarding      *fleet.Forwarding
 	rejectionLimits *notice.Limits[string]
 	places          *fleet.Places
+	memory          *membudget.Budget
 	isolation       isolation.Detector
 	shuttingDown    atomic.Bool
 }
@@ -107,6 +109,7 @@
 	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
+	n.memory = membudget.New(bodyMemory(s.MemoryMB))
 	store := platform.NewStore(s.StoreAddress, log)
 	self := n.peerAddress()
 	n.meter = demand.NewMeter(self)
@@ -199,6 +202,7 @@
 		Trials:          n.suspects,
 		Origins:         n.origins,
 		Isolated:        n.isolation.Isolated,
+		Memory:          n.memory,
 		Budget:          relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:             log,
 	})
@@ -245,7 +249,7 @@
 		Forwarding:      n.forwarding,
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
-		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
+		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load, Memory: n.memory},
 		OnConfigVersion: n.config.NotifyVersion,
 		Log:             n.log,
 	}
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -36,6 +36,8 @@
 	})
 	metrics.GetOrCreateGauge("chestnut_suspects", func() float64 { return float64(n.suspects.Known.Len()) })
 	metrics.GetOrCreateGauge("chestnut_stream_origins", func() float64 { return float64(n.origins.Len()) })
+	metrics.GetOrCreateGauge("chestnut_body_bytes_held", func() float64 { return float64(n.memory.Held()) })
+	metrics.GetOrCreateGauge("chestnut_body_memory_full_total", func() float64 { return float64(n.memory.Refusals()) })
 	metrics.GetOrCreateGauge("chestnut_links_cut", func() float64 { return float64(n.forwarding.Cuts()) })
 	metrics.GetOrCreateGauge("chestnut_store_era", func() float64 { return float64(n.store.Eras().Era()) })
 	metrics.GetOrCreateGauge("chestnut_store_position_age_seconds", n.storePositionAge)
--- a/internal/noded/settings.go
+++ b/internal/noded/settings.go
@@ -32,6 +32,7 @@
 		return
 	}
 	setMemoryLimit(next.MemoryMB)
+	n.memory.SetLimit(bodyMemory(next.MemoryMB))
 	n.relay.SetBudget(next.RetryShare, next.RetryExtra)
 	n.settings.Store(&next)
 	n.log.Info("settings read again", "changed", true, "restart_needed", needsRestart(active, next), "trigger", string(trigger), "changes", changes)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/outcome"
 )
 
@@ -18,12 +19,13 @@
 // forwards it.
 func (x *exchange) forwardBuffered(ctx context.Context, s *sending) attemptResult {
 	reply := s.reply
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody))
+	share := x.relay.Memory.Open()
+	defer share.Close()
+	body, whole, err := readBuffered(reply.Body, share)
 	if err != nil {
 		return x.bodyLost(ctx, s, len(body) > 0, err)
 	}
 	buffered := &bufferedReply{Reply: *reply, body: body}
-	whole := len(body) < maxBufferedBody
 	if reply.Status >= http.StatusInternalServerError && x.route.Repeatable() && !s.way.triesOthers() {
 		result := attemptResult{run: outcome.Ran, cause: statusError(reply.Status)}
 		if whole {
@@ -47,6 +49,17 @@
 	return attemptResult{done: true}
 }
 
+// readBuffered reads a body to its end, until the buffer is full, or until there is no memory
+// for more. The rest is then forwarded as fast as the caller takes it. whole means that the
+// body was read to its end.
+func readBuffered(from io.Reader, share *membudget.Share) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(share.Reader(io.LimitReader(from, maxBufferedBody)))
+	if errors.Is(err, membudget.ErrFull) {
+		return body, false, nil
+	}
+	return body, len(body) < maxBufferedBody, err
+}
+
 // bodyLost handles a response whose connection was lost before its end. begun means
 // that a part of its body had arrived.
 func (x *exchange) bodyLost(ctx context.Context, s *sending, begun bool, err error) attemptResult {
--- a/internal/relay/permission_test.go
+++ b/internal/relay/permission_test.go
@@ -64,6 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := &guardedEngines{pauses: []func(){func() { time.Sleep(10 * time.Second) }}}
 		failure := newRelay(engines).Serve(t.Context(), request("once", "m"), &fakeAnswer{})
+		require.NotNil(t, failure)
 		require.Equal(t, outcome.NotRun, failure.Run)
 		require.Empty(t, engines.sent)
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/load"
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/retry"
@@ -52,6 +53,8 @@
 	// others, so that no load can be ordered.
 	Isolated func() bool
 	Log      *slog.Logger
+	// Memory bounds the bytes of responses that are buffered. Nil means no bound.
+	Memory *membudget.Budget
 	// Clock measures for how long permissions hold. Nil means monotime.Now.
 	Clock monotime.Clock
 }
