--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -19,6 +19,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/isolation"
 	"chestnutgauge/internal/lease"
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
@@ -100,6 +101,7 @@
 	rejectionLimits *notice.Limits[string]
 	places          *fleet.Places
 	teamLimits      *fleet.TeamLimits
+	memory          *membudget.Budget
 	isolation       isolation.Detector
 	shuttingDown    atomic.Bool
 }
@@ -111,6 +113,7 @@
 	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
+	n.memory = membudget.New(bodyMemory(s.MemoryMB))
 	store := platform.NewStore(s.StoreAddress, log)
 	self := n.peerAddress()
 	n.meter = demand.NewMeter(self)
@@ -229,6 +232,7 @@
 		Origins:         n.origins,
 		Isolated:        n.isolation.Isolated,
 		Authority:       keyAuthority{n.settings.Load, n.config.ConfirmedAge},
+		Memory:          n.memory,
 		Budget:          relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:             log,
 	})
@@ -277,7 +281,7 @@
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
 		TeamLimits:      n.teamLimits,
-		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
+		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load, Memory: n.memory},
 		OnConfigVersion: n.config.NotifyVersion,
 
 		ConfigConfirmation: n.config.Confirmation,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"chestnutgauge/internal/fairshare"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/load"
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/reserve"
@@ -60,6 +61,8 @@
 	// others, so that no load can be ordered.
 	Isolated func() bool
 	Log      *slog.Logger
+	// Memory bounds the bytes of responses that are buffered. Nil means no bound.
+	Memory *membudget.Budget
 	// Clock measures for how long permissions hold. Nil means monotime.Now.
 	Clock monotime.Clock
 }
