Let the owner place the requests of small plain services

Cause: a node knows an endpoint by the responses to its own requests: with twelve nodes and 370 requests/s, five a second from each endpoint, each 0.2 s old on average, while a request takes 0.05 s.

Change: nodes ask the owner for a place for each request to a plain service with at most 64 slots and 12 slots for each node, and tell it the end, the time taken and the slowness. It is advice: without an answer within 40 ms the node chooses as before and does not ask for 0.5 s. The owner grants at most 800 a second. Places of requests that ended unheard last 1 s or ten times the time of a request. Services with models, rate limits or rejection limits are not affected.

--- /dev/null
+++ b/internal/choose/balance_sim_test.go
@@ -0,0 +1,368 @@
+package choose_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"chestnutgauge/internal/choose"
+	"chestnutgauge/internal/load"
+)
+
+// This file simulates choosers before endpoints, without a network and without elapsed
+// time. It measures how often a request waits while another endpoint has a free slot, and
+// the response times.
+
+// scenario is one load.
+type scenario struct {
+	choosers  int
+	endpoints int
+	slots     int
+	// rate is in requests a second over all choosers, work the mean time of a request.
+	rate float64
+	work time.Duration
+	// speeds are the factors of the time at the endpoints, repeated over them.
+	speeds []float64
+	// slow is the factor of the time at one endpoint, which is drawn again each redraw.
+	slow   float64
+	redraw time.Duration
+	// slowness means that the endpoints report their slowness.
+	slowness bool
+	// age delays the reports on their way to the chooser.
+	age time.Duration
+	// churn is the interval at which another endpoint leaves for that time, pauses the one at
+	// which another endpoint starts nothing for half of that time.
+	churn, pauses time.Duration
+	// oneWay is the time of a message between a chooser and the owner.
+	oneWay   time.Duration
+	duration time.Duration
+}
+
+// link is the one-way time between a chooser and an endpoint.
+const link = 500 * time.Microsecond
+
+var simStart = time.Unix(1000, 0)
+
+// event is an action at a time.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
+
+// simEndpoint runs up to slots requests at once and queues the others in order of arrival.
+type simEndpoint struct {
+	name    string
+	slots   int
+	speed   float64
+	slow    float64
+	away    bool
+	paused  bool
+	running int
+	queue   []*simRequest
+}
+
+// factor is how long work takes compared with the usual time.
+func (e *simEndpoint) factor() float64 { return e.speed * e.slow }
+
+func (e *simEndpoint) free() bool { return !e.away && !e.paused && e.running < e.slots }
+
+type simRequest struct {
+	chooser int
+	arrived time.Duration
+	work    time.Duration
+	// endpoint is the chosen one.
+	endpoint int
+	// misplaced means that it waited while another endpoint had a free slot.
+	misplaced bool
+	// place is used by policies with an owner.
+	place bool
+}
+
+// policy chooses endpoints.
+type policy interface {
+	// choose calls s.send for the request now or later.
+	choose(s *sim, r *simRequest)
+	// report brings a report of an endpoint to a chooser.
+	report(s *sim, r *simRequest, running, waiting int, slowness float64)
+	// answered tells the chooser of a response and the time since it was sent.
+	answered(s *sim, r *simRequest, took time.Duration)
+}
+
+// sim is one run.
+type sim struct {
+	scenario
+	now      time.Duration
+	queue    events
+	order    int
+	rng      *rand.Rand
+	servers  []*simEndpoint
+	policy   policy
+	result   result
+	sentAt   map[*simRequest]time.Duration
+	messages int
+}
+
+// result is what a run measured.
+type result struct {
+	requests  int
+	misplaced int
+	times     []time.Duration
+	messages  int
+}
+
+func (r result) share() float64 { return float64(r.misplaced) / float64(max(1, r.requests)) }
+
+func (r result) quantile(q float64) time.Duration {
+	return r.times[int(q*float64(len(r.times)-1))]
+}
+
+func (s *sim) time() time.Time { return simStart.Add(s.now) }
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.queue, event{s.now + d, s.order, do})
+}
+
+// every repeats an action until the end of the run.
+func (s *sim) every(interval time.Duration, do func()) {
+	if s.now >= s.duration {
+		return
+	}
+	s.after(interval, func() { do(); s.every(interval, do) })
+}
+
+// simulate runs a scenario. Arrivals, work and endpoints depend on the seed only.
+func simulate(sc scenario, p policy, seed uint64) result {
+	s := &sim{scenario: sc, policy: p, rng: rand.New(rand.NewPCG(seed, 1)), sentAt: map[*simRequest]time.Duration{}}
+	for i := range sc.endpoints {
+		e := &simEndpoint{name: strconv.Itoa(i), slots: sc.slots, speed: 1, slow: 1}
+		if len(sc.speeds) > 0 {
+			e.speed = sc.speeds[i%len(sc.speeds)]
+		}
+		s.servers = append(s.servers, e)
+	}
+	s.disturb(rand.New(rand.NewPCG(seed, 2)))
+	s.arrive()
+	for s.queue.Len() > 0 && s.now < sc.duration+drainTime {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	slices.Sort(s.result.times)
+	s.result.messages = s.messages
+	return s.result
+}
+
+// drainTime is the time after the last arrival after which a run ends. Requests that have no
+// answer then count as unanswered.
+const drainTime = 10 * time.Second
+
+// disturb starts what changes the endpoints.
+func (s *sim) disturb(rng *rand.Rand) {
+	if s.slow > 1 {
+		last := 0
+		redraw := func() {
+			s.servers[last].slow = 1
+			last = rng.IntN(len(s.servers))
+			s.servers[last].slow = s.slow
+		}
+		redraw()
+		s.every(s.redraw, redraw)
+	}
+	if s.churn > 0 {
+		s.every(s.churn, func() {
+			e := s.servers[rng.IntN(len(s.servers))]
+			e.away = true
+			s.after(s.churn, func() { e.away = false; s.startQueued(e) })
+		})
+	}
+	if s.pauses > 0 {
+		s.every(s.pauses, func() {
+			e := s.servers[rng.IntN(len(s.servers))]
+			e.paused = true
+			s.after(s.pauses/2, func() { e.paused = false; s.startQueued(e) })
+		})
+	}
+}
+
+// arrive lets requests arrive until the end of the run.
+func (s *sim) arrive() {
+	if s.now >= s.duration {
+		return
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/s.rate*float64(time.Second)), func() {
+		work := time.Duration((0.5 + s.rng.Float64()) * float64(s.work))
+		r := &simRequest{chooser: s.rng.IntN(s.choosers), arrived: s.now, work: work}
+		s.arrive()
+		s.policy.choose(s, r)
+	})
+}
+
+// warmUp is the time from the start after which results count.
+const warmUp = 2 * time.Second
+
+// send sends a request to its endpoint.
+func (s *sim) send(r *simRequest, endpoint int) {
+	r.endpoint = endpoint
+	s.sentAt[r] = s.now
+	s.after(link, func() {
+		e := s.servers[endpoint]
+		if e.running < e.slots && !e.paused {
+			s.start(e, r)
+			return
+		}
+		s.noteWait(r)
+		e.queue = append(e.queue, r)
+	})
+}
+
+// noteWait records that a request waits, and whether it need not.
+func (s *sim) noteWait(r *simRequest) {
+	r.misplaced = r.misplaced || slices.ContainsFunc(s.servers, (*simEndpoint).free)
+}
+
+func (s *sim) start(e *simEndpoint, r *simRequest) {
+	e.running++
+	slowness := e.factor()
+	s.after(time.Duration(float64(r.work)*slowness), func() {
+		running, waiting, now := e.running, len(e.queue), e.factor()
+		e.running--
+		s.startQueued(e)
+		s.after(link, func() { s.finish(r) })
+		s.after(link+s.age, func() { s.policy.report(s, r, running, waiting, now) })
+	})
+}
+
+func (s *sim) startQueued(e *simEndpoint) {
+	for len(e.queue) > 0 && e.running < e.slots && !e.paused {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		s.start(e, next)
+	}
+}
+
+func (s *sim) finish(r *simRequest) {
+	s.policy.answered(s, r, s.now-s.sentAt[r])
+	delete(s.sentAt, r)
+	if r.arrived < warmUp {
+		return
+	}
+	s.result.requests++
+	s.result.times = append(s.result.times, s.now-r.arrived)
+	if r.misplaced {
+		s.result.misplaced++
+	}
+}
+
+// exact is a single chooser that knows the state of all endpoints at each moment.
+type exact struct{ sent []int }
+
+func (p *exact) choose(s *sim, r *simRequest) {
+	if p.sent == nil {
+		p.sent = make([]int, len(s.servers))
+	}
+	best, least := -1, 0.0
+	for i, e := range s.servers {
+		if e.away || e.paused {
+			continue
+		}
+		waiting := max(0, float64(p.sent[i]+1-e.slots))
+		cost := e.factor() * (1 + waiting/float64(e.slots))
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	if best < 0 {
+		s.after(pollInterval, func() { p.choose(s, r) })
+		return
+	}
+	p.sent[best]++
+	s.send(r, best)
+}
+
+func (p *exact) report(*sim, *simRequest, int, int, float64) {}
+
+func (p *exact) answered(_ *sim, r *simRequest, _ time.Duration) { p.sent[r.endpoint]-- }
+
+// pollInterval is that of a node whose endpoints are full.
+const pollInterval = 10 * time.Millisecond
+
+// node is one chooser with its own knowledge.
+type node struct {
+	tracker *load.Tracker
+	rng     *rand.Rand
+}
+
+// reported are choosers that know their own requests and the reports in responses to these.
+type reported struct {
+	nodes   []*node
+	chooser choose.Chooser
+}
+
+func newReported(sc scenario, chooser choose.Chooser) *reported {
+	p := &reported{chooser: chooser}
+	for i := range sc.choosers {
+		p.nodes = append(p.nodes, &node{load.NewTracker(load.DefaultSettings()), rand.New(rand.NewPCG(uint64(i), 3))})
+	}
+	return p
+}
+
+func (p *reported) candidates(s *sim, n *node) []choose.Candidate {
+	now := s.time()
+	out := make([]choose.Candidate, len(s.servers))
+	for i, e := range s.servers {
+		view := n.tracker.View(e.name, now)
+		out[i] = choose.Candidate{
+			Name: e.name, Leaving: e.away, InFlight: view.InFlight, OtherLoad: view.OtherLoad, Limit: e.slots,
+			FirstToken: view.FirstToken, TokensPerSecond: view.TokensPerSecond,
+		}
+	}
+	return out
+}
+
+func (p *reported) request(s *sim) choose.Request {
+	return choose.Request{Now: s.time(), Tokens: 1, Choosers: s.choosers}
+}
+
+func (p *reported) choose(s *sim, r *simRequest) {
+	n := p.nodes[r.chooser]
+	chosen, verdict := p.chooser.Choose(p.request(s), p.candidates(s, n), n.rng)
+	if verdict != choose.Found {
+		s.noteWait(r)
+		s.after(pollInterval, func() { p.choose(s, r) })
+		return
+	}
+	i, _ := strconv.Atoi(chosen.Name)
+	n.tracker.Begin(chosen.Name, s.time())
+	s.send(r, i)
+}
+
+func (p *reported) report(s *sim, r *simRequest, running, waiting int, slowness float64) {
+	n := p.nodes[r.chooser]
+	name := s.servers[r.endpoint].name
+	// Without a delay the report arrives together with the response.
+	n.tracker.Report(name, running, waiting, s.time().Add(-s.age))
+	if s.slowness {
+		n.tracker.ReportSlowness(name, slowness, s.time().Add(-s.age))
+	}
+}
+
+func (p *reported) answered(s *sim, r *simRequest, took time.Duration) {
+	n := p.nodes[r.chooser]
+	name := s.servers[r.endpoint].name
+	n.tracker.Answered(name, took, 1, 0)
+	n.tracker.End(name, s.time())
+}
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -123,9 +123,9 @@
 	OwnFirst bool
 }
 
-// otherDataCentreCost is the cost of an endpoint in another data centre for
+// OtherDataCentreCost is the cost of an endpoint in another data centre for
 // Fastest.
-const otherDataCentreCost = 30 * time.Millisecond
+const OtherDataCentreCost = 30 * time.Millisecond
 
 // Fastest returns the chooser for requests to model engines that may be served
 // in any data centre: data centres are close to each other compared with the
@@ -133,7 +133,7 @@
 func Fastest() Chooser {
 	ch := Default()
 	ch.OwnFirst = false
-	ch.Scorers = append(ch.Scorers, Distance{Extra: otherDataCentreCost}, SteadyStream{})
+	ch.Scorers = append(ch.Scorers, Distance{Extra: OtherDataCentreCost}, SteadyStream{})
 	return ch
 }
 
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -35,6 +35,39 @@
 	Endpoint K `json:"endpoint"`
 	// Slots is the number of requests that it runs at once.
 	Slots int `json:"slots"`
+	// Expected is the expected time of the request there without a wait, or 0 if only the
+	// number of free places matters.
+	Expected time.Duration `json:"-"`
+	// Current means that Expected holds at the moment, and is not only an average.
+	Current bool `json:"-"`
+}
+
+// Weights of the cost of a place, as shares of the request's expected time. With smaller
+// ones more requests wait while another endpoint has a free slot, with larger ones more run
+// at a slow endpoint (see docs/design/load-balancing.md).
+const (
+	// loadWeight counts for an endpoint whose slots are all taken, and in proportion for
+	// others, so that endpoints of about the same speed are used evenly.
+	loadWeight = 0.5
+	// waitWeight counts in addition for each request that then waits for a slot,
+	// averageWaitWeight if the expected time is an average, which is no reason to wait for a
+	// faster endpoint.
+	waitWeight        = 0.3
+	averageWaitWeight = 1.5
+)
+
+// cost returns the cost of a place at an endpoint at which some are taken.
+func (c Candidate[K]) cost(taken int) float64 {
+	slots := max(1, c.Slots)
+	weight := 1 + loadWeight*min(1, float64(taken)/float64(slots))
+	if waiting := taken + 1 - slots; waiting > 0 {
+		each := averageWaitWeight
+		if c.Current {
+			each = waitWeight
+		}
+		weight += each * float64(waiting)
+	}
+	return weight * c.Expected.Seconds()
 }
 
 // Ask asks for a place at one of several endpoints.
@@ -70,6 +103,9 @@
 
 // Limiter grants places at endpoints. Its methods are safe for concurrent use.
 type Limiter[K comparable] struct {
+	// spare is the number of places beyond the slots of an endpoint.
+	spare int
+
 	mu        sync.Mutex
 	endpoints map[K]*places
 	waiting   map[string]Ask[K]
@@ -79,20 +115,23 @@
 
 // NewLimiter returns a limiter that has granted nothing.
 func NewLimiter[K comparable]() *Limiter[K] {
-	return &Limiter[K]{endpoints: map[K]*places{}, waiting: map[string]Ask[K]{}, changed: make(chan struct{})}
+	return &Limiter[K]{spare: spare, endpoints: map[K]*places{}, waiting: map[string]Ask[K]{}, changed: make(chan struct{})}
 }
 
-// Begin grants a place at one of the candidates, the one with the most free places. If there
-// is none, the request waits until Forget, and changed is closed when it should ask again.
+// Begin grants a place at one of the candidates: the one of the lowest cost, among equal ones
+// the one with the most free places. If there is none, the request waits until Forget, and
+// changed is closed when it should ask again.
 func (l *Limiter[K]) Begin(ask Ask[K], now time.Time) (endpoint K, granted bool, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best *places
-	most := 0
+	most, least := 0, 0.0
 	for _, c := range ask.Candidates {
 		p := l.places(c, now)
-		if free := p.limit - len(p.granted) - l.ahead(ask, c.Endpoint); free > most {
-			best, endpoint, most = p, c.Endpoint, free
+		taken := len(p.granted) + l.ahead(ask, c.Endpoint)
+		free, cost := p.limit-taken, c.cost(taken)
+		if free > 0 && (best == nil || cost < least || cost == least && free > most) {
+			best, endpoint, most, least = p, c.Endpoint, free, cost
 		}
 	}
 	if best == nil {
@@ -137,7 +176,7 @@
 	case now.Sub(p.rejectedAt) < regainInterval:
 		p.limit = p.slots
 	default:
-		p.limit = p.slots + spare
+		p.limit = p.slots + l.spare
 	}
 	return p
 }
@@ -168,6 +207,18 @@
 	l.notify()
 }
 
+// Cancel gives the place of a request back, or ends its wait, if it is not known whether and
+// where it has one.
+func (l *Limiter[K]) Cancel(request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, request)
+	for _, p := range l.endpoints {
+		delete(p.granted, request)
+	}
+	l.notify()
+}
+
 // Prolong changes the time at which a place ends.
 func (l *Limiter[K]) Prolong(endpoint K, request string, expires time.Time) {
 	l.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,7 @@
 	// RejectionLimits are the limits of rejections of services that this node knows.
 	RejectionLimits *notice.Limits[string]
 	Places          *Places
+	Balancer        *Balancer
 	Suspects        *Suspects
 	Origins         *Origins
 	Forwarding      *Forwarding
@@ -94,6 +95,7 @@
 	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
 	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
 	mux.HandleFunc("POST "+placePath, s.Places.servePlace)
+	mux.HandleFunc("POST "+balancePath, s.Balancer.serveBalance)
 	mux.HandleFunc("POST "+trialPath, s.Suspects.serveTrial)
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
 	mux.HandleFunc("POST "+originsPath, s.Origins.serveStore)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -98,6 +98,8 @@
 	TokensPerSecond float64
 	// Pause is the expected longest pause between two events of a stream.
 	Pause time.Duration
+	// StatesSlowness means that the endpoint has stated how long work takes there.
+	StatesSlowness bool
 	// EjectedUntil is the time until which the endpoint is ejected, or zero.
 	EjectedUntil time.Time
 }
@@ -296,6 +298,7 @@
 		FirstToken:      time.Duration(e.firstToken * factor * float64(time.Second)),
 		TokensPerSecond: e.speed / factor,
 		Pause:           time.Duration(e.decayedPause(now, t.settings.PauseTime) * float64(time.Second)),
+		StatesSlowness:  e.slowness.mean > 0,
 		EjectedUntil:    e.ejectedUntil,
 	}
 }
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -96,6 +96,7 @@
 	forwarding      *fleet.Forwarding
 	rejectionLimits *notice.Limits[string]
 	places          *fleet.Places
+	balancer        *fleet.Balancer
 	isolation       isolation.Detector
 	shuttingDown    atomic.Bool
 }
@@ -104,7 +105,7 @@
 // established as endpointDial says.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger, endpointDial ...httpclient.Wrap) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces(), balancer: fleet.NewBalancer()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	store := platform.NewStore(s.StoreAddress, log)
@@ -159,6 +160,12 @@
 	n.places.Nodes = n.client.Addresses
 	n.places.HTTP = fleet.NewHTTP()
 	n.places.Log = log
+	n.balancer.Self = self
+	n.balancer.Holder = n.keeper
+	n.balancer.Lease = n.keeper
+	n.balancer.Inventory = n.inventory
+	n.balancer.HTTP = fleet.NewHTTP()
+	n.balancer.Log = log
 	n.suspects.Self = self
 	n.suspects.Holder = n.keeper
 	n.suspects.Lease = n.keeper
@@ -190,6 +197,7 @@
 		Forwarding:      n.forwarding,
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
+		Balancer:        n.balancer,
 		Adapters:        n.client,
 		Loads:           n.client,
 		Demand:          n.meter,
@@ -245,6 +253,7 @@
 		Forwarding:      n.forwarding,
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
+		Balancer:        n.balancer,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load},
 		OnConfigVersion: n.config.NotifyVersion,
 		Log:             n.log,
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -91,6 +91,9 @@
 func (x *exchange) take(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, choose.Verdict, *Failure) {
 	for ctx.Err() == nil {
 		endpoint, verdict := x.choose(snapshot)
+		if w.mayDispatch() {
+			endpoint, verdict = x.chooseWithOwner(ctx, snapshot, endpoint, verdict)
+		}
 		if verdict != choose.Found {
 			return nil, verdict, nil
 		}
@@ -112,9 +115,13 @@
 			}
 			limit = 0
 		}
+		if x.balanced != nil {
+			limit = 0
+		}
 		if x.admitted(ctx, endpoint, limit, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
 			return endpoint, choose.Found, nil
 		}
+		x.dropBalanced()
 	}
 	return nil, choose.Ejected, nil
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -75,6 +75,9 @@
 	// place is the place that the next attempt has at an endpoint that limits its
 	// rejections, or nil.
 	place *grantedPlace
+	// balanced is the place that the next attempt has at an endpoint of a small plain
+	// service, or nil.
+	balanced *balancedPlace
 	// crashChecked is closed when it is known whether the endpoint of the last attempt,
 	// which lost its connection, has crashed. It may be nil.
 	crashChecked <-chan struct{}
@@ -156,6 +159,7 @@
 
 // recordReply records what an endpoint says of itself with its response.
 func (r *Relay) recordReply(s *sending) {
+	s.balanced.responded(s)
 	r.recordNotices(s)
 	if s.reply.HasLoad {
 		now := time.Now()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,10 @@
 	// requests, each with the number that they bear in a second.
 	RejectionLimits *notice.Limits[string]
 	Places          Places
-	Budget          Budget
+	// Balancer has the owner choose the endpoints of small plain services. Nil means that each
+	// node chooses.
+	Balancer Balancer
+	Budget   Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -22,6 +22,8 @@
 	alone bool
 	// place is the place that it has at an endpoint that limits its rejections, or nil.
 	place *grantedPlace
+	// balanced is the place that it has at an endpoint of a small plain service, or nil.
+	balanced *balancedPlace
 	// unverified means that the response continues a stream that has begun, and that it is
 	// not known yet whether it comes from the incarnation of the endpoint's entry.
 	unverified bool
@@ -45,6 +47,7 @@
 	attemptsTotal.Inc()
 	s := &sending{endpoint: endpoint, way: x.wayTo(endpoint), started: time.Now(), lastEvent: lastEvent, alone: x.trial != nil, unverified: x.required.Required}
 	s.place, x.place = x.place, nil
+	s.balanced, x.balanced = x.balanced, nil
 	s.release = s.way.begin(s)
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
@@ -97,6 +100,7 @@
 		r.loads.End(endpoint.ID, time.Now())
 		trial.end(r.Trials)
 		s.place.end(r.Places)
+		s.balanced.end(r.Balancer)
 	}
 }
 
