--- a/internal/fleet/balancer.go
+++ b/internal/fleet/balancer.go
@@ -264,5 +264,7 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
+	// Without the date, which nodes do not read.
+	w.Header()["Date"] = nil
 	writeJSON(w, response, b.Log)
 }
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -275,6 +275,8 @@
 	if err != nil {
 		return fmt.Errorf("fleet: request: %w", err)
 	}
+	// Nodes do not read it, and it is a fifth of the bytes of a small call.
+	req.Header.Set("User-Agent", "")
 	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
