Decide overflow between data centres by the bytes and the target latency

Cause: another data centre cost each request 30 ms of expected time, whatever its bytes, and whether it could be on time at home did not count.

Change: internal/overflow has the cost of the way, 5 ms and 6.25 ms for each 1,024 bytes of headers, body and expected response (30 ms for a typical small request), and that of a predicted miss of the target latency, which rises to the cost of the way over the last quarter of the time to the target: a step would make all nodes leave at once. choose.Distance adds both.

Packages choose, overflow, relay, noded, router and bench/routing pass.

--- a/internal/choose/balance_others_test.go
+++ b/internal/choose/balance_others_test.go
@@ -71,7 +71,7 @@
 		s.every(p.interval, func() { p.pass(s) })
 	}
 	n := p.nodes[r.chooser]
-	chosen, verdict := p.chooser.Choose(p.request(s), p.candidates(s, n), n.rng)
+	chosen, verdict := p.chooser.Choose(p.request(s, r), p.candidates(s, n), n.rng)
 	if verdict != choose.Found {
 		s.noteWait(r)
 		s.after(pollInterval, func() { p.choose(s, r) })
--- a/internal/choose/balance_sim_test.go
+++ b/internal/choose/balance_sim_test.go
@@ -38,8 +38,25 @@
 	// oneWay is the time of a message between a chooser and the owner.
 	oneWay   time.Duration
 	duration time.Duration
+	// home is the share of the requests that arrive in the first of two data centres, or nil if
+	// there is one. Every second endpoint and chooser is in the second one.
+	home func(at time.Duration) float64
 }
 
+// dataCentre returns the data centre of an endpoint or a chooser.
+func (sc scenario) dataCentre(i int) int {
+	if sc.home == nil {
+		return 0
+	}
+	return i % 2
+}
+
+// betweenDataCentres is the one-way time between two data centres.
+const betweenDataCentres = 2 * time.Millisecond
+
+// window is the period over which crossings between data centres are counted.
+const window = 250 * time.Millisecond
+
 // link is the one-way time between a chooser and an endpoint.
 const link = 500 * time.Microsecond
 
@@ -121,6 +138,9 @@
 	misplaced int
 	times     []time.Duration
 	messages  int
+	// arrived and crossed count requests by the data centre of their chooser and by window, all
+	// and those sent to the other one.
+	arrived, crossed [2][]int
 }
 
 func (r result) share() float64 { return float64(r.misplaced) / float64(max(1, r.requests)) }
@@ -206,6 +226,12 @@
 	s.after(time.Duration(s.rng.ExpFloat64()/s.rate*float64(time.Second)), func() {
 		work := time.Duration((0.5 + s.rng.Float64()) * float64(s.work))
 		r := &simRequest{chooser: s.rng.IntN(s.choosers), arrived: s.now, work: work}
+		if s.home != nil {
+			r.chooser -= r.chooser % 2
+			if s.rng.Float64() >= s.home(s.now) {
+				r.chooser++
+			}
+		}
 		s.arrive()
 		s.policy.choose(s, r)
 	})
@@ -218,7 +244,8 @@
 func (s *sim) send(r *simRequest, endpoint int) {
 	r.endpoint = endpoint
 	s.sentAt[r] = s.now
-	s.after(link, func() {
+	s.countCrossing(r)
+	s.after(s.way(r), func() {
 		e := s.servers[endpoint]
 		if e.running < e.slots && !e.paused {
 			s.start(e, r)
@@ -229,6 +256,28 @@
 	})
 }
 
+// way returns the one-way time between a request's chooser and its endpoint.
+func (s *sim) way(r *simRequest) time.Duration {
+	if s.dataCentre(r.chooser) != s.dataCentre(r.endpoint) {
+		return link + betweenDataCentres
+	}
+	return link
+}
+
+func (s *sim) countCrossing(r *simRequest) {
+	at, from := int(s.now/window), s.dataCentre(r.chooser)
+	for dc := range s.result.arrived {
+		for len(s.result.arrived[dc]) <= at {
+			s.result.arrived[dc] = append(s.result.arrived[dc], 0)
+			s.result.crossed[dc] = append(s.result.crossed[dc], 0)
+		}
+	}
+	s.result.arrived[from][at]++
+	if s.dataCentre(r.endpoint) != from {
+		s.result.crossed[from][at]++
+	}
+}
+
 // noteWait records that a request waits, and whether it need not.
 func (s *sim) noteWait(r *simRequest) {
 	r.misplaced = r.misplaced || slices.ContainsFunc(s.servers, (*simEndpoint).free)
@@ -241,8 +290,8 @@
 		running, waiting, now := e.running, len(e.queue), e.factor()
 		e.running--
 		s.startQueued(e)
-		s.after(link, func() { s.finish(r) })
-		s.after(link+s.age, func() { s.policy.report(s, r, running, waiting, now) })
+		s.after(s.way(r), func() { s.finish(r) })
+		s.after(s.way(r)+s.age, func() { s.policy.report(s, r, running, waiting, now) })
 	})
 }
 
@@ -310,6 +359,8 @@
 type reported struct {
 	nodes   []*node
 	chooser choose.Chooser
+	// way and target are those of all requests.
+	way, target time.Duration
 }
 
 func newReported(sc scenario, chooser choose.Chooser) *reported {
@@ -326,20 +377,23 @@
 	for i, e := range s.servers {
 		view := n.tracker.View(e.name, now)
 		out[i] = choose.Candidate{
-			Name: e.name, Leaving: e.away, InFlight: view.InFlight, OtherLoad: view.OtherLoad, Limit: e.slots,
+			Name: e.name, DataCentre: strconv.Itoa(s.dataCentre(i)), Leaving: e.away, InFlight: view.InFlight, OtherLoad: view.OtherLoad, Limit: e.slots,
 			FirstToken: view.FirstToken, TokensPerSecond: view.TokensPerSecond,
 		}
 	}
 	return out
 }
 
-func (p *reported) request(s *sim) choose.Request {
-	return choose.Request{Now: s.time(), Tokens: 1, Choosers: s.choosers}
+func (p *reported) request(s *sim, r *simRequest) choose.Request {
+	return choose.Request{
+		Now: s.time(), Tokens: 1, Choosers: s.choosers, DataCentre: strconv.Itoa(s.dataCentre(r.chooser)),
+		OtherDataCentreCost: p.way, TargetLeft: p.target,
+	}
 }
 
 func (p *reported) choose(s *sim, r *simRequest) {
 	n := p.nodes[r.chooser]
-	chosen, verdict := p.chooser.Choose(p.request(s), p.candidates(s, n), n.rng)
+	chosen, verdict := p.chooser.Choose(p.request(s, r), p.candidates(s, n), n.rng)
 	if verdict != choose.Found {
 		s.noteWait(r)
 		s.after(pollInterval, func() { p.choose(s, r) })
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -63,6 +63,11 @@
 	// MaxPause is the longest pause between two events with which a stream is on
 	// time, or 0 if there is no limit.
 	MaxPause time.Duration
+	// OtherDataCentreCost is the cost of the way to another data centre and back, or 0 for the
+	// default.
+	OtherDataCentreCost time.Duration
+	// TargetLeft is the time left until the target of the first token, or 0 without a target.
+	TargetLeft time.Duration
 	// Choosers is the number of choosers that share the endpoints.
 	Choosers int
 	// Batch requests may use only a share of each endpoint's capacity.
@@ -123,17 +128,13 @@
 	OwnFirst bool
 }
 
-// OtherDataCentreCost is the cost of an endpoint in another data centre for
-// Fastest.
-const OtherDataCentreCost = 30 * time.Millisecond
-
 // Fastest returns the chooser for requests to model engines that may be served
 // in any data centre: data centres are close to each other compared with the
 // differences between engines, so a slow engine of the own one is not preferred.
 func Fastest() Chooser {
 	ch := Default()
 	ch.OwnFirst = false
-	ch.Scorers = append(ch.Scorers, Distance{Extra: OtherDataCentreCost}, SteadyStream{})
+	ch.Scorers = append(ch.Scorers, Distance{}, SteadyStream{})
 	return ch
 }
 
--- a/internal/choose/distance.go
+++ b/internal/choose/distance.go
@@ -1,18 +1,25 @@
 package choose
 
-import "time"
+import (
+	"time"
 
-// Distance adds Extra to the cost of an endpoint in another data centre than the
-// chooser's, so that such an endpoint is chosen only if it is expected to be
-// faster by more than that.
-type Distance struct {
-	Extra time.Duration
-}
+	"chestnutgauge/internal/overflow"
+)
+
+// Distance adds the cost of the way to that of an endpoint in another data centre than the
+// chooser's, so that such an endpoint is chosen only if the request is expected to wait for
+// less by more than that, or misses its target in its own data centre.
+type Distance struct{}
 
 // Cost implements Scorer.
-func (d Distance) Cost(req Request, c Candidate) time.Duration {
-	if c.DataCentre == req.DataCentre {
-		return 0
+func (Distance) Cost(req Request, c Candidate) time.Duration {
+	way := req.OtherDataCentreCost
+	if way == 0 {
+		way = overflow.Cost(overflow.Bytes(0, req.Tokens), overflow.DefaultPerKB)
+	}
+	cost := overflow.MissCost(predictedStart(req, c), req.TargetLeft, way)
+	if c.DataCentre != req.DataCentre {
+		cost += way
 	}
-	return d.Extra
+	return cost
 }
--- a/internal/choose/finish.go
+++ b/internal/choose/finish.go
@@ -43,6 +43,21 @@
 	return time.Duration(float64(first) + restWeight*rest + waitWeight*wait)
 }
 
+// predictedStart returns the expected time until the first token, with the wait. Without a
+// measured rate, as at plain services, the response is expected to end with its first part.
+func predictedStart(req Request, c Candidate) time.Duration {
+	first := c.FirstToken
+	if first <= 0 {
+		first = unknownFirstToken
+	}
+	total := float64(first)
+	if c.TokensPerSecond > 0 {
+		total += float64(max(req.Tokens, 1)) / c.TokensPerSecond * float64(time.Second)
+	}
+	limit := float64(max(c.Limit, 1))
+	return first + time.Duration(expectedWaiting(c.Load()+1, limit)*total/limit)
+}
+
 // expectedWaiting returns the expected number of requests that wait at an
 // endpoint. It is a smooth function (softplus) around the limit because the
 // load is an estimate.
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -213,6 +213,10 @@
 	return n
 }
 
+// SetCostPerKB changes the cost of 1,024 bytes between data centres, as the time for which a
+// request rather waits than sends them there.
+func (n *Node) SetCostPerKB(cost time.Duration) { n.relay.SetCostPerKB(cost) }
+
 // recordLeaving records that an engine said in its response to the owner that it
 // is leaving.
 func (n *Node) recordLeaving(engine inventory.Key) {
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -228,6 +228,9 @@
 		PrefixSaving: prefixSaving(x.req.Prompt),
 		MaxPause:     x.route.MaxGap,
 		Choosers:     x.relay.Budget.Nodes(),
+
+		OtherDataCentreCost: x.otherDataCentreCost(),
+		TargetLeft:          x.targetLeft(now),
 	}
 }
 
--- a/internal/relay/balance.go
+++ b/internal/relay/balance.go
@@ -117,7 +117,7 @@
 		Service:    x.service.Name,
 		Excluded:   x.excluded(snapshot, now),
 		DataCentre: x.relay.DataCentre,
-		OtherCost:  choose.OtherDataCentreCost,
+		OtherCost:  x.otherDataCentreCost(),
 		Priority:   x.priority(),
 		Since:      x.req.Arrived,
 		Expires:    x.deadline.Add(placeEndDelay),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/load"
 	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/overflow"
 	"chestnutgauge/internal/retry"
 	"chestnutgauge/internal/suspect"
 	"chestnutgauge/internal/waitqueue"
@@ -69,6 +70,8 @@
 	adapters  *adapterLocations
 	queues    *waitqueue.Queues
 	inFlight  atomic.Int64
+	// costPerKB is the cost of 1,024 bytes between data centres, in nanoseconds.
+	costPerKB atomic.Int64
 	// shutdown is cancelled when the process is about to exit.
 	shutdown      context.Context
 	startShutdown context.CancelFunc
@@ -80,7 +83,7 @@
 // New returns a relay.
 func New(deps Dependencies) *Relay {
 	shutdown, startShutdown := context.WithCancel(context.Background())
-	return &Relay{
+	r := &Relay{
 		shutdown:      shutdown,
 		startShutdown: startShutdown,
 		Dependencies:  deps,
@@ -94,6 +97,8 @@
 		queues:        waitqueue.New(),
 		budgets:       map[string]*retry.Budget{},
 	}
+	r.SetCostPerKB(overflow.DefaultPerKB)
+	return r
 }
 
 // InFlight returns the number of requests that are being served.
