Try an endpoint again that was full when last heard of

Cause: a node that takes all endpoints for full sends them nothing, so that it gets no report and takes them for full for good; the estimate moves towards the average, which stayed.

Measured: TestFullEndpointIsTriedAgain failed before. Packages load, relay and choose pass.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -142,7 +142,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.get(name)
-	if limit > 0 && float64(e.inFlight)+e.expectedOtherLoad(now)+1 > float64(limit) {
+	if limit > 0 && float64(e.inFlight)+e.expectedOtherLoad(now, t.settings.MeanTime)+1 > float64(limit) {
 		return false
 	}
 	e.add(now, 1)
@@ -273,13 +273,17 @@
 // expectedOtherLoad returns the expected current number of other routers'
 // requests. It moves from the last report towards the average with the age of
 // the report: after the duration of a typical request, most requests in the
-// report have ended, and the average is the better estimate.
-func (e *endpoint) expectedOtherLoad(now time.Time) float64 {
+// report have ended, and the average is the better estimate. After a further
+// MeanTime without a report the average fades too, so that an endpoint that was full is tried
+// again although the router sends it nothing and so gets no report.
+func (e *endpoint) expectedOtherLoad(now time.Time, meanTime time.Duration) float64 {
 	age := now.Sub(e.reportedAt).Seconds()
 	if e.duration <= 0 || age <= 0 {
 		return e.otherLoad
 	}
-	return e.otherLoadMean + (e.otherLoad-e.otherLoadMean)*math.Exp(-age/e.duration)
+	silence := max(0, age/meanTime.Seconds()-1)
+	mean := e.otherLoadMean * math.Exp(-silence)
+	return mean + (e.otherLoad-mean)*math.Exp(-age/e.duration)
 }
 
 // View returns the current state of an endpoint.
@@ -293,7 +297,7 @@
 	factor := e.slowness.factor(now)
 	return View{
 		InFlight:        e.inFlight,
-		OtherLoad:       e.expectedOtherLoad(now),
+		OtherLoad:       e.expectedOtherLoad(now, t.settings.MeanTime),
 		Limit:           e.limit,
 		FirstToken:      time.Duration(e.firstToken * factor * float64(time.Second)),
 		TokensPerSecond: e.speed / factor,
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -113,3 +113,17 @@
 	require.InDelta(t, time.Second.Seconds()/math.E, tracker.View("e", later).Pause.Seconds(), 0.005)
 	require.Less(t, tracker.View("e", later.Add(time.Minute)).Pause, time.Millisecond)
 }
+
+// TestFullEndpointIsTriedAgain guards against an endpoint that a node takes for full for good: it
+// sends it nothing because of the last reports, and so gets no other.
+func TestFullEndpointIsTriedAgain(t *testing.T) {
+	const limit = 6
+	tracker := NewTracker(DefaultSettings())
+	for i := range 600 {
+		tracker.Report("e", limit, 3, at(100*i))
+		tracker.Answered("e", 50*time.Millisecond, 1, 0)
+	}
+	last := at(100 * 599)
+	require.False(t, tracker.TryBegin("e", limit, last.Add(100*time.Millisecond)))
+	require.True(t, tracker.TryBegin("e", limit, last.Add(2*DefaultSettings().MeanTime)))
+}
