Explain where a request would go: chestnutctl explain

Cause: operators could not see why a node chooses an endpoint.

Change: choose.Explain gives what excludes each candidate and the parts of its cost, by the filters and scorers that choose; relay.Explain builds the candidates by the code of the choice and draws 500 choices for the shares. GET /explain on the metrics port answers as JSON, chestnutctl explain prints a table or that JSON. A team's limit and what the owner knows of small plain services are not shown.

Measured: TestExplain (choose, relay, ctl), TestExplainErrors and TestServeExplain pass, and the packages relay, noded, ctl, load and waitqueue.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -47,7 +47,7 @@
 	flags.StringVar(&c.config, "config", "", "settings file, TOML (else $"+settingsVariable+")")
 	flags.StringVarP(&c.output, "output", "o", outputTable, "table or json")
 	flags.DurationVar(&c.timeout, "timeout", 30*time.Second, "limit of the whole command")
-	root.AddCommand(c.apply(), c.get(), c.list(), c.status(), c.wait(), c.drain(), c.timeline(), c.story())
+	root.AddCommand(c.apply(), c.get(), c.list(), c.status(), c.wait(), c.drain(), c.timeline(), c.story(), c.explain())
 	return root
 }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -98,6 +98,8 @@
 	TokensPerSecond float64
 	// Pause is the expected longest pause between two events of a stream.
 	Pause time.Duration
+	// ReportedAt is when the endpoint last reported its load, or zero.
+	ReportedAt time.Time
 	// StatesSlowness means that the endpoint has stated how long work takes there.
 	StatesSlowness bool
 	// EjectedUntil is the time until which the endpoint is ejected, or zero.
@@ -302,6 +304,7 @@
 		FirstToken:      time.Duration(e.firstToken * factor * float64(time.Second)),
 		TokensPerSecond: e.speed / factor,
 		Pause:           time.Duration(e.decayedPause(now, t.settings.PauseTime) * float64(time.Second)),
+		ReportedAt:      e.reportedAt,
 		StatesSlowness:  e.slowness.mean > 0,
 		EjectedUntil:    e.ejectedUntil,
 	}
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -70,7 +70,7 @@
 	servers := map[string]http.Handler{
 		s.ReadyListen:                       opshttp.ReadyHandler(platform.ReadyPath, n.ready),
 		n.peerAddress():                     n.peerServer().Handler(),
-		net.JoinHostPort(s.IP, metricsPort): opshttp.Handler(n.ready),
+		net.JoinHostPort(s.IP, metricsPort): withExplain(opshttp.Handler(n.ready), n.relay.Explain),
 	}
 	failed = make(chan error, len(servers)+1)
 	for address, handler := range servers {
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -9,7 +9,6 @@
 
 	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/inventory"
-	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/rendezvous"
@@ -237,21 +236,7 @@
 // candidateList returns the endpoints that can serve the request, and records
 // which of them are throttled.
 func (x *exchange) candidateList(snapshot *inventory.Snapshot, now time.Time) []choose.Candidate {
-	endpoints := snapshot.Service(x.service.Name)
-	candidates := make([]choose.Candidate, 0, len(endpoints))
-	states := make([]notice.State, 0, len(endpoints))
-	for _, e := range endpoints {
-		if !x.eligible(e, now) {
-			continue
-		}
-		candidate := x.candidate(e, now)
-		state := x.throttle(e, now)
-		if state.Until.After(candidate.EjectedUntil) {
-			candidate.EjectedUntil = state.Until
-		}
-		candidates = append(candidates, candidate)
-		states = append(states, state)
-	}
+	candidates, states := x.candidateStates(snapshot, now)
 	x.recordThrottles(candidates, states, now)
 	return candidates
 }
