--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,6 +92,7 @@
 	RejectionLimits *notice.Limits[string]
 	Places          *Places
 	TeamLimits      *TeamLimits
+	Balancer        *Balancer
 	Suspects        *Suspects
 	Origins         *Origins
 	Forwarding      *Forwarding
@@ -116,6 +117,7 @@
 	mux.HandleFunc("POST "+teamLimitsPath, s.TeamLimits.serveAsk)
 	mux.HandleFunc("POST "+teamPoolPath, s.TeamLimits.servePoolAsk)
 	mux.HandleFunc("POST "+placePath, s.Places.servePlace)
+	mux.HandleFunc("POST "+balancePath, s.Balancer.serveBalance)
 	mux.HandleFunc("POST "+trialPath, s.Suspects.serveTrial)
 	mux.HandleFunc("POST "+suspectsPath, s.Suspects.serveSuspects)
 	mux.HandleFunc("POST "+originsPath, s.Origins.serveStore)
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -102,6 +102,7 @@
 	places          *fleet.Places
 	teamLimits      *fleet.TeamLimits
 	memory          *membudget.Budget
+	balancer        *fleet.Balancer
 	isolation       isolation.Detector
 	shuttingDown    atomic.Bool
 }
@@ -110,7 +111,7 @@
 // established as endpointDial says.
 func New(s platform.Settings, watcher *reload.Watcher, log *slog.Logger, endpointDial ...httpclient.Wrap) *Node {
 	debug.SetGCPercent(gcPercent)
-	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces()}
+	n := &Node{log: log, watcher: watcher, inventory: inventory.New(), aggregator: demand.NewAggregator(), rateLimits: fleet.NewRateLimits(), suspects: fleet.NewSuspects(), origins: fleet.NewOrigins(), forwarding: fleet.NewForwarding(), rejectionLimits: notice.NewLimits[string](), places: fleet.NewPlaces(), balancer: fleet.NewBalancer()}
 	n.settings.Store(&s)
 	setMemoryLimit(s.MemoryMB)
 	n.memory = membudget.New(bodyMemory(s.MemoryMB))
@@ -189,6 +190,12 @@
 	n.places.Nodes = n.client.Addresses
 	n.places.HTTP = fleet.NewHTTP()
 	n.places.Log = log
+	n.balancer.Self = self
+	n.balancer.Holder = n.keeper
+	n.balancer.Lease = n.keeper
+	n.balancer.Inventory = n.inventory
+	n.balancer.HTTP = fleet.NewHTTP()
+	n.balancer.Log = log
 	n.suspects.Self = self
 	n.suspects.Holder = n.keeper
 	n.suspects.Lease = n.keeper
@@ -221,6 +228,7 @@
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
 		TeamLimits:      n.teamLimits,
+		Balancer:        n.balancer,
 		Adapters:        n.client,
 		Loads:           n.client,
 		Demand:          n.meter,
@@ -240,6 +248,10 @@
 	return n
 }
 
+// SetCostPerKB changes the cost of 1,024 bytes between data centres, as the time for which a
+// request rather waits than sends them there.
+func (n *Node) SetCostPerKB(cost time.Duration) { n.relay.SetCostPerKB(cost) }
+
 // recordLeaving records that an engine said in its response to the owner that it
 // is leaving.
 func (n *Node) recordLeaving(engine inventory.Key) {
@@ -281,6 +293,7 @@
 		RejectionLimits: n.rejectionLimits,
 		Places:          n.places,
 		TeamLimits:      n.teamLimits,
+		Balancer:        n.balancer,
 		Forwarder:       &fleet.Forwarder{Serve: n.relay.ServeForwarded, Closing: n.shuttingDown.Load, Memory: n.memory},
 		OnConfigVersion: n.config.NotifyVersion,
 
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -9,7 +9,6 @@
 
 	"chestnutgauge/internal/choose"
 	"chestnutgauge/internal/inventory"
-	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/rendezvous"
@@ -91,6 +90,9 @@
 func (x *exchange) take(ctx context.Context, snapshot *inventory.Snapshot, w *wait) (*inventory.Endpoint, choose.Verdict, *Failure) {
 	for ctx.Err() == nil {
 		endpoint, verdict := x.choose(snapshot)
+		if w.mayDispatch() {
+			endpoint, verdict = x.chooseWithOwner(ctx, snapshot, endpoint, verdict)
+		}
 		if verdict != choose.Found {
 			return nil, verdict, nil
 		}
@@ -112,9 +114,13 @@
 			}
 			limit = 0
 		}
+		if x.balanced != nil {
+			limit = 0
+		}
 		if x.admitted(ctx, endpoint, limit, w.request().Priority, x.permitWait(snapshot, endpoint, w)) {
 			return endpoint, choose.Found, nil
 		}
+		x.dropBalanced()
 	}
 	return nil, choose.Ejected, nil
 }
@@ -231,27 +237,16 @@
 		PrefixSaving: prefixSaving(x.req.Prompt),
 		MaxPause:     x.route.MaxGap,
 		Choosers:     x.relay.Budget.Nodes(),
+
+		OtherDataCentreCost: x.otherDataCentreCost(),
+		TargetLeft:          x.targetLeft(now),
 	}
 }
 
 // candidateList returns the endpoints that can serve the request, and records
 // which of them are throttled.
 func (x *exchange) candidateList(snapshot *inventory.Snapshot, now time.Time) []choose.Candidate {
-	endpoints := snapshot.Service(x.service.Name)
-	candidates := make([]choose.Candidate, 0, len(endpoints))
-	states := make([]notice.State, 0, len(endpoints))
-	for _, e := range endpoints {
-		if !x.eligible(e, now) {
-			continue
-		}
-		candidate := x.candidate(e, now)
-		state := x.throttle(e, now)
-		if state.Until.After(candidate.EjectedUntil) {
-			candidate.EjectedUntil = state.Until
-		}
-		candidates = append(candidates, candidate)
-		states = append(states, state)
-	}
+	candidates, states := x.candidateStates(snapshot, now)
 	x.recordThrottles(candidates, states, now)
 	return candidates
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/overflow"
 	"chestnutgauge/internal/reserve"
 	"chestnutgauge/internal/retry"
 	"chestnutgauge/internal/suspect"
@@ -54,9 +55,12 @@
 	Places          Places
 	// TeamLimits are the limits of teams.
 	TeamLimits TeamLimits
-	Budget     Budget
 	// Authority decides on keys. With nil they are accepted by the configuration in force.
 	Authority Authority
+	// Balancer has the owner choose the endpoints of small plain services. Nil means that each
+	// node chooses.
+	Balancer Balancer
+	Budget   Budget
 	// Isolated reports whether the node's data centre is cut off from the
 	// others, so that no load can be ordered.
 	Isolated func() bool
@@ -82,6 +86,8 @@
 	held      heldTeams
 	claims    *reserve.Book
 	inFlight  atomic.Int64
+	// costPerKB is the cost of 1,024 bytes between data centres, in nanoseconds.
+	costPerKB atomic.Int64
 	// shutdown is cancelled when the process is about to exit.
 	shutdown      context.Context
 	startShutdown context.CancelFunc
@@ -93,7 +99,7 @@
 // New returns a relay.
 func New(deps Dependencies) *Relay {
 	shutdown, startShutdown := context.WithCancel(context.Background())
-	return &Relay{
+	r := &Relay{
 		shutdown:      shutdown,
 		startShutdown: startShutdown,
 		Dependencies:  deps,
@@ -108,6 +114,8 @@
 		claims:        reserve.NewBook(),
 		budgets:       map[string]*retry.Budget{},
 	}
+	r.SetCostPerKB(overflow.DefaultPerKB)
+	return r
 }
 
 // InFlight returns the number of requests that are being served.
