Mend what a first reader of the change found

Cause: a reader who had not seen the work found by reading: a request that is held back for another team left the place that the owner had given it; a bucket of a limit that was idle for two minutes came back full whatever it owed; tokens that a node took in addition to its part were given back as its part; a body whose memory was granted could be refused near its end; the check of a key on the connection could change the request while it goes on; a cooldown that was extended was not reported again; a full memory was reported as a missing configuration.

Change: each of these, and names and comments that misled.

Measured: TestReturnOfPart and TestIdleBucketKeepsItsDebt failed before. Packages ratelimit, relay, fleet, demand, httpserver, httpclient and team pass.

--- a/internal/demand/delta.go
+++ b/internal/demand/delta.go
@@ -17,6 +17,10 @@
 // changeShare is the relative change of an average from which a model is reported again.
 const changeShare = 0.02
 
+// cooldownToleranceMS is the time by which a cooldown may end later than the owner expects, in
+// milliseconds.
+const cooldownToleranceMS = 250
+
 // Sent is what the owner knows of a node's report, as of a time.
 type Sent struct {
 	report Report
@@ -141,7 +145,7 @@
 // similar reports whether the owner need not be told of m if it expects other.
 func (m Model) similar(other Model) bool {
 	return near(m.Rate, other.Rate) && near(m.TokenRate, other.TokenRate) && near(m.LateRate, other.LateRate) &&
-		(m.CooldownMS > 0) == (other.CooldownMS > 0) && m.Waiting == other.Waiting &&
+		(m.CooldownMS > 0) == (other.CooldownMS > 0) && m.CooldownMS <= other.CooldownMS+cooldownToleranceMS && m.Waiting == other.Waiting &&
 		maps.Equal(m.WaitingAt, other.WaitingAt) && maps.Equal(m.Running, other.Running)
 }
 
--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -82,6 +82,7 @@
 	relay.ReasonUnreachable:  true,
 	relay.ReasonShuttingDown: true,
 	relay.ReasonNotReady:     true,
+	relay.ReasonNoMemory:     true,
 	relay.ReasonNoRoute:      true,
 	relay.ReasonUnknownModel: true,
 
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -41,7 +41,7 @@
 	answer := &forwardAnswer{w: w, control: http.NewResponseController(w)}
 	var ended forwardEnd
 	if full {
-		ended = forwardEnd{Reason: relay.ReasonNotReady, Run: outcome.NotRun}
+		ended = forwardEnd{Reason: relay.ReasonNoMemory, Run: outcome.NotRun}
 	} else if f.Closing() {
 		ended = forwardEnd{Reason: relay.ReasonShuttingDown, Run: outcome.NotRun}
 	} else {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -11,7 +11,7 @@
 	originsDropped     = metrics.NewCounter(`chestnut_stream_origins_not_replicated_total{reason="queue_full"}`)
 	linksCut           = metrics.NewCounter(`chestnut_links_cut_total`)
 	requestsForwarded  = metrics.NewCounter(`chestnut_requests_forwarded_total`)
-	teamTokensReturned = metrics.NewCounter(`chestnut_team_limit_returns_total`)
+	teamLimitReturns   = metrics.NewCounter(`chestnut_team_limit_returns_total`)
 	originStoresFailed = metrics.NewCounter(`chestnut_stream_origins_not_replicated_total{reason="call_failed"}`)
 )
 
--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -217,7 +217,7 @@
 	defer l.mu.Unlock()
 	now := l.Clock()
 	l.own(now).Return(admission, now)
-	teamTokensReturned.Inc()
+	teamLimitReturns.Inc()
 }
 
 // errNoLimits means that the owner has no configuration.
@@ -261,12 +261,12 @@
 	}, nil
 }
 
-// serveAsk serves an ask of another node.
+// serveAsk answers another node's ask as the owner.
 func (l *TeamLimits) serveAsk(w http.ResponseWriter, req *http.Request) {
 	l.serve(w, req, l.grant)
 }
 
-// serve answers an ask of another node.
+// serve decodes an ask, and responds with what grant returns.
 func (l *TeamLimits) serve(w http.ResponseWriter, req *http.Request, grant func(ratelimit.NodeAsk) (ratelimit.NodeAnswer, error)) {
 	var ask ratelimit.NodeAsk
 	if !decodeBody(w, req, &ask) {
--- a/internal/fleet/teamlimits_pool.go
+++ b/internal/fleet/teamlimits_pool.go
@@ -106,7 +106,7 @@
 	return l.pool.Grant(ask, limits, now), nil
 }
 
-// servePoolAsk serves an ask of another node.
+// servePoolAsk answers another node's ask as the pool.
 func (l *TeamLimits) servePoolAsk(w http.ResponseWriter, req *http.Request) {
 	l.serve(w, req, l.grantFromPool)
 }
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -31,8 +31,10 @@
 	if known && r.ContentLength <= smallBody {
 		return
 	}
-	if known && (limits.BodyBytes == 0 || r.ContentLength <= limits.BodyBytes) && !share.Grow(r.ContentLength) {
-		r.Body = noMemory{r.Body}
+	if known && (limits.BodyBytes == 0 || r.ContentLength <= limits.BodyBytes) {
+		if !share.Grow(r.ContentLength) {
+			r.Body = noMemory{r.Body}
+		}
 		return
 	}
 	r.Body = heldBody{share.Reader(r.Body), r.Body}
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -257,17 +257,20 @@
 		b = &teamBucket{recent: newRecentUse(a.bounds.Window + a.bounds.TokenLifetime())}
 		a.buckets[team] = b
 	}
-	b.capacity = a.bounds.capacity(limit)
+	b.capacity, b.perSecond = a.bounds.capacity(limit), limit.PerSecond
 	b.tokens.add(limit.PerSecond*(a.refill-b.refilled), b.capacity)
 	b.refilled = a.refill
 	b.usedAt = now
 	return b
 }
 
-// dropIdle drops the buckets that no ask has used for idleRetention and that are full since: a
-// bucket that is added later is full, too, unless its limit has changed.
+// dropIdle drops the buckets that no ask has used for a time and that have refilled to their
+// capacity. One that is added later is full, too, unless the tenure is too short.
 func (a *Allocator) dropIdle(now time.Duration) {
-	maps.DeleteFunc(a.buckets, func(_ string, b *teamBucket) bool { return now-b.usedAt > maxReturnAge+idleRetention })
+	maps.DeleteFunc(a.buckets, func(_ string, b *teamBucket) bool {
+		level := b.tokens.level + b.perSecond*(a.refill-b.refilled)
+		return now-b.usedAt > maxReturnAge+idleRetention && level >= b.capacity*fullShare
+	})
 }
 
 // positive returns a number of tokens from a message, 0 if it is not a positive number.
@@ -282,6 +285,8 @@
 type teamBucket struct {
 	tokens   tokens
 	capacity float64
+	// perSecond is the rate of the limit at the last update.
+	perSecond float64
 	// refilled is the Allocator's refill at the last update, usedAt the time of it.
 	refilled float64
 	usedAt   time.Duration
--- a/internal/ratelimit/contacts.go
+++ b/internal/ratelimit/contacts.go
@@ -22,7 +22,7 @@
 	checkedAt time.Duration
 }
 
-// contact is a node.
+// contact is what the owner knows of one node's contact.
 type contact struct {
 	// until is when the node counts as out of contact, end when it no longer uses its part.
 	until, end time.Duration
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -45,6 +45,8 @@
 	// grantedAt is when the tokens of an admitted request were granted, expiresAt when they
 	// expire.
 	grantedAt, expiresAt time.Duration
+	// extra is what was taken in addition to the node's part.
+	extra float64
 }
 
 // Timing of the use of granted tokens.
@@ -283,16 +285,6 @@
 	}
 }
 
-// Waiting reports whether requests wait for the owner's answer.
-func (r *Reserve) Waiting() bool {
-	for _, t := range r.teams {
-		if len(t.waiting) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Ask returns what the node asks of the owner, and removes what it returns with it. needs says
 // whether it asks for the requests that wait, or only for what it expects: only one of the asks
 // that are sent at the same time asks for those.
@@ -380,11 +372,14 @@
 		return
 	}
 	t := r.team(admission.Team, now)
+	if admission.Source == SourcePart {
+		t.extraUsed = max(0, t.extraUsed-admission.extra)
+		t.part.level += admission.Cost - admission.extra
+		return
+	}
 	t.use = max(0, t.decayedUse(now)-admission.Cost/useTime.Seconds())
 	t.usedAt = now
 	switch {
-	case admission.Source == SourcePart:
-		t.part.level += admission.Cost
 	case now < admission.expiresAt:
 		t.addLot(lot{tokens: admission.Cost, grantedAt: admission.grantedAt, expiresAt: admission.expiresAt})
 	default:
@@ -440,7 +435,8 @@
 	fromPart := min(t.part.level, cost)
 	t.part.level -= fromPart
 	if fromPart < cost {
-		t.extraUsed += cost - fromPart
+		admission.extra = cost - fromPart
+		t.extraUsed += admission.extra
 		t.extraAt = now
 	}
 	return admission
@@ -455,10 +451,10 @@
 	t.partAt = now
 }
 
-// extra returns what the node may use in addition to its part: once in a window and until
-// an ask is answered again, its part of
-// the slack, and no more than the limit allows over all nodes. A node to which no owner has
-// told anything since it started has none, so that a restart does not renew it.
+// extra returns what the node may use in addition to its part: its part of the slack, but no
+// more than the limit allows over all nodes in a window. It is renewed once a window has passed
+// and an ask was answered since. A node that no owner has answered since it started has none, so
+// that a restart does not renew it.
 func (r *Reserve) extra(t *teamReserve, limit Limit, now time.Duration) float64 {
 	if !r.told {
 		return 0
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -98,6 +98,7 @@
 		}
 		limited := x.limitsRejections()
 		if w.heldBack(endpoint) || !w.mayDispatch() && !x.rateLimited(endpoint) && !limited {
+			x.dropBalanced()
 			return nil, choose.Full, nil
 		}
 		if limited && x.req.Adapter == "" {
--- a/internal/relay/authorize.go
+++ b/internal/relay/authorize.go
@@ -74,22 +74,42 @@
 }
 
 // authorize checks the request's key again, by the configuration that is in force now. A
-// request keeps the team that it began with.
+// request keeps the team that it began with, but one that needs no key may lose it.
 func (x *exchange) authorize() *Failure {
-	k, failure := x.relay.checkKey(x.req)
-	switch {
-	case failure != nil:
+	k, failure := x.relay.checkKeyOf(x.req, x.team)
+	if failure != nil {
 		return failure
-	case nameOf(k.team) == nameOf(x.team):
-	case k.needed:
-		return refuse(ReasonKeyMoved, keyMovedRetryAfter)
-	default:
+	}
+	if nameOf(k.team) != nameOf(x.team) {
 		x.team = nil
 	}
 	x.authorizedBy = k.catalog.Version
 	return nil
 }
 
+// checkKeyOf checks the key of a request that has begun with a team.
+func (r *Relay) checkKeyOf(req *Request, began *team.Team) (keyCheck, *Failure) {
+	k, failure := r.checkKey(req)
+	if failure == nil && k.needed && nameOf(k.team) != nameOf(began) {
+		failure = refuse(ReasonKeyMoved, keyMovedRetryAfter)
+	}
+	return k, failure
+}
+
+// sendAuthorization returns a function that checks the request's key as authorize does. The sender
+// may call it while the exchange goes on after a cancellation, so it changes nothing there.
+func (x *exchange) sendAuthorization() func() *Failure {
+	r, req, began := x.relay, x.req, x.team
+	return func() *Failure {
+		k, failure := r.checkKeyOf(req, began)
+		if failure == nil && nameOf(k.team) != nameOf(began) {
+			// The attempt names a team that a public request no longer has.
+			failure = refuse(ReasonKeyMoved, keyMovedRetryAfter)
+		}
+		return failure
+	}
+}
+
 // notAuthorized returns the error of an attempt that was not sent because of a failure of
 // authorize.
 func notAuthorized(failure *Failure) error {
--- a/internal/relay/balance.go
+++ b/internal/relay/balance.go
@@ -108,6 +108,7 @@
 // chooseWithOwner replaces the node's own choice of an endpoint by the owner's, if the owner
 // chooses those of the service and answers.
 func (x *exchange) chooseWithOwner(ctx context.Context, snapshot *inventory.Snapshot, own *inventory.Endpoint, verdict choose.Verdict) (*inventory.Endpoint, choose.Verdict) {
+	x.dropBalanced()
 	if verdict != choose.Found && verdict != choose.Full || !x.balances(snapshot) {
 		return own, verdict
 	}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -20,6 +20,7 @@
 	ReasonNoLimitOwner       Reason = "limit of the team can't be checked"
 	ReasonKeyMoved           Reason = "key belongs to another team"
 	ReasonConfigurationOld   Reason = "configuration too old"
+	ReasonNoMemory           Reason = "no memory for the body"
 	ReasonNoRoute            Reason = "no such route"
 	ReasonUnknownModel       Reason = "no such model"
 	ReasonNoEndpoint         Reason = "no endpoint"
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -66,7 +66,7 @@
 		Priority:  x.priority(),
 		LastEvent: lastEvent,
 		Team:      x.teamName(),
-		Authorize: x.authorize,
+		Authorize: x.sendAuthorization(),
 		Service:   x.service.Name,
 		MaxRuns:   x.maxRuns() - x.possibleRuns,
 		Required:  x.required,
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -125,7 +125,7 @@
 	return d, nil
 }
 
-// add adds a team.
+// add adds a team, or returns why it is invalid.
 func (d *Directory) add(definition Definition) error {
 	t := definition.Team
 	switch {
