--- a/internal/choose/balance_test.go
+++ b/internal/choose/balance_test.go
@@ -123,7 +123,7 @@
 }
 
 // TestPauses guards against requests that go on to an endpoint which starts none for 1.5 s. Unlike
-// the exact chooser, nobody is told, so the bounds do not apply.
+// the exact chooser, none is told, so the bounds do not apply.
 func TestPauses(t *testing.T) {
 	sc := pageScenario(func(sc *scenario) { sc.slow, sc.pauses = 0, 3*time.Second })
 	present := simulate(sc, newReported(sc, choose.Fastest()), 1)
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -72,7 +72,7 @@
 
 // Scarce reports whether a request that takes a slot of an endpoint may keep others waiting. load is
 // the number of requests there, slots the number that it runs at once, 0 if unknown. Where slots are
-// left, holding a team back helps nobody: those that wait need other endpoints.
+// left, holding a team back helps no other one: those that wait need other endpoints.
 func Scarce(load float64, slots int) bool {
 	return slots <= 0 || load >= scarceLoad*float64(slots)
 }
--- a/internal/fleet/balancer.go
+++ b/internal/fleet/balancer.go
@@ -188,7 +188,7 @@
 		b.places.Cancel(request.Request)
 		return balanceResponse{}, nil
 	}
-	if !b.count(now) {
+	if !b.countAsk(now) {
 		return balanceResponse{}, errBusy
 	}
 	ask := concurrency.Ask[inventory.Key]{
@@ -200,27 +200,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(request.MaxWaitUS)*time.Microsecond, maxBalanceWait))
 	defer cancel()
-	for {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			// The node waits no longer, as after a pause of this process.
-			b.places.Forget(ask.Request)
-			return balanceResponse{}, ctx.Err()
-		}
-		endpoint, granted, changed := b.places.Begin(ask, time.Now())
-		if granted {
-			return balanceResponse{Granted: true, Endpoint: endpoint}, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			b.places.Forget(ask.Request)
-			return balanceResponse{}, nil
-		}
+	queue := placeQueue{
+		begin:  func(now time.Time) (inventory.Key, bool, <-chan struct{}) { return b.places.Begin(ask, now) },
+		forget: func() { b.places.Forget(ask.Request) },
 	}
+	endpoint, granted, err := queue.await(ctx, b.Lease)
+	return balanceResponse{Granted: granted, Endpoint: endpoint}, err
 }
 
 // count counts a place to be granted, and reports whether the owner has time for it.
-func (b *Balancer) count(now time.Time) bool {
+func (b *Balancer) countAsk(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now.Sub(b.countedFrom) >= time.Second {
--- a/internal/fleet/balancer_test.go
+++ b/internal/fleet/balancer_test.go
@@ -119,10 +119,10 @@
 	owner, _ := balancerOwner(t)
 	now := time.Now()
 	for range maxBalanceCalls {
-		require.True(t, owner.count(now))
+		require.True(t, owner.countAsk(now))
 	}
-	require.False(t, owner.count(now))
-	require.True(t, owner.count(now.Add(time.Second)))
+	require.False(t, owner.countAsk(now))
+	require.True(t, owner.countAsk(now.Add(time.Second)))
 }
 
 // lostLease is a lease that another node holds.
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -222,23 +222,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(request.MaxWaitMS)*time.Millisecond, maxPlaceWait))
 	defer cancel()
-	for {
-		// The lease may have been lost while the request waited.
-		if _, ok := p.Lease.Grant(); !ok {
-			p.limiter.Forget(ask.Request)
-			return placeResponse{}, owner.ErrNotOwner
-		}
-		endpoint, granted, changed := p.limiter.Begin(ask, time.Now())
-		if granted {
-			return placeResponse{Granted: true, Endpoint: endpoint}, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			p.limiter.Forget(ask.Request)
-			return placeResponse{}, nil
-		}
+	queue := placeQueue{
+		begin:  func(now time.Time) (inventory.Key, bool, <-chan struct{}) { return p.limiter.Begin(ask, now) },
+		forget: func() { p.limiter.Forget(ask.Request) },
 	}
+	endpoint, granted, err := queue.await(ctx, p.Lease)
+	return placeResponse{Granted: granted, Endpoint: endpoint}, err
 }
 
 // servePlace serves another node's call.
