Let nodes use their parts of limits while the owner is of an older version

Cause: an owner of a version without limits of teams ignores what nodes ask. Ten seconds after they had started, nodes of the new version refused all requests of limited teams until the owner was replaced too.

Change: a report that is answered without limits shows that the owner grants nothing to any node, so the nodes go on using their parts for ten seconds more.

Measured: TestOwnerWithoutLimits failed before (fewer than half of the limit used) and passes; packages fleet and ratelimit pass.

--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -314,10 +314,17 @@
 	return &answer
 }
 
-// reportAnswered adds what the owner granted with the answer to a demand report.
+// reportAnswered adds what the owner granted with the answer to a demand report. One of a version
+// without limits of teams grants nothing.
 func (l *TeamLimits) reportAnswered(answer *ratelimit.NodeAnswer, sentAt time.Duration) {
-	if l != nil && answer != nil {
+	switch {
+	case l == nil || sentAt == 0:
+	case answer != nil:
 		l.answered(*answer, sentAt)
+	default:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.own(l.Clock()).Ungranted(sentAt)
 	}
 }
 
--- a/internal/fleet/teamlimits_test.go
+++ b/internal/fleet/teamlimits_test.go
@@ -308,6 +308,28 @@
 	})
 }
 
+// TestOwnerWithoutLimits guards against nodes that refuse all requests of limited teams ten seconds
+// after they have started, while the owner is of a version without limits of teams.
+func TestOwnerWithoutLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, rate, d = 2, 10, 20 * time.Second
+		s := newTeamSystem(t, size, ratelimit.Limit{PerSecond: rate, Burst: rate})
+		s.holder = ""
+		s.known = []string{"n0", "n1"}
+		admitted := 0
+		for start := time.Now(); time.Since(start) < d; time.Sleep(reportInterval) {
+			for name, l := range s.nodes {
+				var report demand.Report
+				l.reportAnswered(nil, l.addToReport(&report))
+				n, _ := s.admit(t, name, 2)
+				admitted += n
+			}
+		}
+		require.LessOrEqual(t, float64(admitted), rate*d.Seconds()+rate)
+		require.GreaterOrEqual(t, float64(admitted), rate*d.Seconds()/2)
+	})
+}
+
 // BenchmarkTeamLimitAsk measures a call for tokens over the loopback interface, at both ends.
 func BenchmarkTeamLimitAsk(b *testing.B) {
 	teams, err := team.NewDirectory([]team.Definition{{Team: team.Team{Name: "a", PerSecond: 1e9, Burst: 1e9}}})
--- a/internal/ratelimit/pool.go
+++ b/internal/ratelimit/pool.go
@@ -20,8 +20,7 @@
 // MayPool reports whether the node may give its part to a pool: the owner is out of reach, and
 // was in reach so lately that the node has a part.
 func (r *Reserve) MayPool(now time.Duration) bool {
-	away := now - r.answeredAt
-	return r.nodes > 0 && away >= partDelay && away < partEnd
+	return r.nodes > 0 && now-r.answeredAt >= partDelay && now < r.partEnds()
 }
 
 // PoolAsk returns what the node asks of a pool. It is Ask, but for the time of the last answer. A
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/reserve.go
@@ -78,6 +78,9 @@
 	teams  map[string]*teamReserve
 	// answeredAt is when the last ask that was answered was sent, or when the node started.
 	answeredAt time.Duration
+	// ungrantedAt is when the last ask was sent that an owner took without granting, as one of
+	// an older version does, 0 if there was none.
+	ungrantedAt time.Duration
 	// pooledAt is when the last ask that a pool answered was sent, 0 if there was none.
 	pooledAt time.Duration
 	// nodes is the number of nodes that share the limits, 0 if it is not known. told reports
@@ -365,6 +368,17 @@
 	t.unknownUntil = now + unknownMemory
 }
 
+// Ungranted records that an owner took an ask, sent at a time, that it can't grant from. It grants
+// to no node, so the nodes go on using their parts.
+func (r *Reserve) Ungranted(sentAt time.Duration) {
+	r.ungrantedAt = max(r.ungrantedAt, sentAt)
+}
+
+// partEnds returns the time until which the node may use its part.
+func (r *Reserve) partEnds() time.Duration {
+	return max(r.answeredAt, r.ungrantedAt) + partEnd
+}
+
 // Return gives back the tokens of a request that did not run. They can be used again until they
 // expire.
 func (r *Reserve) Return(admission Admission, now time.Duration) {
@@ -415,7 +429,7 @@
 func (r *Reserve) TakePart(team string, limit Limit, cost float64, now time.Duration) Admission {
 	t := r.team(team, now)
 	admission := Admission{Team: team, Cost: cost, Source: SourcePart, Verdict: NoOwner, RetryAfter: noOwnerRetry}
-	from, end := max(r.answeredAt, r.pooledAt)+partDelay, r.answeredAt+partEnd
+	from, end := max(r.answeredAt, r.pooledAt)+partDelay, r.partEnds()
 	if now < t.unknownUntil {
 		from, end = t.unknownSince, t.unknownSince+partEnd
 	}
