--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -41,7 +41,7 @@
 	r := newRelay(nil)
 	_, err := r.Explain(&Request{Host: "h", Path: "/none/"}, "")
 	require.ErrorIs(t, err, ErrNoSuchRoute)
-	_, err = r.Explain(request("repeat", "m"), "nobody")
+	_, err = r.Explain(request("repeat", "m"), "unknown")
 	require.ErrorIs(t, err, ErrNoSuchTeam)
 	explanation, err := r.Explain(request("repeat", "rare"), "")
 	require.NoError(t, err)
