--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -23,6 +23,7 @@
 	"bodiless":   runBodiless,
 	"strayBytes": runStrayBytes,
 	"brittle":    runBrittle,
+	"takeUp":     runTakeUp,
 }
 
 // Exit codes of a script.
--- a/review/standin/plain_test.go
+++ b/review/standin/plain_test.go
@@ -29,6 +29,8 @@
 	store   *store
 	engines []*plainEngine
 	nodes   []*node
+	// dropped has consumers drop their connections by themselves.
+	dropped atomic.Bool
 }
 
 const (
