--- a/review/standin/takeup_test.go
+++ b/review/standin/takeup_test.go
@@ -131,8 +131,8 @@
 	complete                      int
 }
 
-// pauses are those of a consumer before it takes its stream up again, three times at most.
-var pauses = []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
+// pauses are those of a consumer before it takes its stream up again: once, as the sheet says.
+var pauses = []time.Duration{5 * time.Second}
 
 // runTakeUp kills all processes at the same moment. They start again after a short delay, and
 // consumers take up their streams.
@@ -223,7 +223,7 @@
 	return goesOn < begins/2, nil
 }
 
-// stream has a consumer ask for a stream and take it up again a few times, within its time limit.
+// stream has a consumer ask for a stream and take it up again once, within its time limit.
 func (s *plainSystem) stream(id string, at int, inTouch func() bool, counts *takeUps) {
 	end := time.Now().Add(takeUpLimit)
 	last, origin := 0, ""
