--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -5,14 +5,10 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"chestnutgauge/internal/inventory"
-	"chestnutgauge/internal/pause"
 	"chestnutgauge/internal/rendezvous"
 	"chestnutgauge/internal/streamorigin"
 )
@@ -63,11 +59,6 @@
 	Account streamorigin.Account `json:"account"`
 }
 
-// storeOriginsRequest stores the origins of streams at another node.
-type storeOriginsRequest struct {
-	Records []streamorigin.Record `json:"records"`
-}
-
 // Origins keeps the origins of streams at the node at which they began and at
 // originReplicas others, which are chosen by a hash of the stream's id. Its methods are
 // safe for concurrent use.
@@ -118,66 +109,6 @@
 	o.enqueue(streamorigin.Record{Stream: stream, Origin: origin, LeftMS: lifetime.Milliseconds()})
 }
 
-// enqueue has origins stored at other nodes.
-func (o *Origins) enqueue(records ...streamorigin.Record) {
-	o.mu.Lock()
-	room := max(0, maxQueuedOrigins-len(o.queue))
-	taken := records[:min(room, len(records))]
-	o.queue = append(o.queue, taken...)
-	o.mu.Unlock()
-	originsDropped.Add(len(records) - len(taken))
-	select {
-	case o.queued <- struct{}{}:
-	default:
-	}
-}
-
-// RunReplication stores the origins of this node's streams at other nodes until ctx ends.
-func (o *Origins) RunReplication(ctx context.Context) error {
-	for {
-		select {
-		case <-o.queued:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if !pause.For(ctx, originBatchDelay) {
-			return ctx.Err()
-		}
-		o.replicate(ctx)
-	}
-}
-
-// replicate sends what is queued, in one call to each node.
-func (o *Origins) replicate(ctx context.Context) {
-	o.mu.Lock()
-	queue := o.queue
-	o.queue = nil
-	o.mu.Unlock()
-	nodes := o.Nodes()
-	batches := map[string][]streamorigin.Record{}
-	for _, record := range queue {
-		for _, node := range firstOf(rendezvous.Rank(record.Stream, nodes), originReplicas) {
-			batches[node] = append(batches[node], record)
-		}
-	}
-	for node, records := range batches {
-		for batch := range slices.Chunk(records, maxOriginBatch) {
-			go o.store(ctx, node, batch)
-		}
-	}
-}
-
-// store stores origins at a node.
-func (o *Origins) store(ctx context.Context, node string, records []streamorigin.Record) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
-	var response struct{}
-	if err := post(ctx, o.HTTP, node, originsPath, storeOriginsRequest{Records: records}, &response); err != nil {
-		originStoresFailed.Inc()
-		o.Log.Info("stream origins not stored", "node", node, "streams", len(records), "error", err)
-	}
-}
-
 // Find implements relay.Origins. It asks the nodes that should know the stream, and then
 // others if none of them does.
 func (o *Origins) Find(ctx context.Context, stream, service string, lifetime time.Duration) streamorigin.Decision {
@@ -296,75 +227,6 @@
 	return response, nil
 }
 
-// RunHistory records which versions serve until ctx ends. A node that has just started
-// first asks others for what they have seen.
-func (o *Origins) RunHistory(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return o.observe(ctx) })
-	group.Go(func() error { return o.learnHistory(ctx) })
-	return group.Wait()
-}
-
-// observe records which versions serve. When a second version of a service appears, other
-// nodes are told of the streams that have begun before.
-func (o *Origins) observe(ctx context.Context) error {
-	only := map[string]bool{}
-	for {
-		snapshot, changed := o.Inventory.Watch()
-		now := time.Now()
-		serving := serving(snapshot)
-		o.history.Observe(serving, o.Current(), now)
-		for origin := range serving {
-			before := only[origin.Service]
-			only[origin.Service] = o.history.OnlyVersion(origin.Service, now)
-			if before && !only[origin.Service] {
-				o.enqueue(o.known.Own(origin.Service, now)...)
-			}
-		}
-		if !pause.Until(ctx, changed, observeInterval) {
-			return ctx.Err()
-		}
-	}
-}
-
-// learnHistory asks other nodes for their histories until a few have answered.
-func (o *Origins) learnHistory(ctx context.Context) error {
-	for answered := 0; answered < originReplicas; {
-		if !pause.For(ctx, accountInterval) {
-			return ctx.Err()
-		}
-		for _, node := range firstOf(o.Nodes(), originReplicas) {
-			if _, err := o.askNode(ctx, node, ""); err == nil {
-				answered++
-			}
-		}
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
-
-// serving returns the origins that the endpoints of a snapshot stand for.
-func serving(snapshot *inventory.Snapshot) map[streamorigin.Origin]bool {
-	out := map[streamorigin.Origin]bool{}
-	snapshot.Each(func(e *inventory.Endpoint) {
-		out[streamorigin.Origin{Service: e.Service, Version: e.Version}] = true
-	})
-	return out
-}
-
-// serveStore serves the origins that another node stores here.
-func (o *Origins) serveStore(w http.ResponseWriter, r *http.Request) {
-	var request storeOriginsRequest
-	if !decodeBody(w, r, &request) {
-		return
-	}
-	now := time.Now()
-	for _, record := range request.Records {
-		o.known.Put(record, now)
-	}
-	writeJSON(w, struct{}{}, o.Log)
-}
-
 // serveFind serves another node's question for an origin.
 func (o *Origins) serveFind(w http.ResponseWriter, r *http.Request) {
 	var request findOriginRequest
