Ask the owner, and answer for it, in one way

Places, balancing and trials each had the same code to find the owner, to decide at the owner itself or call it, and to serve the call. It is askOwner and serveDecision now. The owner's refusals of balancing lack the date as well, which nodes do not read. No other behaviour is meant to change.

The tests of internal/fleet pass.

--- a/internal/fleet/balancer.go
+++ b/internal/fleet/balancer.go
@@ -160,18 +160,7 @@
 
 // call makes a call to the owner.
 func (b *Balancer) call(ctx context.Context, timeout time.Duration, request balanceRequest) (balanceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	holder := b.Holder.Holder()
-	switch holder {
-	case "":
-		return balanceResponse{}, errNoOwner
-	case b.Self:
-		return b.decide(ctx, request)
-	}
-	var response balanceResponse
-	err := post(ctx, b.HTTP, holder, balancePath, request, &response)
-	return response, err
+	return askOwner(ctx, ownerLink{b.Self, b.Holder, b.HTTP}, balancePath, timeout, request, b.decide)
 }
 
 // decide decides on a request at the owner.
@@ -244,16 +233,7 @@
 
 // serveBalance serves another node's call.
 func (b *Balancer) serveBalance(w http.ResponseWriter, r *http.Request) {
-	var request balanceRequest
-	if !decodeBody(w, r, &request) {
-		return
-	}
-	response, err := b.decide(r.Context(), request)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusConflict)
-		return
-	}
 	// Without the date, which nodes do not read.
 	w.Header()["Date"] = nil
-	writeJSON(w, response, b.Log)
+	serveDecision(w, r, b.Log, b.decide)
 }
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -183,19 +183,8 @@
 
 // ask asks the owner.
 func (p *Places) ask(ctx context.Context, request placeRequest) (placeResponse, error) {
-	holder := p.Holder.Holder()
-	switch holder {
-	case "":
-		return placeResponse{}, errNoOwner
-	case p.Self:
-		return p.decide(ctx, request)
-	}
 	wait := time.Duration(request.MaxWaitMS) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+placeCallTimeout)
-	defer cancel()
-	var response placeResponse
-	err := post(ctx, p.HTTP, holder, placePath, request, &response)
-	return response, err
+	return askOwner(ctx, ownerLink{p.Self, p.Holder, p.HTTP}, placePath, wait+placeCallTimeout, request, p.decide)
 }
 
 // decide decides on a place at the owner. A request that gets none at once waits for one.
@@ -232,14 +221,5 @@
 
 // servePlace serves another node's call.
 func (p *Places) servePlace(w http.ResponseWriter, r *http.Request) {
-	var request placeRequest
-	if !decodeBody(w, r, &request) {
-		return
-	}
-	response, err := p.decide(r.Context(), request)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusConflict)
-		return
-	}
-	writeJSON(w, response, p.Log)
+	serveDecision(w, r, p.Log, p.decide)
 }
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -117,46 +117,28 @@
 
 // askTrial asks the owner for a trial, or ends one.
 func (s *Suspects) askTrial(ctx context.Context, request trialRequest) (suspect.TrialAnswer, error) {
-	holder := s.Holder.Holder()
-	switch holder {
-	case "":
-		return "", errNoOwner
-	case s.Self:
-		return s.decide(request, time.Now())
-	}
-	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
-	defer cancel()
-	var response trialResponse
-	err := post(ctx, s.HTTP, holder, trialPath, request, &response)
+	response, err := askOwner(ctx, ownerLink{s.Self, s.Holder, s.HTTP}, trialPath, trialTimeout, request, s.decide)
 	return response.Answer, err
 }
 
 // decide decides on a trial at the owner.
-func (s *Suspects) decide(request trialRequest, now time.Time) (suspect.TrialAnswer, error) {
+func (s *Suspects) decide(_ context.Context, request trialRequest) (trialResponse, error) {
 	if _, ok := s.Lease.Grant(); !ok {
-		return "", owner.ErrNotOwner
+		return trialResponse{}, owner.ErrNotOwner
 	}
 	endpoint := request.Endpoint.String()
 	if request.Ended {
 		s.trials.End(endpoint, request.Digests)
-		return "", nil
+		return trialResponse{}, nil
 	}
+	now := time.Now()
 	ttl := min(time.Duration(max(0, request.TTLMS))*time.Millisecond, maxTrialTime)
-	return s.trials.Begin(endpoint, request.Digests, now.Add(ttl), now), nil
+	return trialResponse{Answer: s.trials.Begin(endpoint, request.Digests, now.Add(ttl), now)}, nil
 }
 
 // serveTrial serves another node's request for a trial.
 func (s *Suspects) serveTrial(w http.ResponseWriter, r *http.Request) {
-	var request trialRequest
-	if !decodeBody(w, r, &request) {
-		return
-	}
-	answer, err := s.decide(request, time.Now())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusConflict)
-		return
-	}
-	writeJSON(w, trialResponse{Answer: answer}, s.Log)
+	serveDecision(w, r, s.Log, s.decide)
 }
 
 // serveSuspects serves the exchange of suspects with a node that reaches no owner.
