Keep the state of a request with its exchange, not with its connection

Callers saw unsafe requests run twice at one endpoint, from one node, under one line "request sent".

Cause, in two forms. net/http repeats a request by itself when a kept connection breaks before the response: without a body and with GET, HEAD, OPTIONS, TRACE or any method with Idempotency-Key or X-Idempotency-Key; the sender never learned of the first one. And the sender repeated an attempt if its connection counted as not usable. net/http hands a connection to the next request before it delivers a response without a body; that next request marked the connection, and its refused write closed it, so that the first request, which was written and had its response on the way, was sent again.

Change: httpclient.Transport. An exchange is written to one connection at most: it ends when net/http asks for a second one, and a connection accepts writes only of the exchange that took it last, as far as that allows them. A request of which a byte was written fails with an Error. Otherwise the transport itself may take another connection, 17 times at most. A request that gets a connection early waits until the response before is judged. After an exchange has failed nothing of it is written any more, so an attempt that was cancelled before its first byte counts as not sent. Begin, Confirm, Guard, Unusable and BytesWritten are gone.

TestGuard asks the exchange what it asked the guard before; its checks are the same.

TestBytesOfRequest shows the same bytes as net/http for each method, with and without a body.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -99,14 +99,14 @@
 	end := f.nodes.Begin(node)
 	requestsForwarded.Inc()
 	var refusal *relay.Failure
-	ctx, guard := httpclient.NewGuard(ctx, func() bool {
+	ctx, exchange := httpclient.NewExchange(ctx, httpclient.Terms{Check: func() bool {
 		refusal = attempt.Authorized()
 		return refusal == nil
-	})
+	}})
 	resp, err := f.callForward(ctx, node, req, attempt)
-	if guard.Refused() {
+	if exchange.Refused() {
 		end()
-		return nil, &relay.SendError{Sent: guard.Written(), Refusal: refusal, Err: err}
+		return nil, &relay.SendError{Refusal: refusal, Err: err}
 	}
 	if err != nil {
 		end()
@@ -158,8 +158,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: request: %w", err)
 	}
-	// net/http repeats a request only if it can obtain its body again.
-	call.GetBody = nil
 	call.Header = req.Header.Clone()
 	call.Header.Set(headerForward, string(described))
 	if call.Header.Get("User-Agent") == "" {
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -22,12 +22,12 @@
 
 // NewForwardHTTP returns the HTTP client for requests that other nodes serve.
 func NewForwardHTTP() *http.Client {
-	return &http.Client{Transport: httpclient.NewTransport(connectTimeout, httpclient.UserTimeout(forwardSilence))}
+	return httpclient.NewClient(httpclient.NewTransport(connectTimeout, httpclient.UserTimeout(forwardSilence)))
 }
 
 // NewHTTP returns the HTTP client for calls between nodes.
 func NewHTTP() *http.Client {
-	return &http.Client{Transport: httpclient.NewTransport(connectTimeout, userTimeout)}
+	return httpclient.NewClient(httpclient.NewTransport(connectTimeout, userTimeout))
 }
 
 // statusError is a node's response with another status than 200.
--- /dev/null
+++ b/internal/httpclient/exchange.go
@@ -0,0 +1,282 @@
+package httpclient
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// notReused counts the kept connections that were not used again since their last response
+// could not be assigned to its request, or since the last request had the same id.
+var notReused = metrics.NewCounter(`chestnut_http_connections_not_reused_total`)
+
+// State is what became of the request of an exchange.
+type State int
+
+// States of an exchange. In all but Written, the request can't arrive once its exchange has ended.
+const (
+	// NotWritten means that no byte of the request was written.
+	NotWritten State = iota
+	// Written means that bytes of the request were, or are being, written to one connection.
+	Written
+	// Refused means that the check failed right before the first byte.
+	Refused
+	// NotReusable means that the request got a connection that may not be used again.
+	NotReusable
+)
+
+// Terms are the terms of an exchange. The zero value has none.
+type Terms struct {
+	// ID identifies the request.
+	ID string
+	// Check is called once there is a connection, right before the first byte is written. The
+	// request is not written if it returns false. It must be quick, and may be nil.
+	Check func() bool
+	// Named reports whether a response names the request. The connection of another response is
+	// closed. A nil Named accepts any response.
+	Named func(*http.Response) bool
+	// SingleUse closes the connection to later exchanges.
+	SingleUse bool
+	// ReportBroken returns an error if a kept connection breaks before a byte is written.
+	// Otherwise the exchange takes another connection.
+	ReportBroken bool
+}
+
+// Exchange is one request on a Transport and its response. Its request is written to one
+// connection at most: once a byte is written, no other one accepts a write of it.
+type Exchange struct {
+	terms   Terms
+	allowed func() bool
+	// settled is closed once it is known whether the response belongs to the request.
+	settled chan struct{}
+
+	mu    sync.Mutex
+	state State
+	// conn is the connection of the current try, stop ends that try, and asked is the number
+	// of connections that net/http has asked for in it.
+	conn  *trackedConn
+	stop  context.CancelCauseFunc
+	asked int
+	// bytes is the number of bytes written.
+	bytes int64
+	// connections is the number of connections taken, kept tells whether the last one had
+	// been used before.
+	connections int
+	kept        bool
+	// begun and ended mean that the exchange has begun, and that nothing may be written any
+	// more. reusable means that its connection may be used again.
+	begun, ended, reusable bool
+}
+
+// exchangeKey is the key of a context's exchange.
+type exchangeKey struct{}
+
+// NewExchange returns an exchange, and the context for its request, which must be the only one
+// with that context.
+func NewExchange(ctx context.Context, terms Terms) (context.Context, *Exchange) {
+	x := newExchange(terms)
+	return context.WithValue(ctx, exchangeKey{}, x), x
+}
+
+func newExchange(terms Terms) *Exchange {
+	return &Exchange{terms: terms, settled: make(chan struct{})}
+}
+
+// exchangeOf returns the exchange of a request, or a new one without terms.
+func exchangeOf(ctx context.Context) *Exchange {
+	if x, ok := ctx.Value(exchangeKey{}).(*Exchange); ok {
+		return x
+	}
+	return newExchange(Terms{})
+}
+
+// State returns the state. It is final once the request has failed.
+func (x *Exchange) State() State {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.state
+}
+
+// Written reports whether bytes of the request were, or are being, written.
+func (x *Exchange) Written() bool {
+	return x.State() == Written
+}
+
+// Refused reports whether the check failed.
+func (x *Exchange) Refused() bool {
+	return x.State() == Refused
+}
+
+// Connections returns the number of connections that the exchange took, all but the last one
+// without a byte written, and whether that one was a kept one.
+func (x *Exchange) Connections() (count int, kept bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.connections, x.kept
+}
+
+// begin begins the exchange, and reports whether it had not begun before.
+func (x *Exchange) begin(ctx context.Context) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.begun {
+		return false
+	}
+	x.begun, x.allowed = true, guardOf(ctx)
+	return true
+}
+
+// startTry begins a try with another connection, which stop ends.
+func (x *Exchange) startTry(stop context.CancelCauseFunc) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.state, x.conn, x.asked, x.stop = NotWritten, nil, 0, stop
+}
+
+// trace returns the hooks for a try: ctx is that of the caller.
+func (x *Exchange) trace(ctx context.Context) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GetConn: func(string) { x.ask() },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*trackedConn); ok {
+				x.attach(c, info.Reused, c.take(ctx, x))
+			}
+		},
+	}
+}
+
+// ask ends the try if net/http asks for a second connection in it, to repeat the request.
+func (x *Exchange) ask() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.asked++
+	if x.asked > 1 {
+		x.stop(errRepeated)
+	}
+}
+
+// attach records the connection of a try. A second one in the same try is not used.
+func (x *Exchange) attach(c *trackedConn, kept, usable bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended || x.asked > 1 {
+		return
+	}
+	x.connections++
+	x.conn, x.kept = c, kept
+	if !usable {
+		x.state = NotReusable
+		notReused.Inc()
+	}
+}
+
+// beginWrite returns an error if nothing may be written to a connection.
+func (x *Exchange) beginWrite(c *trackedConn) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended || x.conn != c {
+		return errSecondConnection
+	}
+	if x.state == NotWritten && !x.permitted() {
+		x.state = Refused
+	}
+	switch x.state {
+	case Refused:
+		// net/http would repeat the request on another connection.
+		x.stop(ErrNotAllowed)
+		return ErrNotAllowed
+	case NotReusable:
+		x.stop(errNotReusable)
+		return errNotReusable
+	}
+	x.state = Written
+	return nil
+}
+
+// permitted makes the checks. The caller holds mu.
+func (x *Exchange) permitted() bool {
+	return (x.allowed == nil || x.allowed()) && (x.terms.Check == nil || x.terms.Check())
+}
+
+// wrote records the result of a write.
+func (x *Exchange) wrote(c *trackedConn, n int, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.bytes += int64(n)
+	if x.bytes > 0 || err == nil || x.ended || x.conn != c {
+		return
+	}
+	x.state = NotWritten
+	x.stop(err)
+}
+
+// leaves waits until the exchange has settled, and reports whether its connection may be used by
+// the next one.
+func (x *Exchange) leaves(ctx context.Context, c *trackedConn, next *Exchange) bool {
+	if x == next {
+		return false
+	}
+	select {
+	case <-x.settled:
+	case <-ctx.Done():
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.reusable && x.conn == c
+}
+
+// accept ends the exchange with a response, and returns an error unless that names the request.
+func (x *Exchange) accept(resp *http.Response) error {
+	defer close(x.settled)
+	named := x.terms.Named == nil || x.terms.Named(resp)
+	state, conn := x.settle(named)
+	if named {
+		return nil
+	}
+	return &Error{State: state, Err: closeNotNamed(resp, conn)}
+}
+
+// settle records whether the response names the request. Nothing is written any more if it does
+// not.
+func (x *Exchange) settle(named bool) (State, *trackedConn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reusable, x.ended = named && !x.terms.SingleUse, !named
+	x.release()
+	return x.state, x.conn
+}
+
+// release drops what a kept connection would hold of a request that is over. The caller holds mu.
+func (x *Exchange) release() {
+	if x.state != Written && !x.ended {
+		return
+	}
+	x.terms, x.allowed, x.stop = Terms{}, nil, func(error) {}
+}
+
+// mayTryAgain reports whether the exchange may take another connection after a failed try.
+func (x *Exchange) mayTryAgain() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.state == NotReusable || x.state == NotWritten && x.kept && !x.terms.ReportBroken
+}
+
+// fail ends the exchange, of which nothing is written any more, and returns its error.
+func (x *Exchange) fail(err error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ended = true
+	x.release()
+	close(x.settled)
+	switch x.state {
+	case Refused:
+		err = withCause(ErrNotAllowed, err)
+	case NotReusable:
+		err = withCause(errNotReusable, err)
+	}
+	return &Error{State: x.state, Err: err}
+}
--- a/internal/httpclient/guarded_test.go
+++ b/internal/httpclient/guarded_test.go
@@ -64,11 +64,11 @@
 			client := &http.Client{Transport: NewTransport(time.Second, time.Second)}
 			permitted := true
 			checks := 0
-			call := func() (*Guard, error) {
-				ctx, guard := NewGuard(t.Context(), func() bool {
+			call := func() (*Exchange, error) {
+				ctx, guard := NewExchange(t.Context(), Terms{Check: func() bool {
 					checks++
 					return permitted
-				})
+				}})
 				var body io.Reader
 				if method == http.MethodPost {
 					body = strings.NewReader(strings.Repeat("x", 1<<20))
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,5 +1,5 @@
-// Package httpclient provides HTTP connections that detect unresponsive peers
-// and that deliver no data after their call was abandoned.
+// Package httpclient provides HTTP connections that detect unresponsive peers,
+// that deliver no data after their call was abandoned, and on which no request is sent twice.
 package httpclient
 
 import (
@@ -30,10 +30,10 @@
 // Wrap changes how connections are established.
 type Wrap func(Dial) Dial
 
-// NewTransport returns an HTTP transport whose connections detect an
+// NewTransport returns a transport whose connections detect an
 // unresponsive peer within about userTimeout. connectTimeout bounds the
 // establishing of a connection.
-func NewTransport(connectTimeout, userTimeout time.Duration, wraps ...Wrap) *http.Transport {
+func NewTransport(connectTimeout, userTimeout time.Duration, wraps ...Wrap) *Transport {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -56,15 +56,8 @@
 	for _, wrap := range wraps {
 		connect = wrap(connect)
 	}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := connect(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &countedConn{Conn: conn}, nil
-	}
-	return &http.Transport{
-		DialContext:         dial,
+	return Over(&http.Transport{
+		DialContext:         connect,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -72,7 +65,7 @@
 		WriteBufferSize:     transportBuffer,
 
 		MaxResponseHeaderBytes: MaxHeadBytes,
-	}
+	})
 }
 
 // UserTimeout returns a user timeout with which connections outlast a silence of their peer:
