Use no connection for two requests with the same id

A caller could be told "not run" of a request that ran: an endpoint refused it, served another request on the same connection, got the first one again there, and its second copy of the refusal arrived only then. A connection knew the id of its last request alone.

Change: a connection keeps a hash of the id of each of its requests. A request whose id it has had takes another connection. It is not used again after 1,024 requests, which bounds the hashes to 8 KB.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -2,10 +2,19 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 )
 
+// maxRequests is the number of requests with an id after which a connection is not used again.
+// It bounds what is kept of their ids.
+const maxRequests = 1024
+
+// idSeed seeds the hashes of ids.
+var idSeed = maphash.MakeSeed()
+
 // trackedConn is a connection of a Transport. It accepts writes of the exchange that took it
 // last, as far as that one allows them, and no others.
 type trackedConn struct {
@@ -13,8 +22,8 @@
 
 	mu   sync.Mutex
 	user *Exchange
-	// id is that of the last request.
-	id string
+	// ids are the hashes of the ids of the requests that were begun.
+	ids []uint64
 }
 
 // Write implements net.Conn.
@@ -47,12 +56,15 @@
 	return x.terms.ID == "" || c.addID(x.terms.ID)
 }
 
-// addID records the id of a request, and reports whether the connection may be used for it: a second
-// copy of the response to the last request would be taken for its response if that had the same id.
+// addID adds the id of a request, and reports whether the connection may be used for it: a second
+// copy of the response to an earlier request with the same id would be taken for its response.
 func (c *trackedConn) addID(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	same := c.id == id
-	c.id = id
-	return !same
+	hash := maphash.String(idSeed, id)
+	if len(c.ids) >= maxRequests || slices.Contains(c.ids, hash) {
+		return false
+	}
+	c.ids = append(c.ids, hash)
+	return true
 }
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -10,7 +10,8 @@
 )
 
 // notReused counts the kept connections that were not used again since their last response
-// could not be assigned to its request, or since the last request had the same id.
+// could not be assigned to its request, since they had a request with the same id before, or
+// since they had maxRequests.
 var notReused = metrics.NewCounter(`chestnut_http_connections_not_reused_total`)
 
 // State is what became of the request of an exchange.
@@ -30,7 +31,7 @@
 
 // Terms are the terms of an exchange. The zero value has none.
 type Terms struct {
-	// ID identifies the request.
+	// ID identifies the request. No connection is used for two requests with the same one.
 	ID string
 	// Check is called once there is a connection, right before the first byte is written. The
 	// request is not written if it returns false. It must be quick, and may be nil.
--- a/internal/httpclient/once_test.go
+++ b/internal/httpclient/once_test.go
@@ -126,3 +126,14 @@
 		}
 	}
 }
+
+// TestConnectionEndsAfterManyRequests guards against a connection that keeps the ids of its requests
+// without bound, and against one that ends before.
+func TestConnectionEndsAfterManyRequests(t *testing.T) {
+	var c trackedConn
+	for i := range maxRequests {
+		require.True(t, c.addID(fmt.Sprint(i)))
+	}
+	require.False(t, c.addID("next"))
+	require.Len(t, c.ids, maxRequests)
+}
