Take a call for not sent only if no byte of it was written

A caller could be told "not run" of a request that another node was serving, and a write to the store could be made a second time, after the first had arrived.

Change: these ask the state of the exchange (httpclient.NotSent, Exchange.Written). A call whose connection was made, and of which nothing was written, now counts as not sent as well: a guard that failed, a connection that closed before the first byte.

TestWritesAreNotRepeated has its case of a call that was not connected in the new type of error, and a new one: written, then not connected, is not repeated.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -113,7 +113,7 @@
 		if ctx.Err() == nil {
 			f.nodes.Failed(node, time.Now())
 		}
-		return nil, &relay.SendError{Sent: !httpclient.NotConnected(err), Err: err}
+		return nil, &relay.SendError{Sent: exchange.Written(), Err: err}
 	}
 	body := &forwardedBody{response: resp, end: end}
 	var described forwardedReply
--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -61,9 +61,9 @@
 var errNoPeer = fmt.Errorf("%w: no other node is known", ErrNotMade)
 
 // notMade reports whether an error shows that a call did not reach the store:
-// another node said so, or no connection was made.
+// another node said so, or nothing of it was written.
 func notMade(err error) bool {
-	return errors.Is(err, ErrNotMade) || httpclient.NotConnected(err)
+	return errors.Is(err, ErrNotMade) || httpclient.NotSent(err)
 }
 
 // mayRepeat reports whether a call may be made again after an error. A write may
--- a/internal/fleet/storecaller_test.go
+++ b/internal/fleet/storecaller_test.go
@@ -8,12 +8,19 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/httpclient"
 )
 
 var errNoResponse = errors.New("no response")
 
-// errDial is the error of a connection that was not made.
-var errDial = &net.OpError{Op: "dial", Err: errors.New("refused")}
+// errDial is the error of a call for which no connection was made, errDialAgain that of one that
+// was written before no further connection was made for it.
+var (
+	dialError    = &net.OpError{Op: "dial", Err: errors.New("refused")}
+	errDial      = &httpclient.Error{State: httpclient.NotWritten, Err: dialError}
+	errDialAgain = &httpclient.Error{State: httpclient.Written, Err: dialError}
+)
 
 // answer is the outcome of a call.
 type answer struct {
@@ -26,6 +33,7 @@
 	refused    = answer{reply: StoreReply{Status: http.StatusServiceUnavailable}}
 	noResponse = answer{err: errNoResponse}
 	notDialled = answer{err: errDial}
+	written    = answer{err: errDialAgain}
 )
 
 // countingStore is a way to the store that counts calls.
@@ -55,6 +63,7 @@
 		{"read, no response", http.MethodGet, noResponse, served, 1, served},
 		{"write, no response", http.MethodPost, noResponse, served, 0, noResponse},
 		{"write, not connected", http.MethodPost, notDialled, served, 1, served},
+		{"write, written, then not connected", http.MethodPost, written, served, 0, written},
 		{"write, refused", http.MethodPost, refused, served, 1, served},
 		{"write, refused by both", http.MethodPost, refused, refused, 1, refused},
 		{"write, refused, then no response", http.MethodPost, refused, noResponse, 1, noResponse},
