Follow no redirect in calls to engines, nodes and the store

A call could become a second one, to a place that a faulty peer names, whose response was taken for that to the first: an order that an engine answers with 302 became a GET, and its 200 "already done". Found while looking for other second sends; none was reported.

Change: httpclient.NewClient returns the response of a redirect as it is.

--- a/internal/httpclient/once_test.go
+++ b/internal/httpclient/once_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// TestRedirectIsNotFollowed guards against a second request, which nobody asked for, to the place
+// that a response names.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		for _, method := range methods {
+			server := newRecordingServer(t, fmt.Sprintf("HTTP/1.1 %d Elsewhere\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n", status))
+			client := NewClient(NewTransport(time.Second, time.Second))
+			response, err := client.Do(newTestRequest(t, method, server.address, "", 0))
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, status, response.StatusCode)
+			client.CloseIdleConnections()
+			require.Len(t, server.end(), 1, "%s, status %d", method, status)
+		}
+	}
+}
+
 // TestBytesOfRequest guards against requests whose bytes differ from those of net/http: a POST
 // without a body has a length of 0.
 func TestBytesOfRequest(t *testing.T) {
--- a/internal/httpclient/roundtrip.go
+++ b/internal/httpclient/roundtrip.go
@@ -33,9 +33,13 @@
 	return &Transport{pool: pool}
 }
 
-// NewClient returns a client over a transport.
+// NewClient returns a client over a transport. It follows no redirect: that would be a second
+// request, whose response would be taken for the one to the first.
 func NewClient(transport *Transport) *http.Client {
-	return &http.Client{Transport: transport}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // WithoutReuse has the transport make a connection for each request.
