Send each call of the older clients at most once

A call of internal/plain, internal/engine/httpengine or internal/platform/httpplatform whose kept connection broke could arrive twice, and could be reported as not sent after its endpoint had received it.

Cause: these clients have a bare http.Transport, which repeats calls by itself, and judge by the error of the last try.

Evidence, on: TestCallToVanishingEndpoint fails for GET, HEAD, OPTIONS and TRACE: "plain: could not connect: ... connection refused" where the outcome is unknown.

Change: their connections belong to an httpclient.Transport (httpclient.Over).

Result: the test passes for six methods. Calls with an idempotency key have a connection of their own, as before.

--- a/internal/engine/httpengine/httpengine.go
+++ b/internal/engine/httpengine/httpengine.go
@@ -105,24 +105,24 @@
 			Count:    3,
 		},
 	}
-	pooled := &http.Transport{
+	pooled := httpclient.Over(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     settings.IdleTimeout,
 
 		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
-	}
-	unpooled := &http.Transport{
+	})
+	unpooled := httpclient.Over(&http.Transport{
 		DialContext:       dialer.DialContext,
 		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
-	}
+	})
 	return &Client{
 		base:        "http://" + address,
 		callTimeout: settings.CallTimeout,
-		http:        &http.Client{Transport: pooled},
-		fresh:       &http.Client{Transport: unpooled},
+		http:        httpclient.NewClient(pooled),
+		fresh:       httpclient.NewClient(unpooled),
 	}
 }
 
@@ -273,7 +273,7 @@
 
 // transportError converts an error of net/http into one of package engine.
 func transportError(err error) error {
-	if httpclient.NotConnected(err) {
+	if httpclient.NotSent(err) {
 		return fmt.Errorf("%w: %v", engine.ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %v", engine.ErrUnknown, err)
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -111,8 +111,7 @@
 	pooled   *http.Client
 	// unpooled opens a connection for each call. It is used for status queries
 	// and for calls that may not be repeated, so that none of them is sent over
-	// a pooled connection that the peer has closed. Besides, net/http retries a
-	// call by itself only on a pooled connection.
+	// a pooled connection that the peer has closed.
 	unpooled *http.Client
 }
 
@@ -124,11 +123,17 @@
 	}
 	return &Caller{
 		settings: settings,
-		pooled:   &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: settings.IdleTimeout, MaxResponseHeaderBytes: httpclient.MaxHeadBytes}},
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httpclient.MaxHeadBytes}},
+		pooled:   newClient(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: settings.IdleTimeout}),
+		unpooled: newClient(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
 	}
 }
 
+// newClient returns a client over a pool of connections.
+func newClient(pool *http.Transport) *http.Client {
+	pool.MaxResponseHeaderBytes = httpclient.MaxHeadBytes
+	return httpclient.NewClient(httpclient.Over(pool))
+}
+
 // Close closes the idle connections.
 func (c *Caller) Close() {
 	c.pooled.CloseIdleConnections()
@@ -274,7 +279,7 @@
 }
 
 func transportError(err error) error {
-	if httpclient.NotConnected(err) {
+	if httpclient.NotSent(err) {
 		return fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %v", ErrUnknown, err)
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -29,17 +29,16 @@
 
 // New returns a client of the platform at address, a host:port pair.
 func New(address string) *Client {
-	transport := &http.Transport{
+	transport := httpclient.Over(&http.Transport{
 		DialContext:         netcount.Dial(&net.Dialer{Timeout: time.Second}, netcount.Platform),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 
 		MaxResponseHeaderBytes: httpclient.MaxHeadBytes,
-	}
-	return &Client{
-		base: "http://" + address,
-		http: &http.Client{Transport: transport, Timeout: callTimeout},
-	}
+	})
+	client := httpclient.NewClient(transport)
+	client.Timeout = callTimeout
+	return &Client{base: "http://" + address, http: client}
 }
 
 // Get implements platform.Table.
@@ -200,10 +199,10 @@
 }
 
 // writeError maps the transport error of a write to an error of package
-// platform: ErrUnavailable if no connection was made, so that nothing was sent,
+// platform: ErrUnavailable if nothing was sent,
 // and ErrUnknown otherwise.
 func writeError(err error) error {
-	if httpclient.NotConnected(err) {
+	if httpclient.NotSent(err) {
 		return fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
 	}
 	return fmt.Errorf("%w: %v", platform.ErrUnknown, err)
