Log which connections an attempt took

One line "request sent" could stand for several connections and, before the exchanges, for two sends: the logs of the incident don't tell whether an attempt used a kept connection or was written.

Change: "sending failed" tells of its attempt, and "request answered" and "request failed" of the last one, the number of connections, whether the last one was kept, and whether bytes were written. No key or metric changed its name.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -106,24 +106,34 @@
 	resp, err := f.callForward(ctx, node, req, attempt)
 	if exchange.Refused() {
 		end()
-		return nil, &relay.SendError{Refusal: refusal, Err: err}
+		return nil, &relay.SendError{Refusal: refusal, Connection: connectionOf(exchange), Err: err}
 	}
 	if err != nil {
 		end()
 		if ctx.Err() == nil {
 			f.nodes.Failed(node, time.Now())
 		}
-		return nil, &relay.SendError{Sent: exchange.Written(), Err: err}
+		return nil, &relay.SendError{Sent: exchange.Written(), Connection: connectionOf(exchange), Err: err}
 	}
 	body := &forwardedBody{response: resp, end: end}
 	var described forwardedReply
 	if text := resp.Header.Get(headerForwardReply); text != "" {
 		if err := json.Unmarshal([]byte(text), &described); err == nil {
-			return forwardReply(resp, described, body), nil
+			reply := forwardReply(resp, described, body)
+			reply.Connection = connectionOf(exchange)
+			return reply, nil
 		}
 	}
 	defer func() { _ = body.Close() }()
-	return nil, f.notForwarded(node, resp)
+	failed := f.notForwarded(node, resp)
+	failed.Connection = connectionOf(exchange)
+	return nil, failed
+}
+
+// connectionOf describes the connections that an exchange took.
+func connectionOf(exchange *httpclient.Exchange) relay.Connection {
+	taken, kept := exchange.Connections()
+	return relay.Connection{Taken: taken, Kept: kept, Written: exchange.Written()}
 }
 
 // callForward makes the call.
@@ -187,7 +197,7 @@
 }
 
 // notForwarded returns the error of a request that another node did not serve.
-func (f *Forwarding) notForwarded(node string, resp *http.Response) error {
+func (f *Forwarding) notForwarded(node string, resp *http.Response) *relay.SendError {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
 	var ended forwardEnd
 	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil || ended.Reason == "" {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -69,8 +69,9 @@
 			Jitter:     rand.Float64(),
 		})
 	}
-	x.relay.Log.Info("sending failed", "request_id", x.req.ID, "endpoint", endpoint.ID, "run", string(result.run),
-		"begun", x.started, "sendings", x.attempts, "repeat", decision.Retry, "error", errorText(result.cause))
+	attrs := []any{"request_id", x.req.ID, "endpoint", endpoint.ID, "run", string(result.run),
+		"begun", x.started, "sendings", x.attempts, "repeat", decision.Retry, "error", errorText(result.cause)}
+	x.relay.Log.Info("sending failed", append(attrs, x.connection.attrs()...)...)
 	if decision.Retry && x.awaitCrashCheck(ctx) && pause.For(ctx, decision.Pause) {
 		return nil, true
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -43,6 +43,8 @@
 	// demandCounted reports whether the request was counted in the demand for
 	// the model.
 	demandCounted bool
+	// connection is that of the last attempt.
+	connection Connection
 	// possibleRuns counts the attempts that may have run the request.
 	possibleRuns int
 	tried        []string
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -264,6 +264,7 @@
 		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.catalog.Version,
 			"team", x.teamName(), "model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
 		attrs = append(attrs, x.progress.attrs(req.Arrived)...)
+		attrs = append(attrs, x.connection.attrs()...)
 	}
 	if failure == nil {
 		requestsAnswered.Inc()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -145,6 +145,8 @@
 	// Runs returns, once the body has ended, the number of endpoints that may have run the
 	// request. Nil means one.
 	Runs func() int
+	// Connection is that of the attempt.
+	Connection Connection
 }
 
 // SendError reports an attempt that got no response.
@@ -156,7 +158,9 @@
 	// Refusal is the failure, if that is final, at a node that did not serve the request, or
 	// of the check of the attempt.
 	Refusal *Failure
-	Err     error
+	// Connection is that of the attempt.
+	Connection Connection
+	Err        error
 }
 
 // Error implements error.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -50,6 +50,7 @@
 	s.place, x.place = x.place, nil
 	s.balanced, x.balanced = x.balanced, nil
 	counted := x.budgetCounted
+	x.connection = Connection{}
 	s.release = s.way.begin(s)
 	if failure := x.authorize(); failure != nil {
 		s.release()
@@ -79,6 +80,7 @@
 	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
 		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes)
 	reply, err := r.Sender.Send(ctx, endpoint, x.req, attempt)
+	x.connection = connectionOf(reply, err)
 	if err != nil {
 		r.waiting.remove(s)
 		if s.withdrawn() {
