--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -99,31 +99,41 @@
 	end := f.nodes.Begin(node)
 	requestsForwarded.Inc()
 	var refusal *relay.Failure
-	ctx, guard := httpclient.NewGuard(ctx, func() bool {
+	ctx, exchange := httpclient.NewExchange(ctx, httpclient.Terms{Check: func() bool {
 		refusal = attempt.Authorized()
 		return refusal == nil
-	})
+	}})
 	resp, err := f.callForward(ctx, node, req, attempt)
-	if guard.Refused() {
+	if exchange.Refused() {
 		end()
-		return nil, &relay.SendError{Sent: guard.Written(), Refusal: refusal, Err: err}
+		return nil, &relay.SendError{Refusal: refusal, Connection: connectionOf(exchange), Err: err}
 	}
 	if err != nil {
 		end()
 		if ctx.Err() == nil {
 			f.nodes.Failed(node, time.Now())
 		}
-		return nil, &relay.SendError{Sent: !httpclient.NotConnected(err), Err: err}
+		return nil, &relay.SendError{Sent: exchange.Written(), Connection: connectionOf(exchange), Err: err}
 	}
 	body := &forwardedBody{response: resp, end: end}
 	var described forwardedReply
 	if text := resp.Header.Get(headerForwardReply); text != "" {
 		if err := json.Unmarshal([]byte(text), &described); err == nil {
-			return forwardReply(resp, described, body), nil
+			reply := forwardReply(resp, described, body)
+			reply.Connection = connectionOf(exchange)
+			return reply, nil
 		}
 	}
 	defer func() { _ = body.Close() }()
-	return nil, f.notForwarded(node, resp)
+	failed := f.notForwarded(node, resp)
+	failed.Connection = connectionOf(exchange)
+	return nil, failed
+}
+
+// connectionOf describes the connections that an exchange took.
+func connectionOf(exchange *httpclient.Exchange) relay.Connection {
+	taken, kept := exchange.Connections()
+	return relay.Connection{Taken: taken, Kept: kept, Written: exchange.Written()}
 }
 
 // callForward makes the call.
@@ -158,8 +168,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: request: %w", err)
 	}
-	// net/http repeats a request only if it can obtain its body again.
-	call.GetBody = nil
 	call.Header = req.Header.Clone()
 	call.Header.Set(headerForward, string(described))
 	if call.Header.Get("User-Agent") == "" {
@@ -189,7 +197,7 @@
 }
 
 // notForwarded returns the error of a request that another node did not serve.
-func (f *Forwarding) notForwarded(node string, resp *http.Response) error {
+func (f *Forwarding) notForwarded(node string, resp *http.Response) *relay.SendError {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
 	var ended forwardEnd
 	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil || ended.Reason == "" {
--- /dev/null
+++ b/internal/httpclient/conn.go
@@ -0,0 +1,70 @@
+package httpclient
+
+import (
+	"context"
+	"hash/maphash"
+	"net"
+	"slices"
+	"sync"
+)
+
+// maxRequests is the number of requests with an id after which a connection is not used again.
+// It bounds what is kept of their ids.
+const maxRequests = 1024
+
+// idSeed seeds the hashes of ids.
+var idSeed = maphash.MakeSeed()
+
+// trackedConn is a connection of a Transport. It accepts writes of the exchange that took it
+// last, as far as that one allows them, and no others.
+type trackedConn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	user *Exchange
+	// ids are the hashes of the ids of the requests that were begun.
+	ids []uint64
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	user := c.user
+	c.mu.Unlock()
+	if user == nil {
+		return 0, errNoExchange
+	}
+	if err := user.beginWrite(c); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	user.wrote(c, n, err)
+	return n, err
+}
+
+// take makes an exchange the user of the connection, and reports whether it may use it. net/http
+// hands a connection on before it delivers a response without a body, so take waits until the
+// response before is judged.
+func (c *trackedConn) take(ctx context.Context, x *Exchange) bool {
+	c.mu.Lock()
+	before := c.user
+	c.user = x
+	c.mu.Unlock()
+	if before != nil && !before.leaves(ctx, c, x) {
+		return false
+	}
+	return x.terms.ID == "" || c.addID(x.terms.ID)
+}
+
+// addID adds the id of a request, and reports whether the connection may be used for it: a second
+// copy of the response to an earlier request with the same id would be taken for its response.
+func (c *trackedConn) addID(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hash := maphash.String(idSeed, id)
+	if len(c.ids) >= maxRequests || slices.Contains(c.ids, hash) {
+		return false
+	}
+	c.ids = append(c.ids, hash)
+	return true
+}
