Say with a response whether its content type is that of server-sent events

What may follow the start of a stream depends on the content type of the response, which only platform/ could see. relay.Reply now has the field EventStream, false also for a response with an encoding. Nodes pass it to each other, negated like the signature: the responses of a node of an earlier version count as before.

Nothing checks the field yet.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -70,6 +70,9 @@
 	// Unsigned means that it lacks the endpoint's signature. Nodes that don't send it do not
 	// check signatures.
 	Unsigned bool `json:"unsigned,omitempty"`
+	// OtherContent means that its content type is not that of server-sent events. Nodes that
+	// don't send it do not check the type.
+	OtherContent bool `json:"other_content,omitempty"`
 }
 
 // forwardEnd says how the request ended at the other node.
@@ -189,6 +192,8 @@
 		Origin: described.Origin,
 		Signed: !described.Unsigned,
 		Runs:   body.runs,
+
+		EventStream: !described.OtherContent,
 	}
 }
 
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -288,3 +288,21 @@
 	}
 	require.True(t, forwardReply(&http.Response{}, forwardedReply{Status: http.StatusOK}, &forwardedBody{}).Signed)
 }
+
+// TestForwardedReplyKeepsContentType guards against a response that is no stream of events and counts
+// as one at the node that forwarded the request, and against streams of a node of an earlier version,
+// which does not state it, that count as other content.
+func TestForwardedReplyKeepsContentType(t *testing.T) {
+	for _, events := range []bool{true, false} {
+		d, node := forwarding(t, func(_ context.Context, _ *relay.Request, answer relay.Answer) (int, *relay.Failure) {
+			answer.Begin(&relay.Reply{Status: http.StatusOK, EventStream: events, Header: http.Header{}}, 0)
+			return 1, nil
+		}, false)
+		req, attempt := forwardedCall()
+		reply, err := d.Send(t.Context(), node, req, attempt)
+		require.NoError(t, err)
+		require.NoError(t, reply.Body.Close())
+		require.Equal(t, events, reply.EventStream)
+	}
+	require.True(t, forwardReply(&http.Response{}, forwardedReply{Status: http.StatusOK}, &forwardedBody{}).EventStream)
+}
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -105,7 +105,13 @@
 			header[name] = nil
 		}
 	}
-	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Origin: reply.Origin, Unsigned: !reply.Signed})
+	described, err := json.Marshal(forwardedReply{
+		Status:       reply.Status,
+		Length:       int64(length),
+		Origin:       reply.Origin,
+		Unsigned:     !reply.Signed,
+		OtherContent: !reply.EventStream,
+	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -128,6 +128,8 @@
 	// Signed means that the response bears the endpoint's signature, without which no success
 	// counts.
 	Signed bool
+	// EventStream means that the content type is that of server-sent events, without an encoding.
+	EventStream bool
 	// WrongEndpoint means that the endpoint is not the intended one, or does
 	// not hold the model.
 	WrongEndpoint bool
