Do not append a stream to a part of an error response

Callers of a resumable route could get a part of an endpoint's error response and then the events of another endpoint's stream, as one complete response with the error's status.

Cause: an error response that fills the buffer, or finds no memory for more, is forwarded as it arrives. When its connection broke, the route's attempts went on as those of a stream.

Evidence: TestStreamAfterErrorResponse, a 404 of 2 MB that breaks off, got 'id: 1 data: a' behind the error's text, and no failure. Not seen on a machine: found by reading.

Change: only a response that has begun as a stream can be continued. The test passes; the response ends as broken off.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -29,8 +29,9 @@
 	numbered, known bool
 	// step is the largest difference between the ids of two successive events.
 	step uint64
-	// events means that the caller has an event of it.
-	events bool
+	// begun means that the response to the caller is a stream, events that the caller has an event of
+	// it.
+	begun, events bool
 	// continuing means that the current attempt goes on after an event, joining that it has brought
 	// none yet.
 	continuing, joining bool
@@ -44,7 +45,7 @@
 
 // continuable reports whether another attempt may go on with a stream that has begun.
 func (p *streamPosition) continuable() bool {
-	return p.known || !p.events
+	return p.begun && (p.known || !p.events)
 }
 
 // beginAttempt notes that the events of another attempt follow.
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -247,6 +247,19 @@
 	}
 }
 
+// TestStreamAfterErrorResponse guards against a stream that follows a part of an error response, which
+// was too long to be read whole before it was forwarded.
+func TestStreamAfterErrorResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		text := strings.Repeat("not found ", 2*maxBufferedBody/10)
+		endpoints := &fakeEndpoints{next: []behaviour{truncated(404, text), answer(200, eventOne), answer(200, eventOne)}}
+		got := &fakeAnswer{}
+		failure := newRelay(endpoints).Serve(t.Context(), request("resume", "m"), got)
+		require.Equal(t, "", strings.TrimPrefix(got.body.String(), text), "follows the error response")
+		requireBrokenOff(t, text, got, failure)
+	})
+}
+
 // takenUp returns a request by which a caller takes a stream up after its first event.
 func takenUp(kind string) *Request {
 	req := request(kind, "m")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,6 +65,7 @@
 func (x *exchange) forwardBytes(s *sending, data []byte) error {
 	if !x.started {
 		x.started = true
+		x.position.begun = true
 		x.begunAt(s)
 		x.status = s.reply.Status
 		firstSeconds.Update(time.Since(x.req.Arrived).Seconds())
