End a stream with the first piece that can't be written to its caller

A stream could go on behind a piece that its caller never got.

Cause: a failed write ended the attempt, and a resumable stream then went on at another endpoint after the lost piece, which counted as delivered. net/http keeps a connection's error, so callers of the node itself are not known to have got the later pieces; endpoints worked in vain, and the retry came out of the service's budget.

Evidence: TestStreamEndsWithFailedWrite, where one write fails, got 'id: 2 data: b' without the event before it. Found by reading, not seen on a machine.

Change: after a failed write no attempt goes on with the response. The test passes.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -32,6 +32,8 @@
 	// begun means that the response to the caller is a stream, events that the caller has an event of
 	// it.
 	begun, events bool
+	// undelivered means that a piece may not have reached the caller.
+	undelivered bool
 	// continuing means that the current attempt goes on after an event, joining that it has brought
 	// none yet.
 	continuing, joining bool
@@ -45,7 +47,7 @@
 
 // continuable reports whether another attempt may go on with a stream that has begun.
 func (p *streamPosition) continuable() bool {
-	return p.begun && (p.known || !p.events)
+	return p.begun && !p.undelivered && (p.known || !p.events)
 }
 
 // beginAttempt notes that the events of another attempt follow.
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -260,6 +261,35 @@
 	})
 }
 
+// failingAnswer is a caller to which one write fails.
+type failingAnswer struct {
+	fakeAnswer
+	failed bool
+}
+
+var errCallerSlow = errors.New("caller takes no bytes")
+
+// Write implements Answer.
+func (a *failingAnswer) Write(data []byte) error {
+	if !a.failed {
+		a.failed = true
+		return errCallerSlow
+	}
+	return a.fakeAnswer.Write(data)
+}
+
+// TestStreamEndsWithFailedWrite guards against a stream that goes on behind a piece that could not be
+// delivered.
+func TestStreamEndsWithFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{next: []behaviour{answer(200, eventOne), answer(200, eventTwo), answer(200, eventTwo)}}
+		got := &failingAnswer{}
+		failure := newRelay(endpoints).Serve(t.Context(), request("resume", "m"), got)
+		requireBrokenOff(t, "", &got.fakeAnswer, failure)
+		require.Len(t, endpoints.endpointIDs, 1)
+	})
+}
+
 // takenUp returns a request by which a caller takes a stream up after its first event.
 func takenUp(kind string) *Request {
 	req := request(kind, "m")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,10 +72,12 @@
 		x.answer.Begin(s.reply, -1)
 	}
 	x.progress.sent.record(time.Now())
-	if err := x.answer.Write(data); err != nil {
-		return err
+	err := x.answer.Write(data)
+	if err == nil {
+		err = x.answer.Flush()
 	}
-	return x.answer.Flush()
+	x.position.undelivered = x.position.undelivered || err != nil
+	return err
 }
 
 // streamTimings are the times of one attempt's stream. A resumed stream has
