--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -67,6 +67,12 @@
 	Length int64 `json:"length"`
 	// Origin is what began it if it is a stream.
 	Origin streamorigin.Origin `json:"origin,omitzero"`
+	// Unsigned means that it lacks the endpoint's signature. Nodes that don't send it do not
+	// check signatures.
+	Unsigned bool `json:"unsigned,omitempty"`
+	// OtherContent means that its content type is not that of server-sent events. Nodes that
+	// don't send it do not check the type.
+	OtherContent bool `json:"other_content,omitempty"`
 }
 
 // forwardEnd says how the request ended at the other node.
@@ -192,7 +198,10 @@
 		Body:   body,
 		Length: described.Length,
 		Origin: described.Origin,
+		Signed: !described.Unsigned,
 		Runs:   body.runs,
+
+		EventStream: !described.OtherContent,
 	}
 }
 
