Send only what can end before a node that stops does

What callers saw: in a planned stop, requests that came late in the grace were passed on and ended with 502 "node is shutting down" at its end, streams broke off. A 502 promises nothing, so requests that may not be repeated could not be sent again.

Cause: a node that stops sent whatever came as long as it ran. Nothing compared the time that was left with the time that a request takes; a request could also wait for room for seconds and be sent then.

The tests of internal/relay fail with the check taken out.

Change: load.Durations records how long whole attempts took of late, by service and model, scaled by the tokens asked for. relay.FinishBy has the relay send only what is expected to end by a time (0.98 quantile with a margin, a larger one while little is known, bounded by the request's deadline and the route's timeout). The rest is refused as not run: when it has been read, while it waits, before a further attempt, before it is sent, and before the first byte. What has begun goes on. A wait for the configuration ends with the process.

--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -34,6 +34,7 @@
 	allowed := n.settings.Load().ShutdownLimit - shutdownMargin
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), startTime.Add(allowed))
 	defer cancel()
+	n.relay.FinishBy(startTime.Add(allowed - responseMargin))
 	n.keeper.Retire()
 	abortTimer := time.AfterFunc(allowed-responseMargin, n.relay.Shutdown)
 	defer abortTimer.Stop()
--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -50,9 +50,11 @@
 		x.relay.Demand.Arrived(x.service.Name, x.req.Model, x.req.PromptTokens)
 	}
 	w := x.newWait()
+	ctx, release := x.untilLate(ctx)
+	defer release()
 	endpoint, failure := x.await(ctx, w)
 	w.finish(endpoint)
-	return endpoint, failure
+	return endpoint, x.afterWait(ctx, failure)
 }
 
 // await polls for an endpoint until there is one, the request can no longer be
@@ -140,22 +142,25 @@
 	now := time.Now()
 	reason := reasonOf(verdict, x.req.Model)
 	queued := verdict == choose.Full || verdict == choose.Ejected
-	latest, availableAt := x.latestWait(verdict, queued)
-	if availableAt.After(latest) {
+	lastStart, availableAt := x.latestWait(verdict, queued)
+	predictedWait := w.predictedWait(now)
+	if failure := x.refuseLate(latest(availableAt, now.Add(predictedWait))); failure != nil {
+		return failure
+	}
+	if availableAt.After(lastStart) {
 		return refuse(reason, availableAt.Sub(now))
 	}
-	if now.After(latest) {
+	if now.After(lastStart) {
 		return refuse(reason, x.lateRetryAfter(queued, w, now))
 	}
 	if verdict == choose.Absent && x.req.Model != "" && !x.started && x.relay.Isolated() {
 		return refuse(reason, isolatedRetryAfter)
 	}
-	predictedWait := w.predictedWait(now)
 	// The rate of dispatch says nothing while endpoints recover.
 	if !queued || predictedWait == 0 || x.started || x.limited {
 		return nil
 	}
-	if now.Add(predictedWait).After(latest) {
+	if now.Add(predictedWait).After(lastStart) {
 		return refuse(reason, min(predictedWait, maxRetryAfter))
 	}
 	return nil
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -58,7 +58,12 @@
 		x.unsent++
 	}
 	decision := retry.Decision{}
-	if x.mayRetry(ctx, result) {
+	var late *Failure
+	mayRetry := x.mayRetry(ctx, result)
+	if mayRetry {
+		late = x.refuseLate(time.Now())
+	}
+	if mayRetry && late == nil {
 		decision = x.budget().Decide(retry.Failure{
 			Now:        time.Now(),
 			Deadline:   x.deadline,
@@ -74,7 +79,11 @@
 	if decision.Retry && x.awaitCrashCheck(ctx) && pause.For(ctx, decision.Pause) {
 		return nil, true
 	}
-	return x.finish(ctx, result), false
+	failure := x.finish(ctx, result)
+	if failure != nil && failure.Run == outcome.NotRun && late != nil {
+		return late, false
+	}
+	return failure, false
 }
 
 // backoffAttempts returns the number of attempts from which the backoff is
--- a/internal/relay/authorize.go
+++ b/internal/relay/authorize.go
@@ -97,15 +97,18 @@
 	return k, failure
 }
 
-// sendAuthorization returns a function that checks the request's key as authorize does, and whether
-// the caller is still there. The sender may call it while the exchange goes on after a cancellation, so
+// sendAuthorization returns a function that checks the request's key as authorize does, whether
+// the caller is still there, and whether it is too late before the process ends. The sender may call it while the exchange goes on after a cancellation, so
 // it changes nothing there.
 func (x *exchange) sendAuthorization(ctx context.Context) func() *Failure {
-	r, req, began := x.relay, x.req, x.team
+	r, req, began, begun, attempt := x.relay, x.req, x.team, x.started, x.attemptTime()
 	return func() *Failure {
 		if failure := callerLeft(ctx); failure != nil {
 			return failure
 		}
+		if now := time.Now(); !begun && attempt.tooLong(now) {
+			return x.late(now)
+		}
 		k, failure := r.checkKeyOf(req, began)
 		if failure == nil && nameOf(k.team) != nameOf(began) {
 			// The attempt names a team that a public request no longer has.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -153,11 +153,23 @@
 	case x.isStream(s.reply):
 		detector := x.detectStalls(ctx, s)
 		result := x.forwardStream(ctx, s)
+		x.recordDuration(s, result)
 		result.successor = detector.finish(result, x.lastEvent())
 		return result
 	}
 	x.relay.waiting.remove(s)
-	return x.forwardBuffered(ctx, s)
+	result := x.forwardBuffered(ctx, s)
+	x.recordDuration(s, result)
+	return result
+}
+
+// recordDuration records how long an attempt took whose response is whole. One that goes on with a stream
+// says nothing of those that begin.
+func (x *exchange) recordDuration(s *sending, result attemptResult) {
+	first := x.progress.sent.first
+	if result.done && s.lastEvent == "" && !first.Before(s.started) {
+		s.timing.End(first, time.Now())
+	}
 }
 
 // isStream reports whether a response is a stream of events.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,6 +80,9 @@
 	Dependencies
 	chooser choose.Chooser
 	loads   *load.Tracker
+	// durations says how long requests take, for those that come while the process stops.
+	durations *load.Durations
+	stopping  stopping
 	// cooldowns are the cooldowns that endpoints asked this node for.
 	cooldowns *notice.Cooldowns[inventory.Key]
 	crashes   crashDetector
@@ -109,6 +112,8 @@
 		Dependencies:  deps,
 		chooser:       choose.Fastest(),
 		loads:         load.NewTracker(load.DefaultSettings()),
+		durations:     load.NewDurations(),
+		stopping:      newStopping(),
 		cooldowns:     notice.NewCooldowns[inventory.Key](),
 		crashes:       crashDetector{checks: map[inventory.Key]*crashCheck{}},
 		waiting:       waitingAttempts{cancels: map[*sending]waitingAttempt{}},
@@ -160,6 +165,9 @@
 	if failure == nil {
 		x, failure = r.begin(req, answer)
 	}
+	if failure == nil {
+		failure = x.refuseLate(time.Now())
+	}
 	if failure == nil {
 		failure = r.serveCharged(ctx, x)
 	}
@@ -181,6 +189,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(r.shutdown, cancel)()
 	if r.AwaitConfiguration(ctx) != nil {
 		return refuse(ReasonConfigurationOld, endedRetryAfter)
 	}
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/load"
 )
 
 // sending is an attempt whose response has begun.
@@ -29,8 +30,10 @@
 	// unverified means that the response continues a stream that has begun, and that it is
 	// not known yet whether it comes from the incarnation of the endpoint's entry.
 	unverified bool
-	cancel     context.CancelFunc
-	release    func()
+	// timing is how long the attempt takes.
+	timing  *load.Timing
+	cancel  context.CancelFunc
+	release func()
 	// cause returns why the attempt was cancelled, or nil.
 	cause func() error
 }
@@ -55,6 +58,11 @@
 		s.release()
 		return nil, notAuthorized(failure)
 	}
+	if failure := x.refuseLate(time.Now()); failure != nil {
+		s.release()
+		return nil, notAuthorized(failure)
+	}
+	s.timing = r.durations.Begin(x.workKind(), x.req.MaxTokens, time.Now())
 	attemptsTotal.Inc()
 	ctx, cancel := context.WithCancelCause(ctx)
 	s.cancel = func() { cancel(nil) }
@@ -81,6 +89,7 @@
 	reply, err := r.Sender.Send(ctx, endpoint, x.req, attempt)
 	if err != nil {
 		r.waiting.remove(s)
+		s.timing.Drop()
 		if s.withdrawn() {
 			err = &SendError{Sent: true, Err: errSuspected}
 		}
@@ -134,6 +143,7 @@
 // close ends the attempt.
 func (s *sending) close() {
 	s.cancel()
+	s.timing.Drop()
 	_ = s.reply.Body.Close()
 	s.release()
 }
--- /dev/null
+++ b/internal/relay/stopping_test.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"chestnutgauge/internal/concurrency"
+	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/notice"
+	"chestnutgauge/internal/outcome"
+	"chestnutgauge/internal/pause"
+)
+
+// whole is a complete stream.
+const whole = "id: 1\ndata: 1\n\n"
+
+// serveMany serves requests that take a time each, so that the relay knows it.
+func serveMany(t *testing.T, r *Relay, endpoints *fakeEndpoints, kind string, do behaviour) {
+	for i := range 30 {
+		endpoints.next = append(endpoints.next, do)
+		req := request(kind, "m")
+		req.ID = fmt.Sprint("before", i)
+		require.Nil(t, r.Serve(t.Context(), req, &fakeAnswer{}))
+	}
+}
+
+// TestLateInShutdown guards against requests that are sent late in a shutdown and cut at its end, and
+// against short ones that are refused although they would end.
+func TestLateInShutdown(t *testing.T) {
+	const left = 3 * time.Second
+	cases := []struct {
+		name string
+		kind string
+		// known is what earlier requests did, or nil if there were none.
+		known behaviour
+		late  bool
+	}{
+		{"nothing is known, and its timeout outlasts the process", "once", nil, true},
+		{"short", "once", after(time.Second, answer(200, "a")), false},
+		{"too long", "once", after(2700*time.Millisecond, answer(200, "a")), true},
+		{"a stream that begins in time and ends too late", "stream", slowly(whole, 4*time.Second, whole), true},
+		{"a short stream", "stream", slowly(whole, time.Second, whole), false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endpoints := &fakeEndpoints{}
+				r := newRelay(endpoints)
+				if tc.known != nil {
+					serveMany(t, r, endpoints, tc.kind, tc.known)
+				}
+				r.FinishBy(time.Now().Add(left))
+				before := len(endpoints.attempts)
+				endpoints.next = []behaviour{tc.known}
+				started := time.Now()
+				failure := r.Serve(t.Context(), request(tc.kind, "m"), &fakeAnswer{})
+				if !tc.late {
+					require.Nil(t, failure)
+					return
+				}
+				require.Equal(t, &Failure{Reason: ReasonShuttingDown, Run: outcome.NotRun, RetryAfter: endedRetryAfter}, failure)
+				require.Len(t, endpoints.attempts, before)
+				require.Zero(t, time.Since(started))
+			})
+		})
+	}
+}
+
+// loadIn predicts that a model is loaded in a time.
+type loadIn struct {
+	noLoads
+	time.Duration
+}
+
+func (l loadIn) Expected(string, string, inventory.Requirement) (time.Time, bool) {
+	return time.Now().Add(l.Duration), true
+}
+
+// noPlaces has a place for no request.
+type noPlaces struct{}
+
+func (noPlaces) Begin(ctx context.Context, _ concurrency.Ask[inventory.Key], maxWait time.Duration) (Place, bool) {
+	pause.For(ctx, maxWait)
+	return Place{}, false
+}
+
+func (noPlaces) End(Place, bool) {}
+
+// TestLateWaitInShutdown guards against requests that wait for a model, for room or for a place until it
+// is too late to send them, and are then sent or told only at the end of the process.
+func TestLateWaitInShutdown(t *testing.T) {
+	const took, left = time.Second, 3 * time.Second
+	cases := []struct {
+		name  string
+		model string
+		set   func(r *Relay)
+		// maxTime is the time from the stop until the refusal.
+		maxTime time.Duration
+	}{
+		{"for a model that is loaded too late", "rare", func(r *Relay) { r.Loads = loadIn{Duration: 2500 * time.Millisecond} }, 0},
+		{"for a model that may be loaded at any time", "rare", func(*Relay) {}, left - took},
+		{"for room", "m", func(r *Relay) {
+			for _, id := range []string{"a", "b", "c"} {
+				for range 4 {
+					r.loads.Begin(id, time.Now())
+				}
+			}
+		}, left - took},
+		{"for a place", "m", func(r *Relay) {
+			r.Places = noPlaces{}
+			r.RejectionLimits.Learn("s", notice.RateLimit{State: notice.LimitNamed, PerSecond: 1}, time.Now(), time.Now())
+		}, left - took},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endpoints := &fakeEndpoints{}
+				r := newRelay(endpoints)
+				r.Catalog().Route("h", "/once/x").Timeout = time.Minute
+				serveMany(t, r, endpoints, "once", after(took, answer(200, "a")))
+				tc.set(r)
+				sent := len(endpoints.attempts)
+				var failure *Failure
+				var ended time.Time
+				go func() {
+					req := request("once", tc.model)
+					req.Deadline = time.Now().Add(time.Minute)
+					failure = r.Serve(t.Context(), req, &fakeAnswer{})
+					ended = time.Now()
+				}()
+				time.Sleep(100 * time.Millisecond)
+				stopped := time.Now()
+				r.FinishBy(stopped.Add(left))
+				time.Sleep(left)
+				synctest.Wait()
+				require.NotNil(t, failure)
+				require.Equal(t, ReasonShuttingDown, failure.Reason)
+				require.Equal(t, outcome.NotRun, failure.Run)
+				require.Equal(t, endedRetryAfter, failure.RetryAfter)
+				require.LessOrEqual(t, ended.Sub(stopped), max(tc.maxTime, 2*lateCheckInterval))
+				require.Len(t, endpoints.attempts, sent)
+			})
+		})
+	}
+}
+
+// TestNoLateRetryInShutdown guards against a second attempt that can't end before the process: the caller
+// gets what the first one gave, at once.
+func TestNoLateRetryInShutdown(t *testing.T) {
+	const took = time.Second
+	cases := []struct {
+		name   string
+		first  behaviour
+		reason Reason
+		run    outcome.Run
+		status int
+	}{
+		{"an endpoint's error", answer(500, "broken"), "", "", 500},
+		{"a refusal", notRun, ReasonShuttingDown, outcome.NotRun, 0},
+		{"a lost connection", noResponse, ReasonTruncated, outcome.Unknown, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endpoints := &fakeEndpoints{}
+				r := newRelay(endpoints)
+				serveMany(t, r, endpoints, "repeat", after(took, answer(200, "a")))
+				sent := len(endpoints.attempts)
+				endpoints.next = []behaviour{after(took, tc.first), after(took, answer(200, "a"))}
+				r.FinishBy(time.Now().Add(2 * took))
+				began := time.Now()
+				got := &fakeAnswer{}
+				failure := r.Serve(t.Context(), request("repeat", "m"), got)
+				require.Equal(t, tc.status, got.status)
+				if tc.reason != "" {
+					require.NotNil(t, failure)
+					require.Equal(t, tc.reason, failure.Reason)
+					require.Equal(t, tc.run, failure.Run)
+				}
+				require.Equal(t, took, time.Since(began))
+				require.Len(t, endpoints.attempts, sent+1)
+			})
+		})
+	}
+}
+
+// TestBegunStreamGoesOnInShutdown guards against streams that have begun and are not resumed while there
+// is time.
+func TestBegunStreamGoesOnInShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{next: []behaviour{truncated(200, eventOne), answer(200, eventTwo)}}
+		r := newRelay(endpoints)
+		req := request("resume", "m")
+		endpoints.next[0] = func(ctx context.Context, attempt Attempt) (*Reply, error) {
+			r.FinishBy(time.Now().Add(time.Second))
+			return truncated(200, eventOne)(ctx, attempt)
+		}
+		got := &fakeAnswer{}
+		require.Nil(t, r.Serve(t.Context(), req, got))
+		require.Equal(t, eventOne+eventTwo, got.body.String())
+	})
+}
