Finish the calls of other nodes before a node exits

What callers saw: 502 for requests that no endpoint got, when the node that served them for another one stopped.

Cause: the server for other nodes was never shut down; the process exited while calls were being read, declined or had their last bytes, the trailer with the outcome, unwritten, and the kernel reset the connections. The node that forwards can't know then whether the request was sent. A node that stops also kept the connections of declined calls open.

Change: the server for other nodes is an httpserver.Server, which ends like that for callers: it takes the pending connections, then refuses new ones, and finishes what has arrived, while the lease is released and for no longer. Responses to forwarded requests that begin during the stop close their connections. The test of a failed server hands runWorkers both servers.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -178,6 +178,7 @@
 	header := resp.Header.Clone()
 	header.Del(headerForwardReply)
 	header.Del("Trailer")
+	header.Del("Connection")
 	return &relay.Reply{
 		Status: described.Status,
 		Header: header,
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -39,7 +39,7 @@
 		return
 	}
 	w.Header().Set("Trailer", headerForwardEnd)
-	answer := &forwardAnswer{w: w, control: http.NewResponseController(w)}
+	answer := &forwardAnswer{w: w, control: http.NewResponseController(w), closing: f.Closing}
 	var ended forwardEnd
 	if full {
 		ended = forwardEnd{Reason: relay.ReasonNoMemory, Run: outcome.NotRun}
@@ -89,6 +89,17 @@
 type forwardAnswer struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	// closing reports whether responses that begin now close their connections.
+	closing func() bool
+	begun   bool
+}
+
+// begin decides on the connection if the response has not begun.
+func (a *forwardAnswer) begin() {
+	if !a.begun && a.closing() {
+		a.w.Header().Set("Connection", "close")
+	}
+	a.begun = true
 }
 
 // Begin implements relay.Answer.
@@ -110,6 +121,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	header.Set(headerForwardReply, string(described))
+	a.begin()
 	a.w.WriteHeader(http.StatusOK)
 }
 
@@ -127,6 +139,7 @@
 // finish ends the response, also one that has not begun. The flush makes it a chunked one,
 // which has trailers.
 func (a *forwardAnswer) finish(ended forwardEnd) {
+	a.begin()
 	if err := a.Flush(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -70,58 +70,75 @@
 	s := n.settings.Load()
 	n.log.Info("start", "vm", s.VM, "data_centre", s.DataCentre, "memory_mb", s.MemoryMB)
 	n.registerMetrics()
-	callers, failed, err := n.serve()
+	running, err := n.serve()
 	if err != nil {
 		return err
 	}
-	return n.runWorkers(ctx, callers, failed)
+	return n.runWorkers(ctx, running)
 }
 
-// serve starts the servers of the node. An error of a server is sent to failed.
-func (n *Node) serve() (callers *httpserver.Server, failed chan error, err error) {
+// servers are the servers of a node that end in order when it shuts down.
+type servers struct {
+	// callers serves callers, peers other nodes.
+	callers, peers *httpserver.Server
+	// failed receives the error of a server, also of one that just stops with the process.
+	failed chan error
+}
+
+// serve starts the servers of the node.
+func (n *Node) serve() (*servers, error) {
 	s := n.settings.Load()
-	servers := map[string]http.Handler{
+	handlers := map[string]http.Handler{
 		s.ReadyListen:                       opshttp.ReadyHandler(platform.ReadyPath, n.ready),
-		n.peerAddress():                     n.peerServer().Handler(),
 		net.JoinHostPort(s.IP, metricsPort): withExplain(opshttp.Handler(n.ready), n.relay.Explain),
 	}
-	failed = make(chan error, len(servers)+1)
-	for address, handler := range servers {
+	running := &servers{failed: make(chan error, len(handlers)+2)}
+	for address, handler := range handlers {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, nil, eris.Wrap(err, "listen")
+			return nil, eris.Wrap(err, "listen")
 		}
 		server := &http.Server{Handler: handler}
 		httpserver.WatchCallers(server)
-		go func() { failed <- server.Serve(listener) }()
+		go func() { running.failed <- server.Serve(listener) }()
 	}
-	listener, err := httpserver.Listen(s.CallersListen)
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "listen")
+	var err error
+	if running.peers, err = running.start(n.peerAddress(), &http.Server{Handler: n.peerServer().Handler()}, nil); err != nil {
+		return nil, err
 	}
-	callers = httpserver.New(&http.Server{
+	running.callers, err = running.start(s.CallersListen, &http.Server{
 		Handler:           platform.NewIngress(n.relay, n.limits, n.closeConnections),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}, listener, n.limits)
-	go func() { failed <- callers.Serve() }()
-	return callers, failed, nil
+	}, n.limits)
+	return running, err
+}
+
+// start starts a server that ends in order.
+func (s *servers) start(address string, server *http.Server, limits func() httpserver.Limits) (*httpserver.Server, error) {
+	listener, err := httpserver.Listen(address)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	started := httpserver.New(server, listener, limits)
+	go func() { s.failed <- started.Serve() }()
+	return started, nil
 }
 
 // runWorkers runs the workers until ctx ends or a server fails. It then shuts the
 // node down gracefully, and returns the server's error in the second case.
-func (n *Node) runWorkers(ctx context.Context, callers *httpserver.Server, failed <-chan error) error {
+func (n *Node) runWorkers(ctx context.Context, serving *servers) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	workersDone := n.workers().ServeBackground(running)
 	var failure error
 	select {
 	case <-ctx.Done():
-	case failure = <-failed:
+	case failure = <-serving.failed:
 		n.log.Error("server failed", "error", failure)
 	}
-	n.shutdown(callers)
+	n.shutdown(serving)
 	stop()
 	select {
 	case <-workersDone:
--- a/internal/noded/run_test.go
+++ b/internal/noded/run_test.go
@@ -85,9 +85,12 @@
 		answered <- err
 	}()
 	<-begun
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
+	serving := &servers{callers: callers, failed: failed}
+	serving.peers, err = serving.start("127.0.0.1:0", &http.Server{Handler: n.peerServer().Handler()}, nil)
+	require.NoError(t, err)
 	done := make(chan error, 1)
-	go func() { done <- n.runWorkers(t.Context(), callers, failed) }()
+	go func() { done <- n.runWorkers(t.Context(), serving) }()
 	require.Eventually(t, n.owns, 20*time.Second, 10*time.Millisecond)
 	broken := errors.New("broken")
 	failed <- broken
--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -18,16 +18,16 @@
 	// responseMargin is the time reserved for the final responses to requests
 	// that can't be finished.
 	responseMargin = 300 * time.Millisecond
-	// releaseTimeout bounds the release of the lease.
+	// releaseTimeout bounds the release of the lease, and meanwhile the last responses to other nodes.
 	releaseTimeout = 200 * time.Millisecond
 	// workersTimeout bounds the wait for the node's workers, the last step.
 	workersTimeout = 200 * time.Millisecond
 )
 
 // shutdown reports that the node is not ready, waits until the load balancer
-// has reacted, finishes the requests in flight within the shutdown limit and
-// releases the lease.
-func (n *Node) shutdown(callers *httpserver.Server) {
+// has reacted, finishes the requests in flight within the shutdown limit, ends
+// the calls of other nodes and releases the lease.
+func (n *Node) shutdown(serving *servers) {
 	startTime := time.Now()
 	n.shuttingDown.Store(true)
 	n.log.Info("shutting down", "in_flight", n.relay.InFlight())
@@ -39,11 +39,27 @@
 	abortTimer := time.AfterFunc(allowed-responseMargin, n.relay.Shutdown)
 	defer abortTimer.Stop()
 	time.Sleep(time.Until(startTime.Add(balancerDelay)))
-	if err := callers.Shutdown(shutdownCtx); err != nil {
+	if err := serving.callers.Shutdown(shutdownCtx); err != nil {
 		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
 	}
 	n.awaitForwarded(shutdownCtx)
+	peersEnded := make(chan struct{})
+	go func() {
+		defer close(peersEnded)
+		n.endPeerCalls(serving.peers)
+	}()
 	n.releaseLease()
+	<-peersEnded
+}
+
+// endPeerCalls takes no more calls of other nodes and finishes those that have arrived, so that none
+// ends without telling whether a request was sent. The streams that other nodes follow outlast it.
+func (n *Node) endPeerCalls(peers *httpserver.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := peers.Shutdown(ctx); err != nil {
+		n.log.Info("calls of other nodes interrupted by the shutdown", "error", err)
+	}
 }
 
 // inFlightPollInterval is the interval at which a node that shuts down checks whether it
