Reject at once what waits for an adapter that comes too late in a stop

What callers saw: in a planned stop, a request for an adapter that is loaded too late waited until it was too late to send it, and was rejected only then.

Cause: the time at which the adapter is expected was known, and not compared with the end of the process.

--- a/internal/relay/adapters.go
+++ b/internal/relay/adapters.go
@@ -71,6 +71,9 @@
 		x.relay.Log.Info("adapter load failed", "request_id", x.req.ID, "model", x.req.Model, "adapter", x.req.Adapter, "error", err)
 		return x.withoutAdapterLoad(ctx, snapshot, known)
 	}
+	if failure := x.refuseLate(latest(ready, time.Now())); failure != nil {
+		return nil, failure
+	}
 	if !pause.For(ctx, time.Until(ready)) {
 		return nil, endedFailure(ctx, outcome.NotRun, nil)
 	}
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chestnutgauge/internal/concurrency"
+	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/outcome"
@@ -149,6 +150,31 @@
 	}
 }
 
+// adapterIn has an adapter loaded in a time.
+type adapterIn time.Duration
+
+func (a adapterIn) EnsureAdapter(context.Context, demand.AdapterNeed) (string, time.Time, error) {
+	return "a", time.Now().Add(time.Duration(a)), nil
+}
+
+// TestLateAdapterInShutdown guards against requests that wait for an adapter in a shutdown although it is
+// known that it comes too late.
+func TestLateAdapterInShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{}
+		r := newRelay(endpoints)
+		serveMany(t, r, endpoints, "once", after(time.Second, answer(200, "a")))
+		r.Adapters = adapterIn(2500 * time.Millisecond)
+		r.FinishBy(time.Now().Add(3 * time.Second))
+		began := time.Now()
+		req := request("once", "m")
+		req.Adapter = "x"
+		failure := r.Serve(t.Context(), req, &fakeAnswer{})
+		require.Equal(t, &Failure{Reason: ReasonShuttingDown, Run: outcome.NotRun, RetryAfter: endedRetryAfter}, failure)
+		require.Zero(t, time.Since(began))
+	})
+}
+
 // TestNoLateRetryInShutdown guards against a second attempt that can't end before the process: the caller
 // gets what the first one gave, at once.
 func TestNoLateRetryInShutdown(t *testing.T) {
