Tell how a kept connection broke

The log of an attempt whose kept connection broke would tell that net/http wanted to repeat the request, not that the connection was reset or closed. TestSentOnce checks that now; it failed for TestStoreReadOnBrokenConnection's read, which was seen with "net/http would repeat the request".

Change: a connection keeps the error of its last read.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -22,6 +22,8 @@
 
 	mu   sync.Mutex
 	user *Exchange
+	// broken is the error of the last read, if that failed.
+	broken error
 	// ids are the hashes of the ids of the requests that were begun.
 	ids []uint64
 }
@@ -42,6 +44,24 @@
 	return n, err
 }
 
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.mu.Lock()
+		c.broken = err
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// readError returns the error of the last read, nil if that succeeded.
+func (c *trackedConn) readError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
 // take makes an exchange the user of the connection, and reports whether it may use it. net/http
 // hands a connection on before it delivers a response without a body, so take waits until the
 // response before is judged.
--- a/internal/httpclient/errors.go
+++ b/internal/httpclient/errors.go
@@ -14,6 +14,7 @@
 	errNotReusable      = errors.New("httpclient: the connection may not be used again")
 	errNoExchange       = errors.New("httpclient: the connection has no exchange")
 	errSecondConnection = errors.New("httpclient: the connection is not that of the exchange")
+	errBroken           = errors.New("httpclient: the kept connection broke before the response")
 	errRepeated         = errors.New("httpclient: net/http would repeat the request")
 	errExchangeUsed     = errors.New("httpclient: the exchange had a request before")
 )
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -273,11 +274,13 @@
 	x.ended = true
 	x.release()
 	close(x.settled)
-	switch x.state {
-	case Refused:
+	switch {
+	case x.state == Refused:
 		err = withCause(ErrNotAllowed, err)
-	case NotReusable:
+	case x.state == NotReusable:
 		err = withCause(errNotReusable, err)
+	case errors.Is(err, errRepeated) && x.conn != nil:
+		err = errors.Join(errBroken, x.conn.readError())
 	}
 	return &Error{State: x.state, Err: err}
 }
--- /dev/null
+++ b/internal/httpclient/exchange_test.go
@@ -0,0 +1,170 @@
+package httpclient
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// recordedConn is a connection that keeps what is written to it.
+type recordedConn struct {
+	net.Conn
+	written []byte
+	failing error
+}
+
+func (c *recordedConn) Write(p []byte) (int, error) {
+	if c.failing != nil {
+		return 0, c.failing
+	}
+	c.written = append(c.written, p...)
+	return len(p), nil
+}
+
+// takeConn has an exchange take a new connection.
+func takeConn(t *testing.T, x *Exchange) (*trackedConn, *recordedConn) {
+	recorded := &recordedConn{}
+	c := &trackedConn{Conn: recorded}
+	x.attach(c, false, c.take(t.Context(), x))
+	return c, recorded
+}
+
+// beganExchange returns an exchange whose first try has begun, and a function that reports its end.
+func beganExchange(t *testing.T) (x *Exchange, stopped func() error) {
+	x = newExchange(Terms{})
+	require.True(t, x.begin(t.Context()))
+	var cause error
+	x.startTry(func(err error) { cause = err })
+	x.ask()
+	return x, func() error { return cause }
+}
+
+// TestFailedExchangeWritesNothing guards against a request that counts as not sent, since it failed or
+// was cancelled, and whose bytes leave later.
+func TestFailedExchangeWritesNothing(t *testing.T) {
+	x, _ := beganExchange(t)
+	c, recorded := takeConn(t, x)
+	require.True(t, NotSent(x.fail(errors.New("cancelled"))))
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, errSecondConnection)
+	require.Empty(t, recorded.written)
+	require.Equal(t, NotWritten, x.State())
+}
+
+// TestSecondConnectionAcceptsNoWrite guards against a request that is written to a second connection,
+// which net/http took to repeat it.
+func TestSecondConnectionAcceptsNoWrite(t *testing.T) {
+	x, stopped := beganExchange(t)
+	c, _ := takeConn(t, x)
+	_, err := c.Write([]byte("x"))
+	require.NoError(t, err)
+	require.NoError(t, stopped())
+	x.ask()
+	require.ErrorIs(t, stopped(), errRepeated)
+	second, recorded := takeConn(t, x)
+	_, err = second.Write([]byte("x"))
+	require.ErrorIs(t, err, errSecondConnection)
+	require.Empty(t, recorded.written)
+	require.False(t, NotSent(x.fail(errRepeated)))
+}
+
+// TestConnectionWithoutExchange guards against bytes that no exchange accounts for.
+func TestConnectionWithoutExchange(t *testing.T) {
+	recorded := &recordedConn{}
+	_, err := (&trackedConn{Conn: recorded}).Write([]byte("x"))
+	require.ErrorIs(t, err, errNoExchange)
+	require.Empty(t, recorded.written)
+}
+
+// TestWriteThatFails checks that a request whose first write accepted no byte was not written, and that
+// one with a byte accepted was.
+func TestWriteThatFails(t *testing.T) {
+	for _, first := range []string{"", "x"} {
+		x, _ := beganExchange(t)
+		c, recorded := takeConn(t, x)
+		if first != "" {
+			_, err := c.Write([]byte(first))
+			require.NoError(t, err)
+		}
+		recorded.failing = net.ErrClosed
+		_, err := c.Write([]byte("y"))
+		require.ErrorIs(t, err, net.ErrClosed)
+		require.Equal(t, first != "", x.Written())
+	}
+}
+
+// TestExchangeIsForOneRequest guards against two requests that share what is known of one.
+func TestExchangeIsForOneRequest(t *testing.T) {
+	server := newRecordingServer(t, okResponse)
+	client := NewClient(NewTransport(time.Second, time.Second))
+	ctx, exchange := NewExchange(t.Context(), Terms{})
+	for i := range 2 {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.address, nil)
+		require.NoError(t, err)
+		resp, err := client.Do(req)
+		if i == 0 {
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			continue
+		}
+		require.ErrorIs(t, err, errExchangeUsed)
+	}
+	require.True(t, exchange.Written())
+	client.CloseIdleConnections()
+	require.Len(t, server.end(), 1)
+}
+
+// TestAllKeptConnectionsAreUnusable guards against a request that fails since none of the kept
+// connections may be used for it, and against one that tries without end.
+func TestAllKeptConnectionsAreUnusable(t *testing.T) {
+	var arrived atomic.Int64
+	all := make(chan struct{})
+	server := newServer(t, func(http.ResponseWriter, *http.Request) {
+		if arrived.Add(1) == maxIdlePerHost {
+			close(all)
+		}
+		<-all
+	})
+	client := NewClient(NewTransport(time.Second, time.Second))
+	send := func() (*Exchange, error) {
+		ctx, exchange := NewExchange(t.Context(), Terms{ID: "r"})
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server, nil)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return exchange, err
+		}
+		return exchange, resp.Body.Close()
+	}
+	results := make(chan error, maxIdlePerHost)
+	for range maxIdlePerHost {
+		go func() {
+			_, err := send()
+			results <- err
+		}()
+	}
+	for range maxIdlePerHost {
+		require.NoError(t, <-results)
+	}
+	exchange, err := send()
+	require.NoError(t, err)
+	taken, kept := exchange.Connections()
+	require.Equal(t, maxTries, taken)
+	require.False(t, kept)
+	require.Equal(t, int64(maxIdlePerHost+1), arrived.Load())
+}
+
+// newServer starts a server.
+func newServer(t *testing.T, handler http.HandlerFunc) (address string) {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
--- a/internal/httpclient/once_test.go
+++ b/internal/httpclient/once_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,9 +98,16 @@
 	}
 	if peer.point == breakAfter {
 		require.False(t, NotSent(err), "the whole request arrived")
+		requireTellsBreak(t, err)
 	}
 }
 
+// requireTellsBreak checks that an error tells how the connection broke.
+func requireTellsBreak(t *testing.T, err error) {
+	require.True(t, errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		strings.Contains(err.Error(), "server closed idle connection"), "%v", err)
+}
+
 // TestRedirectIsNotFollowed guards against a second request, which nobody asked for, to the place
 // that a response names.
 func TestRedirectIsNotFollowed(t *testing.T) {
