Count the responses that could not add to a stream

The log says with each failed attempt why its response could not add to a stream; nothing showed how many there are, as at an engine that answers each request for the rest with a page. chestnut_stream_responses_rejected_total counts them.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -146,6 +146,9 @@
 // rejected handles a response that may not add to the caller's, for a reason other than a lost
 // connection. An error response is read to its end, so that its connection can be used again.
 func (x *exchange) rejected(s *sending, cause error) attemptResult {
+	if !x.position.undelivered {
+		streamsRejected.Inc()
+	}
 	var status statusError
 	if errors.As(cause, &status) {
 		s.drain()
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -111,8 +111,12 @@
 				synctest.Test(t, func(t *testing.T) {
 					endpoints := &fakeEndpoints{next: []behaviour{truncated(200, eventOne), withReply(tc.do, change), noResponse}}
 					got := &fakeAnswer{}
+					rejected := streamsRejected.Get()
 					failure := newRelay(endpoints).Serve(t.Context(), request("resume", "m"), got)
 					requireBrokenOff(t, eventOne+tc.adds, got, failure)
+					if !strings.HasSuffix(tc.name, "without framing") {
+						require.Equal(t, rejected+1, streamsRejected.Get(), "counted")
+					}
 				})
 			})
 		}
