Give the streams of the shutdown's tests successive ids

They use eventOne and eventTwo as other tests do; what they check is the same.

The tests of internal/relay pass.

--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -17,9 +17,6 @@
 	"chestnutgauge/internal/pause"
 )
 
-// whole is a complete stream.
-const whole = "id: 1\ndata: 1\n\n"
-
 // serveMany serves requests that take a time each, so that the relay knows it.
 func serveMany(t *testing.T, r *Relay, endpoints *fakeEndpoints, kind string, do behaviour) {
 	for i := range 30 {
@@ -44,8 +41,8 @@
 		{"nothing is known, and its timeout outlasts the process", "once", nil, true},
 		{"short", "once", after(time.Second, answer(200, "a")), false},
 		{"too long", "once", after(2700*time.Millisecond, answer(200, "a")), true},
-		{"a stream that begins in time and ends too late", "stream", slowly(whole, 4*time.Second, whole), true},
-		{"a short stream", "stream", slowly(whole, time.Second, whole), false},
+		{"a stream that begins in time and ends too late", "stream", slowly(eventOne, 4*time.Second, eventTwo), true},
+		{"a short stream", "stream", slowly(eventOne, time.Second, eventTwo), false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
