Say with a response whether it bears the endpoint's signature

A success counts only with the endpoint's signature, and nothing past platform/ could tell whether a response has one. relay.Reply now has the field Signed; nodes pass it to each other. In the message it stands negated: a node of an earlier version does not send it, and its responses count as before.

Nothing checks the field yet. The fakes of relay's tests sign their responses, as endpoints do.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -67,6 +67,9 @@
 	Length int64 `json:"length"`
 	// Origin is what began it if it is a stream.
 	Origin streamorigin.Origin `json:"origin,omitzero"`
+	// Unsigned means that it lacks the endpoint's signature. Nodes that don't send it do not
+	// check signatures.
+	Unsigned bool `json:"unsigned,omitempty"`
 }
 
 // forwardEnd says how the request ended at the other node.
@@ -184,6 +187,7 @@
 		Body:   body,
 		Length: described.Length,
 		Origin: described.Origin,
+		Signed: !described.Unsigned,
 		Runs:   body.runs,
 	}
 }
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -74,7 +74,7 @@
 	var got *relay.Request
 	d, node := forwarding(t, func(_ context.Context, req *relay.Request, answer relay.Answer) (int, *relay.Failure) {
 		got = req
-		answer.Begin(&relay.Reply{Status: 201, Header: http.Header{"Signature": {"s"}}, Origin: streamorigin.Origin{Service: "s", Version: "v2"}}, 4)
+		answer.Begin(&relay.Reply{Status: 201, Signed: true, Header: http.Header{"Signature": {"s"}}, Origin: streamorigin.Origin{Service: "s", Version: "v2"}}, 4)
 		_ = answer.Write([]byte("done"))
 		return 1, nil
 	}, false)
@@ -86,6 +86,7 @@
 	require.NoError(t, reply.Body.Close())
 	require.Equal(t, "done", string(body))
 	require.Equal(t, 201, reply.Status)
+	require.True(t, reply.Signed)
 	require.Equal(t, int64(4), reply.Length)
 	require.Equal(t, http.Header{"Signature": {"s"}}, reply.Header)
 	require.Equal(t, streamorigin.Origin{Service: "s", Version: "v2"}, reply.Origin)
@@ -189,7 +190,7 @@
 func TestForwardedStream(t *testing.T) {
 	next, left := make(chan bool), make(chan struct{})
 	d, node := forwarding(t, func(ctx context.Context, _ *relay.Request, answer relay.Answer) (int, *relay.Failure) {
-		answer.Begin(&relay.Reply{Status: 200, Header: http.Header{}}, -1)
+		answer.Begin(&relay.Reply{Status: 200, Signed: true, Header: http.Header{}}, -1)
 		for <-next {
 			_ = answer.Write([]byte("event"))
 			_ = answer.Flush()
@@ -269,3 +270,21 @@
 func TestSilentSecondOfNodeIsBridged(t *testing.T) {
 	require.GreaterOrEqual(t, forwardSilence, 1500*time.Millisecond)
 }
+
+// TestForwardedReplyKeepsSignature guards against a response without the endpoint's signature that
+// counts as a success at the node that forwarded the request, and against one of a node that does
+// not state it, as earlier versions, that counts as unsigned.
+func TestForwardedReplyKeepsSignature(t *testing.T) {
+	for _, signed := range []bool{true, false} {
+		d, node := forwarding(t, func(_ context.Context, _ *relay.Request, answer relay.Answer) (int, *relay.Failure) {
+			answer.Begin(&relay.Reply{Status: http.StatusOK, Signed: signed, Header: http.Header{}}, 0)
+			return 1, nil
+		}, false)
+		req, attempt := forwardedCall()
+		reply, err := d.Send(t.Context(), node, req, attempt)
+		require.NoError(t, err)
+		require.NoError(t, reply.Body.Close())
+		require.Equal(t, signed, reply.Signed)
+	}
+	require.True(t, forwardReply(&http.Response{}, forwardedReply{Status: http.StatusOK}, &forwardedBody{}).Signed)
+}
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -105,7 +105,7 @@
 			header[name] = nil
 		}
 	}
-	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Origin: reply.Origin})
+	described, err := json.Marshal(forwardedReply{Status: reply.Status, Length: int64(length), Origin: reply.Origin, Unsigned: !reply.Signed})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -84,7 +84,7 @@
 
 func answer(status int, body string) behaviour {
 	return func(context.Context, Attempt) (*Reply, error) {
-		return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: -1}, nil
+		return &Reply{Status: status, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: -1}, nil
 	}
 }
 
@@ -99,14 +99,14 @@
 
 func truncated(status int, body string) behaviour {
 	return func(context.Context, Attempt) (*Reply, error) {
-		return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(truncatedBody{strings.NewReader(body)}), Length: -1}, nil
+		return &Reply{Status: status, Signed: true, Header: http.Header{}, Body: io.NopCloser(truncatedBody{strings.NewReader(body)}), Length: -1}, nil
 	}
 }
 
 // truncatedReader is truncated with what a reader gives as the body.
 func truncatedReader(body io.Reader) behaviour {
 	return func(context.Context, Attempt) (*Reply, error) {
-		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(truncatedBody{body}), Length: -1}, nil
+		return &Reply{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: io.NopCloser(truncatedBody{body}), Length: -1}, nil
 	}
 }
 
@@ -120,7 +120,7 @@
 			_, _ = io.WriteString(writer, second)
 			_ = writer.Close()
 		}()
-		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: reader, Length: -1}, nil
+		return &Reply{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: reader, Length: -1}, nil
 	}
 }
 
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -52,7 +52,7 @@
 			budget := membudget.New(limit)
 			got := &holdingAnswer{budget: budget}
 			sent := func(context.Context, Attempt) (*Reply, error) {
-				return &Reply{Status: 200, Header: http.Header{}, Body: countedBody{strings.NewReader(long), &got.read}, Length: -1}, nil
+				return &Reply{Status: 200, Signed: true, Header: http.Header{}, Body: countedBody{strings.NewReader(long), &got.read}, Length: -1}, nil
 			}
 			r := newRelay(&fakeEndpoints{next: []behaviour{sent}})
 			r.Memory = budget
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -102,7 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.complete++
-	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), Leaving: true}, nil
+	return &Reply{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), Leaving: true}, nil
 }
 
 // leavingAdapters is an owner that loads adapters at engine a, which says that it
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -158,7 +158,7 @@
 func stall(body string) behaviour {
 	return func(ctx context.Context, _ Attempt) (*Reply, error) {
 		stalled := stalledBody{strings.NewReader(body), ctx}
-		return &Reply{Status: 200, Header: http.Header{}, Body: io.NopCloser(stalled), Length: -1}, nil
+		return &Reply{Status: 200, Signed: true, Header: http.Header{}, Body: io.NopCloser(stalled), Length: -1}, nil
 	}
 }
 
@@ -196,7 +196,7 @@
 			}
 			_ = writer.Close()
 		}()
-		return &Reply{Status: 200, Header: http.Header{}, Body: reader, Length: -1}, nil
+		return &Reply{Status: 200, Signed: true, Header: http.Header{}, Body: reader, Length: -1}, nil
 	}
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -125,6 +125,9 @@
 	Unframed bool
 	// NotRun means that the endpoint states that it did not run the request.
 	NotRun bool
+	// Signed means that the response bears the endpoint's signature, without which no success
+	// counts.
+	Signed bool
 	// WrongEndpoint means that the endpoint is not the intended one, or does
 	// not hold the model.
 	WrongEndpoint bool
--- a/internal/relay/stall_dribble_test.go
+++ b/internal/relay/stall_dribble_test.go
@@ -32,7 +32,7 @@
 			}
 			_ = writer.CloseWithError(ctx.Err())
 		}()
-		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: reader, Length: -1}, nil
+		return &Reply{Status: http.StatusOK, Signed: true, Header: http.Header{}, Body: reader, Length: -1}, nil
 	}
 }
 
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -42,7 +42,7 @@
 func pausesBetween(pause time.Duration, events ...string) behaviour {
 	return func(ctx context.Context, _ Attempt) (*Reply, error) {
 		body := &pausedBody{ctx: ctx, pause: pause, events: events}
-		return &Reply{Status: 200, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
+		return &Reply{Status: 200, Signed: true, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
 	}
 }
 
