Pass on no status that promises what the endpoint did not state

What callers saw: a request that had run was answered 503, 429 or 408, which promise that it has not run and never will.

Cause: the endpoint's own error responses were forwarded unchanged, also those with these statuses and without the header that states that the request has not run. The status is the promise to the caller, but the endpoint did not give it.

For idempotent routes the last attempt's response was forwarded.

A status that promises without the statement is invalid, and so is a success or a redirection that states that the request has not run. After an invalid response the request may have run: it is sent again as after a lost connection, and else fails with 502, without the endpoint's signature and Retry-After.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -22,7 +23,9 @@
 	unsent bool
 	// truncated means that the response had begun and was interrupted.
 	truncated bool
-	cause     error
+	// invalid means that the response can't be passed on.
+	invalid bool
+	cause   error
 	// reply is an endpoint's error response that is forwarded if no retry
 	// follows. It is nil if the response was not read whole.
 	reply *bufferedReply
@@ -108,7 +111,15 @@
 	case run == outcome.NotRun:
 		return &Failure{Reason: ReasonFull, Run: run, RetryAfter: fullRetryAfter, Cause: result.cause}
 	}
-	return &Failure{Reason: ReasonTruncated, Run: run, Cause: result.cause}
+	return &Failure{Reason: result.reason(), Run: run, Cause: result.cause}
+}
+
+// reason returns the reason of the failure of a request that may have run in this attempt.
+func (r attemptResult) reason() Reason {
+	if r.invalid {
+		return ReasonInvalidResponse
+	}
+	return ReasonTruncated
 }
 
 // fullRetryAfter is the retry delay sent to callers whose request the endpoints
@@ -162,6 +173,12 @@
 	return attemptResult{run: outcome.NotRun, cause: statusError(s.reply.Status)}
 }
 
+// invalid handles a response that can't be passed on. It does not tell whether the request ran.
+func (x *exchange) invalid(s *sending) attemptResult {
+	invalidResponses.Inc()
+	return attemptResult{run: outcome.Unknown, invalid: true, truncated: x.started, cause: invalidError(s.reply.Status)}
+}
+
 // errOtherIncarnation is the cause of attempts that reached another incarnation of an
 // endpoint than the one that may go on with the stream.
 var errOtherIncarnation = errors.New("relay: another incarnation of the endpoint")
@@ -173,6 +190,14 @@
 	return "endpoint answered " + http.StatusText(int(e))
 }
 
+// invalidError is the status of an invalid response.
+type invalidError int
+
+// Error implements error.
+func (e invalidError) Error() string {
+	return fmt.Sprintf("endpoint's response is invalid: status %d", int(e))
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -145,9 +144,12 @@
 	x.endpoint = s.endpoint.ID
 	x.attempts++
 	s.way.responded(s)
+	verdict := s.reply.verdict()
 	switch {
-	case s.reply.NotRun:
+	case verdict == verdictNotRun:
 		return x.notRun(s)
+	case verdict == verdictInvalid:
+		return x.invalid(s)
 	case x.isStream(s.reply) && !s.way.verified(ctx, s):
 		return attemptResult{run: outcome.Ran, truncated: x.started, cause: errOtherIncarnation}
 	case x.isStream(s.reply):
@@ -162,7 +164,7 @@
 
 // isStream reports whether a response is a stream of events.
 func (x *exchange) isStream(reply *Reply) bool {
-	return x.route.Kind == catalog.Stream && reply.Status < http.StatusMultipleChoices
+	return x.route.Kind == catalog.Stream && reply.verdict() == verdictSuccess
 }
 
 // recordReply records what an endpoint says of itself with its response.
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -30,6 +30,7 @@
 	ReasonFull               Reason = "endpoints are full"
 	ReasonTimeout            Reason = "not answered in time"
 	ReasonTruncated          Reason = "answer broken off"
+	ReasonInvalidResponse    Reason = "invalid response of the endpoint"
 	ReasonUnknownVersion     Reason = "version of the stream not known"
 	ReasonNoVersion          Reason = "no endpoint of the stream's version"
 	ReasonUnreachable        Reason = "endpoints can't be reached"
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -126,7 +126,7 @@
 
 // emptyReply is a response with an empty body.
 func emptyReply(status int) *Reply {
-	return &Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+	return &Reply{Status: status, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
 }
 
 // notRun is a refusal by an endpoint that has no room.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,7 @@
 	attemptsWithdrawn = metrics.NewCounter(`chestnut_suspect_attempts_withdrawn_total`)
 	suspectsCleared   = metrics.NewCounter(`chestnut_suspects_cleared_total`)
 	resumesTotal      = metrics.NewCounter(`chestnut_relay_resumes_total`)
+	invalidResponses  = metrics.NewCounter(`chestnut_responses_invalid_total`)
 	requestsHeldBack  = metrics.NewCounter(`chestnut_fair_share_requests_held_total`)
 	heldRefused       = metrics.NewCounter(`chestnut_fair_share_requests_held_refused_total`)
 	teamsHeldBack     = metrics.NewGauge(`chestnut_fair_share_teams_held`, nil)
