Count a success only with the endpoint's signature and a frame or a body

What callers would see: a 200 with an empty or a short body, framed as whole, of an endpoint that stopped inside the head of its response.

Cause: nothing checked that a success bears the endpoint's signature, and a response without a length or chunks counted as whole when its connection was closed, also without a byte of its body. A head that lost its signature, or its length, then made an empty response that looked whole.

Change: the verdict on a response asks for the signature of a success, and of an error that has no frame.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -22,6 +22,9 @@
 	share := x.relay.Memory.Open()
 	defer share.Close()
 	body, whole, err := readBuffered(reply.Body, share)
+	if err == nil && len(body) == 0 && reply.Unframed {
+		err = errHeadOnly
+	}
 	if err != nil {
 		return x.bodyLost(ctx, s, len(body) > 0, err)
 	}
@@ -49,6 +52,10 @@
 	return attemptResult{done: true}
 }
 
+// errHeadOnly is the cause of responses without a body that only the end of their connection ends.
+// They can't be told from ones that were cut short after, or inside, their header.
+var errHeadOnly = errors.New("response ended after its header")
+
 // readBuffered reads a body to its end, until the buffer is full, or until there is no memory
 // for more. The rest is then forwarded as fast as the caller takes it. whole means that the
 // body was read to its end.
--- a/internal/relay/verdict.go
+++ b/internal/relay/verdict.go
@@ -18,16 +18,17 @@
 
 // verdict returns what the response counts as. A status alone does not state that the request has
 // not run, though it would to the caller: such a response is invalid. So is one that contradicts
-// itself.
+// itself, and one that may have lost a part of its header, since nothing but the end of its
+// connection ends it and it has no signature.
 func (r *Reply) verdict() verdict {
 	switch {
-	case r.success() && !r.NotRun:
+	case r.success() && r.Signed && !r.NotRun:
 		return verdictSuccess
 	case r.Status < http.StatusMultipleChoices:
 		return verdictInvalid
 	case r.NotRun && r.Status >= http.StatusBadRequest:
 		return verdictNotRun
-	case r.NotRun || promisesNotRun(r.Status):
+	case r.NotRun || promisesNotRun(r.Status) || r.Unframed && !r.Signed:
 		return verdictInvalid
 	}
 	return verdictError
--- a/internal/relay/verdict_test.go
+++ b/internal/relay/verdict_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestVerdict guards against a response that is taken for a refusal, or passed on as one, though
-// the endpoint does not state that the request has not run.
+// the endpoint does not state that the request has not run, and against a success without the
+// endpoint's signature.
 func TestVerdict(t *testing.T) {
 	tests := []struct {
 		reply Reply
@@ -18,6 +19,10 @@
 		{Reply{Status: 204, Signed: true}, verdictSuccess},
 		{Reply{Status: 200, Signed: true, Unframed: true}, verdictSuccess},
 		{Reply{Status: 200, Signed: true, NotRun: true}, verdictInvalid},
+		{Reply{Status: 200}, verdictInvalid},
+		{Reply{Status: 206, Unframed: true}, verdictInvalid},
+		{Reply{Status: 500, Unframed: true}, verdictInvalid},
+		{Reply{Status: 500, Signed: true, Unframed: true}, verdictError},
 		{Reply{Status: 101, Signed: true}, verdictInvalid},
 		{Reply{Status: 0}, verdictInvalid},
 		{Reply{Status: 302, Signed: true}, verdictError},
