Tell another node that a request may run once

What callers would see: a request that may not be repeated runs twice, while the kind of its route changes.

Cause: a node forwards a request with the number of endpoints on which it may still run, and took that from the route's limit whatever its kind. A node whose configuration has the route as an idempotent one then repeats it after a lost connection.

Evidence: TestKindOfForwardedRequestChanges, before: the second node made 2 attempts, 1 expected. No such case was seen outside of the test.

Change: a request that may not be repeated may run on one endpoint. Attempts that did not run are not counted, so it is still sent again after these.

Result: the tests of relay pass.

--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -40,10 +40,15 @@
 	return nil, nil
 }
 
-// maxRuns returns the number of endpoints on which the request may run.
+// maxRuns returns the number of endpoints on which the request may run. Another node, whose
+// configuration may have another kind for the route, is told it too.
 func (x *exchange) maxRuns() int {
+	limit := x.route.MaxEndpoints
+	if !x.route.Repeatable() {
+		limit = min(limit, 1)
+	}
 	if x.req.Forwarded != nil {
-		return min(x.route.MaxEndpoints, x.req.Forwarded.MaxRuns)
+		limit = min(limit, x.req.Forwarded.MaxRuns)
 	}
-	return x.route.MaxEndpoints
+	return limit
 }
