--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -124,8 +124,6 @@
 		return nil
 	case x.position.known:
 		return mayContinue(reply)
-	case !reply.Signed:
-		return errUnsigned
 	}
 	return nil
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -150,13 +149,16 @@
 	x.endpoint = s.endpoint.ID
 	x.attempts++
 	s.way.responded(s)
-	if s.reply.NotRun {
+	verdict := s.reply.verdict()
+	if verdict == verdictNotRun {
 		return x.notRun(s)
 	}
 	if err := x.mayAdd(s.reply); err != nil {
 		return x.rejected(s, err)
 	}
 	switch {
+	case verdict == verdictInvalid:
+		return x.invalid(s)
 	case x.isStream(s.reply) && !s.way.verified(ctx, s):
 		return attemptResult{run: outcome.Ran, truncated: x.started, cause: errOtherIncarnation}
 	case x.isStream(s.reply):
@@ -184,7 +186,7 @@
 
 // isStream reports whether a response is a stream of events.
 func (x *exchange) isStream(reply *Reply) bool {
-	return x.route.Kind == catalog.Stream && reply.Status < http.StatusMultipleChoices
+	return x.route.Kind == catalog.Stream && reply.verdict() == verdictSuccess
 }
 
 // recordReply records what an endpoint says of itself with its response.
