Take another connection if a kept one brings a response too early

A request whose kept connection brought stray bytes before it was written failed, as not sent, with "the response does not name the request"; an earlier exchange without the check of names would have taken them for its response. Nothing was written, so the transport takes another connection, as for one that may not be used again.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -231,15 +231,30 @@
 	return x.reusable && x.conn == c
 }
 
-// accept ends the exchange with a response, and returns an error unless that names the request.
-func (x *Exchange) accept(resp *http.Response) error {
+// spoilt reports whether the connection, which it returns, has brought a response before a byte of the
+// request was written: one to an earlier request, or to none. Nothing is written there any more.
+func (x *Exchange) spoilt() (*trackedConn, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.state == Written {
+		return nil, false
+	}
+	if x.state == NotWritten {
+		x.state = NotReusable
+		notReused.Inc()
+	}
+	return x.conn, true
+}
+
+// accept ends the exchange with a response, which it returns if that names the request.
+func (x *Exchange) accept(resp *http.Response) (*http.Response, error) {
 	defer close(x.settled)
 	named := x.terms.Named == nil || x.terms.Named(resp)
 	state, conn := x.settle(named)
 	if named {
-		return nil
+		return resp, nil
 	}
-	return &Error{State: state, Err: closeNotNamed(resp, conn)}
+	return nil, &Error{State: state, Err: closeNotNamed(resp, conn)}
 }
 
 // settle records whether the response names the request. Nothing is written any more if it does
@@ -264,7 +279,7 @@
 func (x *Exchange) mayTryAgain() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.state == NotReusable || x.state == NotWritten && x.kept && !x.terms.ReportBroken
+	return x.kept && (x.state == NotReusable || x.state == NotWritten && !x.terms.ReportBroken)
 }
 
 // fail ends the exchange, of which nothing is written any more, and returns its error.
--- a/internal/httpclient/exchange_test.go
+++ b/internal/httpclient/exchange_test.go
@@ -168,3 +168,20 @@
 	t.Cleanup(server.Close)
 	return server.URL
 }
+
+// TestResponseBeforeRequest guards against a response that a kept connection brings before the request
+// is written: it would count as the one to that request, or the request as one that may have run.
+func TestResponseBeforeRequest(t *testing.T) {
+	x, _ := beganExchange(t)
+	recorded := &recordedConn{}
+	c := &trackedConn{Conn: recorded}
+	x.attach(c, true, c.take(t.Context(), x))
+	conn, spoilt := x.spoilt()
+	require.True(t, spoilt)
+	require.Same(t, c, conn)
+	require.True(t, x.mayTryAgain())
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, errNotReusable)
+	require.Empty(t, recorded.written)
+	require.True(t, NotSent(x.fail(ErrNotNamed)))
+}
--- a/internal/httpclient/roundtrip.go
+++ b/internal/httpclient/roundtrip.go
@@ -70,10 +70,11 @@
 	for tries := 1; ; tries++ {
 		resp, err := t.try(req, body, x)
 		if err == nil {
-			if err := x.accept(resp); err != nil {
-				return nil, err
+			conn, spoilt := x.spoilt()
+			if !spoilt {
+				return x.accept(resp)
 			}
-			return resp, nil
+			err = closeNotNamed(resp, conn)
 		}
 		if tries >= maxTries || req.Context().Err() != nil || !x.mayTryAgain() {
 			return nil, x.fail(err)
