--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -1,11 +1,9 @@
 package lease
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -225,16 +223,6 @@
 	}
 }
 
-// TestStoreWithoutEra checks that a free lease is acquired at once in a store
-// that was never restored.
-func TestStoreWithoutEra(t *testing.T) {
-	w := newWorld(t)
-	a := w.machine("a", 0)
-	w.run(10 * time.Millisecond)
-	require.True(t, a.holds())
-	require.NotContains(t, string(w.row.Value), "era")
-}
-
 // TestLateWriteAfterRestore has the store execute writes of an earlier era after
 // a restore, where their condition holds by chance. None may grant the lease.
 func TestLateWriteAfterRestore(t *testing.T) {
@@ -300,33 +288,6 @@
 	})
 }
 
-// TestEarlierEraDropped checks that an answer of an earlier era than one seen,
-// or than that of the record in it, changes nothing.
-func TestEarlierEraDropped(t *testing.T) {
-	w := newWorld(t)
-	w.era = 4
-	a, b := w.machine("a", 0), w.machine("b", time.Hour)
-	b.frozen = true
-	w.run(wait + time.Second)
-	require.True(t, a.holds())
-	a.frozen, b.frozen = true, false
-	b.step()
-	require.Equal(t, "a", b.keeper.Holder())
-	w.era = 2
-	w.row = Row{}
-	for range 30 {
-		w.advance(time.Second)
-		b.step()
-		require.False(t, b.holds())
-	}
-	require.Equal(t, "a", b.keeper.Holder())
-
-	w.row = Row{Found: true, Version: 9, Value: []byte(`{"holder":"x","era":3}`)}
-	c := w.machine("c", 0)
-	requireNoHolder(w, 30*time.Second)
-	require.False(t, c.holds())
-}
-
 // TestReleaseOfExpiredGrant checks that a process whose grant expired before the
 // store was restored can't release the lease, whether or not it knows of the
 // restore: a later holder's record may be lost.
@@ -405,53 +366,6 @@
 	require.True(t, a.holds())
 }
 
-// TestFencingToken checks the composition of fencing tokens and its bounds.
-func TestFencingToken(t *testing.T) {
-	const maxExact = 1 << 53
-	cases := []struct {
-		name string
-		at   position
-		want int64
-		err  error
-	}{
-		{"a store that was never restored", position{0, 17}, 17, nil},
-		{"the first era", position{1, 17}, 1<<41 + 17, nil},
-		{"the last version", position{0, 1<<41 - 1}, 1<<41 - 1, nil},
-		{"the last era and version", position{1<<12 - 1, 1<<41 - 1}, maxExact - 1, nil},
-		{"version too large", position{1, 1 << 41}, 0, ErrTokenRange},
-		{"era too large", position{1 << 12, 1}, 0, ErrTokenRange},
-		{"negative era", position{-1, 1}, 0, ErrTokenRange},
-		{"negative version", position{1, -1}, 0, ErrTokenRange},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			token, err := tc.at.token()
-			require.ErrorIs(t, err, tc.err)
-			require.Equal(t, tc.want, token)
-			require.Equal(t, token, int64(float64(token)))
-		})
-	}
-}
-
-// TestTokenOutOfRange checks that a lease is not acquired if its fencing token
-// could not be composed, that a holder keeps its grant, and that the error is
-// logged.
-func TestTokenOutOfRange(t *testing.T) {
-	var out bytes.Buffer
-	w := newWorld(t)
-	w.log = slog.New(slog.NewTextHandler(&out, nil))
-	a := w.machine("a", 0)
-	w.counter = 1<<41 - 2
-	w.run(20 * time.Second)
-	require.True(t, a.holds())
-	require.Greater(t, w.counter, int64(1<<41))
-	a.frozen = true
-	b := w.machine("b", time.Hour)
-	w.run(30 * time.Second)
-	require.False(t, b.holds())
-	require.Contains(t, out.String(), "out of range for a fencing token")
-}
-
 // TestHolderKnownOverRestore checks that a node that knows the holder doesn't
 // take the holder in a copy for the present one.
 func TestHolderKnownOverRestore(t *testing.T) {
@@ -470,18 +384,3 @@
 	c.step()
 	require.Equal(t, "b", c.keeper.Holder())
 }
-
-// TestRiseLogged checks that a rise of the era is logged once, with what it
-// means for the process.
-func TestRiseLogged(t *testing.T) {
-	var out bytes.Buffer
-	w := newWorld(t)
-	w.log = slog.New(slog.NewTextHandler(&out, nil))
-	w.machine("a", 0)
-	w.run(time.Second)
-	w.restore(w.copied(), 0)
-	w.run(5 * time.Second)
-	require.Equal(t, 1, bytes.Count(out.Bytes(), []byte("lease era risen")))
-	require.Contains(t, out.String(), "era_before=0 era=1")
-	require.Contains(t, out.String(), "holding=true")
-}
