Name the tokens that a node was granted NodeTokens

What readers met: ratelimit.Reserve, the tokens of teams at a node, stood beside package reserve, the endpoints that are left to requests with few others.

Package reserve keeps its name. Behaviour, messages, metrics, log keys and stored data are as before.

Measured: the tests, vet and staticcheck of ratelimit and fleet pass.

--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -55,8 +55,8 @@
 	Log   *slog.Logger
 
 	mu sync.Mutex
-	// reserve is nil until the first use.
-	reserve *ratelimit.Reserve
+	// granted is nil until the first use.
+	granted *ratelimit.NodeTokens
 	// refusals are the log lines on refusals by team.
 	refusals map[string]refusalLog
 	// asking is closed when the ask in progress has ended, nil if there is none.
@@ -77,13 +77,13 @@
 	return ratelimit.Limit{PerSecond: t.PerSecond, Burst: t.Burst}
 }
 
-// own returns the reserve. The caller holds mu.
-func (l *TeamLimits) own(now time.Duration) *ratelimit.Reserve {
-	if l.reserve == nil {
+// own returns the tokens that the node was granted. The caller holds mu.
+func (l *TeamLimits) own(now time.Duration) *ratelimit.NodeTokens {
+	if l.granted == nil {
 		l.poolFailures = map[string]time.Duration{}
-		l.reserve = ratelimit.NewReserve(l.Bounds, now)
+		l.granted = ratelimit.NewNodeTokens(l.Bounds, now)
 	}
-	return l.reserve
+	return l.granted
 }
 
 // Admit implements relay.TeamLimits. A request for which the node has too few tokens waits for
@@ -104,16 +104,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock()
-	reserve := l.own(now)
-	admission := reserve.Take(caller.Name, limitOf(caller), cost, now)
+	granted := l.own(now)
+	admission := granted.Take(caller.Name, limitOf(caller), cost, now)
 	if admission.Verdict != ratelimit.Pending {
 		return admission
 	}
-	if !reserve.Told() {
-		reserve.SetNodes(l.listedNodes())
+	if !granted.Told() {
+		granted.SetNodes(l.listedNodes())
 	}
-	if last || reserve.UsesPart(caller.Name, now) && (!reserve.MayPool(now) || l.poolNode(now) == "") {
-		return reserve.TakePart(caller.Name, limitOf(caller), cost, now)
+	if last || granted.UsesPart(caller.Name, now) && (!granted.MayPool(now) || l.poolNode(now) == "") {
+		return granted.TakePart(caller.Name, limitOf(caller), cost, now)
 	}
 	return admission
 }
--- a/internal/fleet/teamlimits_test.go
+++ b/internal/fleet/teamlimits_test.go
@@ -207,7 +207,7 @@
 		_, _ = s.admit(t, "n1", 30)
 		s.report(t.Context(), 100*time.Millisecond)
 		s.nodes["n1"].mu.Lock()
-		ahead := s.nodes["n1"].reserve.Take("a", ratelimit.Limit{PerSecond: 100, Burst: 100}, 1, s.nodes["n1"].Clock())
+		ahead := s.nodes["n1"].granted.Take("a", ratelimit.Limit{PerSecond: 100, Burst: 100}, 1, s.nodes["n1"].Clock())
 		s.nodes["n1"].mu.Unlock()
 		require.Equal(t, ratelimit.Admitted, ahead.Verdict, "the node has tokens ahead of requests")
 		time.Sleep(3 * time.Second)
--- a/internal/ratelimit/reserve.go
+++ b/internal/ratelimit/nodetokens.go
@@ -70,11 +70,11 @@
 	maxLots = 16
 )
 
-// Reserve holds the tokens that the owner granted to a node. All times are on one clock that
+// NodeTokens holds the tokens that the owner granted to a node. All times are on one clock that
 // never goes back and that counts suspension. It is not safe for concurrent use.
-type Reserve struct {
+type NodeTokens struct {
 	bounds Bounds
-	teams  map[string]*teamReserve
+	teams  map[string]*teamTokens
 	// answeredAt is when the last ask that was answered was sent, or when the node started.
 	answeredAt time.Duration
 	// ungrantedAt is when the last ask was sent that an owner took without granting, as one of
@@ -89,38 +89,38 @@
 	sweptAt time.Duration
 }
 
-// NewReserve returns the reserve of a node that starts now.
-func NewReserve(bounds Bounds, now time.Duration) *Reserve {
-	return &Reserve{bounds: bounds, teams: map[string]*teamReserve{}, answeredAt: now}
+// NewNodeTokens returns the tokens of a node that starts now: none.
+func NewNodeTokens(bounds Bounds, now time.Duration) *NodeTokens {
+	return &NodeTokens{bounds: bounds, teams: map[string]*teamTokens{}, answeredAt: now}
 }
 
-// team returns the reserve of a team, without expired tokens.
-func (r *Reserve) team(name string, now time.Duration) *teamReserve {
-	t, ok := r.teams[name]
+// team returns the tokens for a team, without expired ones.
+func (n *NodeTokens) team(name string, now time.Duration) *teamTokens {
+	t, ok := n.teams[name]
 	if !ok {
-		r.dropIdle(now)
-		t = &teamReserve{usedAt: now, extraAt: now}
-		r.teams[name] = t
+		n.dropIdle(now)
+		t = &teamTokens{usedAt: now, extraAt: now}
+		n.teams[name] = t
 	}
 	t.expire(now)
 	return t
 }
 
 // dropIdle drops the teams that have not used anything for idleRetention.
-func (r *Reserve) dropIdle(now time.Duration) {
-	if now-r.sweptAt < idleRetention {
+func (n *NodeTokens) dropIdle(now time.Duration) {
+	if now-n.sweptAt < idleRetention {
 		return
 	}
-	r.sweptAt = now
-	maps.DeleteFunc(r.teams, func(_ string, t *teamReserve) bool {
+	n.sweptAt = now
+	maps.DeleteFunc(n.teams, func(_ string, t *teamTokens) bool {
 		return len(t.waiting) == 0 && now-max(t.usedAt, t.extraAt, t.partAt) > idleRetention
 	})
 }
 
 // Take uses tokens for a request. A positive cost is required. The verdict is Pending if the
 // owner must be asked, and never NoOwner.
-func (r *Reserve) Take(team string, limit Limit, cost float64, now time.Duration) Admission {
-	t := r.team(team, now)
+func (n *NodeTokens) Take(team string, limit Limit, cost float64, now time.Duration) Admission {
+	t := n.team(team, now)
 	admission := Admission{Team: team, Cost: cost, Source: SourceOwner, Left: t.left()}
 	switch {
 	case admission.Left >= cost*fullShare && len(t.lots) > 0:
@@ -130,7 +130,7 @@
 		t.used(cost, now)
 	case now < t.refusedUntil:
 		admission.Verdict = OverLimit
-		admission.RetryAfter = r.retryAfter(t, limit, cost, now)
+		admission.RetryAfter = n.retryAfter(t, limit, cost, now)
 	}
 	return admission
 }
@@ -138,9 +138,9 @@
 // retryAfter returns when a refused request should come back: when the owner expects to have
 // tokens, and one interval after the refused request before it. The interval is that of the node's
 // part of the limit, or of what it used recently if that is more.
-func (r *Reserve) retryAfter(t *teamReserve, limit Limit, cost float64, now time.Duration) time.Duration {
+func (n *NodeTokens) retryAfter(t *teamTokens, limit Limit, cost float64, now time.Duration) time.Duration {
 	interval := maxReturnDelay
-	if part := max(limit.PerSecond/float64(max(1, r.nodes)), t.decayedUse(now)); cost < part*maxReturnDelay.Seconds() {
+	if part := max(limit.PerSecond/float64(max(1, n.nodes)), t.decayedUse(now)); cost < part*maxReturnDelay.Seconds() {
 		interval = seconds(cost / part)
 	}
 	return t.spread.delay(max(minWait, t.availableAt-now), interval, now)
@@ -148,14 +148,14 @@
 
 // Wait records that a request waits for the owner's answer. Each call is followed by one of
 // EndWait.
-func (r *Reserve) Wait(team string, cost float64, now time.Duration) {
-	t := r.team(team, now)
+func (n *NodeTokens) Wait(team string, cost float64, now time.Duration) {
+	t := n.team(team, now)
 	t.waiting = append(t.waiting, cost)
 }
 
 // EndWait records that a request no longer waits.
-func (r *Reserve) EndWait(team string, cost float64, now time.Duration) {
-	t := r.team(team, now)
+func (n *NodeTokens) EndWait(team string, cost float64, now time.Duration) {
+	t := n.team(team, now)
 	if i := slices.Index(t.waiting, cost); i >= 0 {
 		t.waiting = slices.Delete(t.waiting, i, i+1)
 	}
@@ -164,9 +164,9 @@
 // Ask returns what the node asks of the owner, and removes what it returns with it. needs says
 // whether it asks for the requests that wait, or only for what it expects: only one of the asks
 // that are sent at the same time asks for those.
-func (r *Reserve) Ask(node string, needs bool, now time.Duration) NodeAsk {
-	ask := NodeAsk{Node: node, AnsweredMS: r.answeredAge(now).Milliseconds()}
-	for name, t := range r.teams {
+func (n *NodeTokens) Ask(node string, needs bool, now time.Duration) NodeAsk {
+	ask := NodeAsk{Node: node, AnsweredMS: n.answeredAge(now).Milliseconds()}
+	for name, t := range n.teams {
 		t.expire(now)
 		team := TeamAsk{Team: name}
 		left := t.left()
@@ -186,24 +186,24 @@
 }
 
 // Answered adds what the owner granted to an ask that was sent at a time.
-func (r *Reserve) Answered(answer NodeAnswer, sentAt, now time.Duration) {
-	if sentAt > r.answeredAt {
-		r.answeredAt = sentAt
+func (n *NodeTokens) Answered(answer NodeAnswer, sentAt, now time.Duration) {
+	if sentAt > n.answeredAt {
+		n.answeredAt = sentAt
 	}
-	r.nodes, r.told = max(1, answer.Nodes), true
-	r.addGranted(answer, sentAt, now)
+	n.nodes, n.told = max(1, answer.Nodes), true
+	n.addGranted(answer, sentAt, now)
 }
 
 // addGranted adds what was granted to an ask that was sent at a time.
-func (r *Reserve) addGranted(answer NodeAnswer, sentAt, now time.Duration) {
+func (n *NodeTokens) addGranted(answer NodeAnswer, sentAt, now time.Duration) {
 	for _, team := range answer.Teams {
-		t := r.team(team.Team, now)
+		t := n.team(team.Team, now)
 		grantedAt := now
 		if now-sentAt > lateAnswer {
 			grantedAt = sentAt
 		}
 		if granted := positive(team.Granted); granted > 0 {
-			t.addLot(lot{tokens: granted, grantedAt: grantedAt, expiresAt: sentAt + r.bounds.TokenLifetime()})
+			t.addLot(lot{tokens: granted, grantedAt: grantedAt, expiresAt: sentAt + n.bounds.TokenLifetime()})
 			t.expire(now)
 		}
 		if team.Unknown {
@@ -219,17 +219,17 @@
 
 // Ungranted records that an owner took an ask, sent at a time, that it can't grant from. It grants
 // to no node, so the nodes go on using their parts.
-func (r *Reserve) Ungranted(sentAt time.Duration) {
-	r.ungrantedAt = max(r.ungrantedAt, sentAt)
+func (n *NodeTokens) Ungranted(sentAt time.Duration) {
+	n.ungrantedAt = max(n.ungrantedAt, sentAt)
 }
 
 // Return gives back the tokens of a request that did not run. They can be used again until they
 // expire.
-func (r *Reserve) Return(admission Admission, now time.Duration) {
+func (n *NodeTokens) Return(admission Admission, now time.Duration) {
 	if admission.Verdict != Admitted || admission.Cost <= 0 {
 		return
 	}
-	t := r.team(admission.Team, now)
+	t := n.team(admission.Team, now)
 	if admission.Source == SourcePart {
 		t.extraUsed = max(0, t.extraUsed-admission.extra)
 		t.part.level += admission.Cost - admission.extra
--- a/internal/ratelimit/pool.go
+++ b/internal/ratelimit/pool.go
@@ -19,16 +19,16 @@
 
 // MayPool reports whether the node may give its part to a pool: the owner is out of reach, and
 // was in reach so lately that the node has a part.
-func (r *Reserve) MayPool(now time.Duration) bool {
-	return r.nodes > 0 && now-r.answeredAt >= partDelay && now < r.partEnds()
+func (n *NodeTokens) MayPool(now time.Duration) bool {
+	return n.nodes > 0 && now-n.answeredAt >= partDelay && now < n.partEnds()
 }
 
 // PoolAsk returns what the node asks of a pool. It is Ask, but for the time of the last answer. A
 // node gives its part to the pool for contactTimeout with each ask.
-func (r *Reserve) PoolAsk(node string, needs bool, now time.Duration) NodeAsk {
-	ask := r.Ask(node, needs, now)
+func (n *NodeTokens) PoolAsk(node string, needs bool, now time.Duration) NodeAsk {
+	ask := n.Ask(node, needs, now)
 	ask.AnsweredMS = 0
-	if age := now - r.pooledAt; r.pooledAt > 0 && age < partDelay {
+	if age := now - n.pooledAt; n.pooledAt > 0 && age < partDelay {
 		ask.AnsweredMS = age.Milliseconds()
 	}
 	return ask
@@ -36,16 +36,16 @@
 
 // Pooled adds what a pool granted to an ask that was sent at a time. The node does not use its
 // part itself meanwhile.
-func (r *Reserve) Pooled(answer NodeAnswer, sentAt, now time.Duration) {
-	r.pooledAt = max(r.pooledAt, sentAt)
-	r.addGranted(answer, sentAt, now)
+func (n *NodeTokens) Pooled(answer NodeAnswer, sentAt, now time.Duration) {
+	n.pooledAt = max(n.pooledAt, sentAt)
+	n.addGranted(answer, sentAt, now)
 }
 
 // answeredAge returns the time since the owner's last answer. While a pool counts the node's
 // part, it is at least the time from which the owner does not.
-func (r *Reserve) answeredAge(now time.Duration) time.Duration {
-	age := now - r.answeredAt
-	if r.pooledAt > 0 && now-r.pooledAt < contactTimeout {
+func (n *NodeTokens) answeredAge(now time.Duration) time.Duration {
+	age := now - n.answeredAt
+	if n.pooledAt > 0 && now-n.pooledAt < contactTimeout {
 		return max(age, partDelay)
 	}
 	return age
--- a/internal/ratelimit/returns_test.go
+++ b/internal/ratelimit/returns_test.go
@@ -10,7 +10,7 @@
 // TestReturnOfPart guards against a slack that stays used by requests that did not run.
 func TestReturnOfPart(t *testing.T) {
 	now := time.Hour
-	r := NewReserve(Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 200}, now)
+	r := NewNodeTokens(Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 200}, now)
 	r.Answered(NodeAnswer{Nodes: 10}, now, now)
 	limit := Limit{PerSecond: 10, Burst: 10}
 	now += partDelay + 100*time.Millisecond
--- a/internal/ratelimit/simulated_limits_test.go
+++ b/internal/ratelimit/simulated_limits_test.go
@@ -81,7 +81,7 @@
 		},
 		"demand after an idle time without an owner": func(s *teamSimulation) {
 			pick := s.pick
-			idle := &simNode{name: "idle", reserve: NewReserve(s.bounds, s.now), asking: true}
+			idle := &simNode{name: "idle", tokens: NewNodeTokens(s.bounds, s.now), asking: true}
 			s.pick = func() *simNode { return idle }
 			s.loseOwner(9 * time.Second)
 			s.run(8500 * time.Millisecond)
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -49,8 +49,8 @@
 
 // simNode is a node of a simulation.
 type simNode struct {
-	name    string
-	reserve *Reserve
+	name   string
+	tokens *NodeTokens
 	// cut means that its asks don't reach the owner, deaf that the answers don't reach it.
 	cut, deaf bool
 	asking    bool
@@ -171,8 +171,8 @@
 // among them.
 func (s *teamSimulation) start(n *simNode, nodes int) {
 	n.started++
-	n.reserve = NewReserve(s.bounds, s.now)
-	n.reserve.SetNodes(nodes)
+	n.tokens = NewNodeTokens(s.bounds, s.now)
+	n.tokens.SetNodes(nodes)
 	n.waiting, n.asking = nil, false
 	started := n.started
 	var report func()
@@ -223,7 +223,7 @@
 		ended = func() {}
 	}
 	sentAt, started, tenure := s.now, n.started, s.tenure
-	ask := n.reserve.Ask(n.name, needs, s.now)
+	ask := n.tokens.Ask(n.name, needs, s.now)
 	s.asks++
 	if s.owner == nil {
 		s.after(simRetryInterval, ended)
@@ -249,7 +249,7 @@
 		}
 		s.after(away, func() {
 			if n.started == started {
-				n.reserve.Answered(answer, sentAt, s.now)
+				n.tokens.Answered(answer, sentAt, s.now)
 			}
 			ended()
 		})
@@ -257,14 +257,14 @@
 }
 
 func (s *teamSimulation) mayPool(n *simNode) bool {
-	return s.pools != nil && n.reserve.MayPool(s.now)
+	return s.pools != nil && n.tokens.MayPool(s.now)
 }
 
 // askPool gives the part of a node to the pool, asks for its waiting requests if needs, and calls
 // ended when the ask has ended. The first node that it reaches keeps the pool: one that is cut off as it is.
 func (s *teamSimulation) askPool(n *simNode, needs bool, ended func()) {
 	sentAt, started := s.now, n.started
-	ask := n.reserve.PoolAsk(n.name, needs, s.now)
+	ask := n.tokens.PoolAsk(n.name, needs, s.now)
 	keeper := s.nodes[slices.IndexFunc(s.nodes, func(other *simNode) bool { return other.cut == n.cut || other == n })]
 	way := s.between(900*time.Microsecond, 3900*time.Microsecond)
 	s.after(way, func() {
@@ -280,7 +280,7 @@
 		}
 		s.after(way, func() {
 			if n.started == started {
-				n.reserve.Pooled(answer, sentAt, s.now)
+				n.tokens.Pooled(answer, sentAt, s.now)
 			}
 			ended()
 		})
@@ -309,12 +309,12 @@
 		return
 	}
 	n.waiting = append(n.waiting, w)
-	n.reserve.Wait(w.team.name, w.cost, s.now)
+	n.tokens.Wait(w.team.name, w.cost, s.now)
 	started := n.started
 	s.after(simCallTimeout, func() {
 		if !w.decided && n.started == started {
 			s.decide(n, w, true)
-			n.reserve.EndWait(w.team.name, w.cost, s.now)
+			n.tokens.EndWait(w.team.name, w.cost, s.now)
 		}
 	})
 	s.startAsk(n)
@@ -334,7 +334,7 @@
 		n.asking = false
 		n.waiting = slices.DeleteFunc(n.waiting, func(w *simWaiter) bool {
 			if !w.decided && s.decide(n, w, false) {
-				n.reserve.EndWait(w.team.name, w.cost, s.now)
+				n.tokens.EndWait(w.team.name, w.cost, s.now)
 			}
 			return w.decided
 		})
@@ -347,9 +347,9 @@
 // decide decides on a request by what its node knows, and reports whether it could.
 func (s *teamSimulation) decide(n *simNode, w *simWaiter, last bool) bool {
 	limit, _ := s.limit(w.team.name)
-	admission := n.reserve.Take(w.team.name, limit, w.cost, s.now)
-	if admission.Verdict == Pending && (last || n.reserve.UsesPart(w.team.name, s.now) && !s.mayPool(n)) {
-		admission = n.reserve.TakePart(w.team.name, limit, w.cost, s.now)
+	admission := n.tokens.Take(w.team.name, limit, w.cost, s.now)
+	if admission.Verdict == Pending && (last || n.tokens.UsesPart(w.team.name, s.now) && !s.mayPool(n)) {
+		admission = n.tokens.TakePart(w.team.name, limit, w.cost, s.now)
 	}
 	if admission.Verdict == Pending {
 		return false
@@ -364,7 +364,7 @@
 		return true
 	}
 	if s.rng.Float64() < s.failing {
-		s.after(s.between(0, 3*time.Second), func() { n.reserve.Return(admission, s.now) })
+		s.after(s.between(0, 3*time.Second), func() { n.tokens.Return(admission, s.now) })
 		return true
 	}
 	s.runs[w.team.name] = append(s.runs[w.team.name], simRun{s.now, w.cost})
--- a/internal/ratelimit/teams_test.go
+++ b/internal/ratelimit/teams_test.go
@@ -93,14 +93,14 @@
 	})
 }
 
-// TestReserveSpendsWhatWasGranted guards against a node that uses more than the owner granted
+// TestNodeSpendsWhatWasGranted guards against a node that uses more than the owner granted
 // to it, or uses it after its lifetime, and against tokens that are neither used nor returned.
-func TestReserveSpendsWhatWasGranted(t *testing.T) {
+func TestNodeSpendsWhatWasGranted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bounds := testBounds()
 		limit := Limit{PerSecond: 100, Burst: 100}
 		now := time.Hour
-		r := NewReserve(bounds, now)
+		r := NewNodeTokens(bounds, now)
 		granted, used, returned := 0.0, 0.0, 0.0
 		var admitted []Admission
 		usable := map[time.Duration]float64{}
@@ -155,10 +155,10 @@
 	})
 }
 
-// TestReserveRemembersRefusals guards against an ask for each request over the limit, and
+// TestNodeRemembersRefusals guards against an ask for each request over the limit, and
 // against a refusal that outlasts the next tokens. Refused requests are told different times.
-func TestReserveRemembersRefusals(t *testing.T) {
-	r := NewReserve(testBounds(), 0)
+func TestNodeRemembersRefusals(t *testing.T) {
+	r := NewNodeTokens(testBounds(), 0)
 	limit := Limit{PerSecond: 100, Burst: 10}
 	require.Equal(t, Pending, r.Take("a", limit, 1, 0).Verdict)
 	r.Answered(NodeAnswer{Nodes: 1, Teams: []TeamAnswer{{Team: "a", Granted: 1, InMS: 2000}}}, 0, time.Millisecond)
@@ -186,7 +186,7 @@
 	for slack, extra := range map[float64]float64{0: 0, 100: 5, 1e9: 810} {
 		bounds := testBounds()
 		bounds.Slack = slack
-		r := NewReserve(bounds, 0)
+		r := NewNodeTokens(bounds, 0)
 		r.Answered(NodeAnswer{Nodes: 10}, 0, 0)
 		used := 0.0
 		for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
@@ -204,7 +204,7 @@
 		require.LessOrEqual(t, used, part+extra)
 		require.GreaterOrEqual(t, used, min(part, 900)*0.95)
 	}
-	r := NewReserve(testBounds(), 0)
+	r := NewNodeTokens(testBounds(), 0)
 	require.Equal(t, NoOwner, r.TakePart("a", limit, 1, 2*time.Second).Verdict)
 	r.SetNodes(10)
 	require.Equal(t, Admitted, r.TakePart("a", limit, 1, 2500*time.Millisecond).Verdict)
@@ -213,7 +213,7 @@
 // TestUnknownTeamUsesPart guards against requests of a new team that all wait or fail until the
 // owner applies the configuration that has it.
 func TestUnknownTeamUsesPart(t *testing.T) {
-	r := NewReserve(testBounds(), 0)
+	r := NewNodeTokens(testBounds(), 0)
 	limit := Limit{PerSecond: 100, Burst: 10}
 	now := time.Hour
 	used := 0
@@ -278,7 +278,7 @@
 // TestRetryAfterFollowsUse guards against a node with all the demand of a team that tells its
 // callers to come back at the rate of the smallest part of the limit.
 func TestRetryAfterFollowsUse(t *testing.T) {
-	r := NewReserve(testBounds(), 0)
+	r := NewNodeTokens(testBounds(), 0)
 	limit := Limit{PerSecond: 100, Burst: 100}
 	now := time.Second
 	for range 100 {
@@ -298,7 +298,7 @@
 // TestReturnOfTwoGrants guards against tokens that are used after their lifetime because a request
 // that gave them back had used others, too, which expire later.
 func TestReturnOfTwoGrants(t *testing.T) {
-	r := NewReserve(testBounds(), 0)
+	r := NewNodeTokens(testBounds(), 0)
 	limit := Limit{PerSecond: 100, Burst: 100}
 	const later = 67 * time.Millisecond
 	granted := NodeAnswer{Nodes: 2, Teams: []TeamAnswer{{Team: "a", Granted: 1}}}
--- a/internal/ratelimit/teamreserve.go
+++ b/internal/ratelimit/teamtokens.go
@@ -13,8 +13,8 @@
 	expiresAt time.Duration
 }
 
-// teamReserve is the reserve of a team.
-type teamReserve struct {
+// teamTokens are the tokens that the owner granted to a node for a team.
+type teamTokens struct {
 	lots    []lot
 	returns []lot
 	// use is the recent use in units a second, as of usedAt, meanCost the average cost of recent
@@ -40,7 +40,7 @@
 }
 
 // expire moves expired tokens to those that are returned.
-func (t *teamReserve) expire(now time.Duration) {
+func (t *teamTokens) expire(now time.Duration) {
 	t.lots = slices.DeleteFunc(t.lots, func(l lot) bool {
 		if now < l.expiresAt {
 			return false
@@ -52,7 +52,7 @@
 
 // addReturn adds tokens to return. The oldest two are joined when there are too many; joined
 // tokens count from the earlier time.
-func (t *teamReserve) addReturn(n float64, grantedAt time.Duration) {
+func (t *teamTokens) addReturn(n float64, grantedAt time.Duration) {
 	if n <= 0 {
 		return
 	}
@@ -69,7 +69,7 @@
 }
 
 // left returns the tokens that the node has.
-func (t *teamReserve) left() float64 {
+func (t *teamTokens) left() float64 {
 	left := 0.0
 	for _, l := range t.lots {
 		left += l.tokens
@@ -79,7 +79,7 @@
 
 // addLot adds tokens. The lots are in the order in which they expire, which is not that of the
 // answers.
-func (t *teamReserve) addLot(added lot) {
+func (t *teamTokens) addLot(added lot) {
 	i := 0
 	for i < len(t.lots) && t.lots[i].expiresAt <= added.expiresAt {
 		i++
@@ -89,7 +89,7 @@
 
 // spend takes tokens, those that expire first, and returns the earliest times at which any of
 // them were granted and expire. The caller has checked that there are enough.
-func (t *teamReserve) spend(cost float64) (grantedAt, expiresAt time.Duration) {
+func (t *teamTokens) spend(cost float64) (grantedAt, expiresAt time.Duration) {
 	grantedAt, expiresAt = t.lots[0].grantedAt, t.lots[0].expiresAt
 	for len(t.lots) > 0 && cost > 0 {
 		grantedAt = min(grantedAt, t.lots[0].grantedAt)
@@ -104,7 +104,7 @@
 }
 
 // decayedUse returns the recent use in units a second.
-func (t *teamReserve) decayedUse(now time.Duration) float64 {
+func (t *teamTokens) decayedUse(now time.Duration) float64 {
 	return t.use * math.Exp(-(now-t.usedAt).Seconds()/useTime.Seconds())
 }
 
@@ -114,7 +114,7 @@
 // expected returns what the node should ask for in addition to what is left, for the requests
 // that it expects until the next ask: whole requests, and nothing while it refuses some or while
 // some wait.
-func (t *teamReserve) expected(left float64, now time.Duration) float64 {
+func (t *teamTokens) expected(left float64, now time.Duration) float64 {
 	if len(t.waiting) > 0 || now < t.refusedUntil || t.meanCost == 0 {
 		return 0
 	}
@@ -123,7 +123,7 @@
 }
 
 // used records the use of tokens.
-func (t *teamReserve) used(cost float64, now time.Duration) {
+func (t *teamTokens) used(cost float64, now time.Duration) {
 	t.use = t.decayedUse(now) + cost/useTime.Seconds()
 	t.usedAt = now
 	if t.meanCost == 0 {
@@ -134,7 +134,7 @@
 
 // needs returns what the waiting requests need in addition to what is left, and what the
 // smallest of them does.
-func (t *teamReserve) needs(left float64) (need, least float64) {
+func (t *teamTokens) needs(left float64) (need, least float64) {
 	if len(t.waiting) == 0 {
 		return 0, 0
 	}
@@ -149,7 +149,7 @@
 const unknownMemory = 250 * time.Millisecond
 
 // unknown records that the owner does not know the team.
-func (t *teamReserve) unknown(now time.Duration) {
+func (t *teamTokens) unknown(now time.Duration) {
 	if now-t.unknownUntil > partEnd {
 		t.unknownSince = now
 	}
@@ -157,7 +157,7 @@
 }
 
 // refillPart adds to the node's part since it may use it.
-func (t *teamReserve) refillPart(rate float64, from, now time.Duration) {
+func (t *teamTokens) refillPart(rate float64, from, now time.Duration) {
 	if t.partAt < from {
 		t.part.level, t.partAt = 0, from
 	}
