Dial once after a kept connection broke

Seen by callers: a call to a node or to the store, whose kept connection breaks before a byte is written and that then finds no connection, dials up to 16 times in a row (each up to its connect timeout).

Cause: an exchange may take another connection if its last one was a kept one; a try that got no connection left the mark of the try before.

Evidence: TestNewConnectionIsTriedOnce failed: "16" is not less than or equal to "1".

Change: each try begins without the mark.

Result: the test passes, 20 of 20 with the race detector.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -135,7 +135,7 @@
 func (x *Exchange) startTry(stop context.CancelCauseFunc) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.state, x.conn, x.asked, x.stop = NotWritten, nil, 0, stop
+	x.state, x.conn, x.kept, x.asked, x.stop = NotWritten, nil, false, 0, stop
 }
 
 // trace returns the hooks for a try: ctx is that of the caller.
