Keep the end of a forwarded response with an endpoint's Trailer header

Seen by callers: 502 for a request that ran, if its endpoint was reached through another node and sent a Trailer header beside a length (net/http removes that header from responses in chunks only).

Cause: the endpoint's header replaced the Trailer header of the call, so that net/http sent no Chestnut-Forward-End, without which the response counts as broken off.

Evidence: TestEndpointTrailerHeader failed: unexpected EOF.

Change: the header of the call is set after the endpoint's.

--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -110,6 +110,7 @@
 	}
 	header.Del("Content-Length")
 	header.Del("Connection")
+	header.Set("Trailer", headerForwardEnd)
 	for _, name := range []string{"Content-Type", "Date"} {
 		if header.Get(name) == "" {
 			// A nil value prevents net/http from adding one.
