Do not count the first id of a stream as a difference

Seen by callers: a stream whose ids begin at 100 and that broke off after 102 went on with 150.

Cause: the difference between the first id and 0 counted as the largest difference between two successive ids, up to which a gap is no sign of a missing event.

Evidence: TestSkippedEventAfterHighFirstID failed: expected error "an event does not follow the last one", got nil.

Change: only the difference between two ids counts. A stream of which one event arrived goes on with the next number alone.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -88,7 +88,9 @@
 		// The stream has not skipped as many ids so far, so an event is missing.
 		return errNotNext
 	}
-	p.step = max(p.step, number-p.last)
+	if p.numbered {
+		p.step = max(p.step, number-p.last)
+	}
 	p.lastID, p.last, p.numbered, p.known = id, number, true, true
 	p.events, p.joining = true, false
 	return nil
