Take a call of a plain service for refused only by a refusal that names it

Seen by callers: a call could run and be answered as not run, or run again at another endpoint.

Cause: the client of plain services judged the status 503 before the id of the response. The late second copy of an earlier refusal, on a kept connection, counted as the refusal of the next call.

Change: the id is compared first. The stand-in's refusals name their request, as the protocol asks.

--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -205,12 +205,12 @@
 		return Response{}, transportError(err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return Response{}, ErrRefused
-	}
 	if got := resp.Header.Get(HeaderRequestID); got != req.ID {
 		return Response{}, fmt.Errorf("%w: answer is for request %q", ErrUnknown, got)
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return Response{}, ErrRefused
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %v", ErrUnknown, err)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return
 	}
+	w.Header().Set(HeaderRequestID, id)
 	if !s.start(id) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -118,7 +119,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", jsonType)
-	w.Header().Set(HeaderRequestID, id)
 	_, _ = w.Write(answer)
 }
 
