Count the attempts that were to go on with a stalled stream

Seen by callers: nothing; a resumable stream that stalled could run on more endpoints than its route's limit allows (of 2 allowed, 3 were reached).

Cause: an attempt that was opened to go on with a stalled stream, and broke off, was rejected or came too late, did not count among those that may have run.

Evidence: TestSuccessorsThatBreakCountAsRuns and TestUnusedSuccessorCountsAsRun failed: "[a b c]" should have 2 item(s), but has 3.

Change: each such attempt counts, except one that the endpoint states not to have run, or of which nothing was written. None is opened beyond the limit.

Result: both tests pass, with all of internal/relay; both and TestStalledStream 5 of 5 with the race detector.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -167,6 +167,7 @@
 		x.recordDuration(s, result)
 		lastEvent, continuable := x.lastEvent()
 		result.successor = detector.finish(result.done || !continuable, lastEvent)
+		x.possibleRuns += detector.unusedRuns(result.successor != nil)
 		return result
 	}
 	x.relay.waiting.remove(s)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -52,7 +52,11 @@
 		successor.permits = maps.Clone(x.permits)
 		// The stalled stream may begin while the successor is opened.
 		successor.required = inventory.OnlyVersion(s.endpoint.Version)
-		d.open = func(lastEvent string) *sending { return successor.openSuccessor(ctx, lastEvent) }
+		counted := x.possibleRuns
+		d.open = func(lastEvent string) (*sending, int) {
+			s := successor.openSuccessor(ctx, lastEvent)
+			return s, successor.possibleRuns - counted
+		}
 	}
 	s.reply.Body = d
 	s.stalls = d
@@ -61,8 +65,12 @@
 
 // openSuccessor sends the request to another endpoint that can take it now, and
 // returns the attempt if its stream begins. It returns nil otherwise, or without a
-// permit or a retry in the budget.
+// permit or a retry in the budget, or if the route allows no further endpoint. Each attempt that
+// may have run is counted.
 func (x *exchange) openSuccessor(ctx context.Context, lastEvent string) *sending {
+	if x.possibleRuns+1 >= x.maxRuns() {
+		return nil
+	}
 	endpoint, verdict := x.choose(x.relay.Inventory.Current())
 	if verdict != choose.Found || x.req.Adapter != "" && !slices.Contains(endpoint.Models[x.req.Model], x.req.Adapter) {
 		return nil
@@ -78,6 +86,9 @@
 	}
 	x.tried = append(x.tried, endpoint.ID)
 	s, err := x.open(ctx, endpoint, lastEvent)
+	if mayHaveRun(s, err) {
+		x.possibleRuns++
+	}
 	if err != nil {
 		x.relay.Log.Info("stalled stream not continued", "request_id", x.req.ID, "endpoint", endpoint.ID, "error", err)
 		return nil
@@ -91,6 +102,15 @@
 	return s
 }
 
+// mayHaveRun reports whether an attempt may have run, from its response or its error.
+func mayHaveRun(s *sending, err error) bool {
+	if err == nil {
+		return !s.reply.NotRun
+	}
+	var failed *SendError
+	return !errors.As(err, &failed) || failed.Sent
+}
+
 // replaced records an attempt that another endpoint's replaces.
 func (x *exchange) replaced(endpointID string, result attemptResult) {
 	if result.run != outcome.NotRun {
@@ -108,9 +128,10 @@
 type stallDetector struct {
 	body    io.ReadCloser
 	timeout time.Duration
-	// open returns a successor that continues the stream after an event, or nil. It
-	// is nil itself if the stream can't be continued.
-	open func(lastEvent string) *sending
+	// open returns a successor that continues the stream after an event, or nil, and the
+	// number of its attempts so far that may have run. It is nil itself if the stream can't
+	// be continued.
+	open func(lastEvent string) (successor *sending, runs int)
 	// cancel cancels the attempt.
 	cancel func()
 	// lastEvent returns the id of the last event that was forwarded. ok is false if the
@@ -129,10 +150,12 @@
 	reading   bool
 	readSince time.Time
 	// opened counts the calls of open, opening reports that one is in progress.
-	opened   int
-	opening  bool
-	finished bool
-	timer    *time.Timer
+	opened  int
+	opening bool
+	// openedRuns counts the attempts of open that may have run.
+	openedRuns int
+	finished   bool
+	timer      *time.Timer
 	// candidate is a successor that was opened while no read was in progress. It is
 	// used if what was read last completes no event.
 	candidate *sending
@@ -212,10 +235,10 @@
 	if !d.beginOpening(events) {
 		return
 	}
-	successor := d.open(lastEvent)
+	successor, runs := d.open(lastEvent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.opening = false
+	d.opening, d.openedRuns = false, runs
 	switch {
 	case successor == nil:
 		if d.reading && d.events == events && !d.finished && d.opened < maxSuccessors {
@@ -269,3 +292,18 @@
 	}
 	return s
 }
+
+// unusedRuns returns, after the attempt, the number of attempts of open that may have run, besides
+// the one that continues the stream if there is one. One that is still being opened may run.
+func (d *stallDetector) unusedRuns(continued bool) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	runs := d.openedRuns
+	if d.opening {
+		runs++
+	}
+	if continued {
+		runs--
+	}
+	return runs
+}
