--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -40,8 +40,6 @@
 	// Named reports whether a response names the request. The connection of another response is
 	// closed. A nil Named accepts any response.
 	Named func(*http.Response) bool
-	// SingleUse closes the connection to later exchanges.
-	SingleUse bool
 	// ReportBroken returns an error if a kept connection breaks before a byte is written.
 	// Otherwise the exchange takes another connection.
 	ReportBroken bool
@@ -262,7 +260,7 @@
 func (x *Exchange) settle(named bool) (State, *trackedConn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.reusable, x.ended = named && !x.terms.SingleUse, !named
+	x.reusable, x.ended = named, !named
 	x.release()
 	return x.state, x.conn
 }
