--- a/internal/httpclient/once_test.go
+++ b/internal/httpclient/once_test.go
@@ -108,7 +108,7 @@
 		strings.Contains(err.Error(), "server closed idle connection"), "%v", err)
 }
 
-// TestRedirectIsNotFollowed guards against a second request, which nobody asked for, to the place
+// TestRedirectIsNotFollowed guards against a second request, which its caller did not make, to the place
 // that a response names.
 func TestRedirectIsNotFollowed(t *testing.T) {
 	for _, status := range []int{301, 302, 303, 307, 308} {
