Let streams that callers take up wait until their deadline

Cause: only a stream that had begun within the attempt waited until its deadline. One that its caller takes up is in the same position: it can go on at one version only, and a caller that takes it up has little time left, so that 0.3 of it were 0.2 to 0.5 s. What is predicted to be too late is still refused at once.

Change: latestDispatch treats both alike. A failed request names in its log line the stream that it takes up.

TestResumedStreamWaitsForRoom and TestResumedStreamWaitsForModel failed before (refused after 1 s and 2.05 s of 4 s) and pass.

--- a/internal/relay/acquire.go
+++ b/internal/relay/acquire.go
@@ -199,10 +199,11 @@
 }
 
 // latestDispatch returns the time until which a request waits that may spend
-// waitFraction of its time on waiting. A stream that has begun waits until its
-// deadline.
+// waitFraction of its time on waiting. A stream that has begun, also with an earlier
+// attempt of its caller, waits until its deadline: it can go on nowhere but at the
+// endpoints of its version.
 func (x *exchange) latestDispatch(waitFraction float64) time.Time {
-	if x.started {
+	if x.started || x.required.Required {
 		return x.deadline
 	}
 	return x.req.Arrived.Add(time.Duration(waitFraction * float64(x.deadline.Sub(x.req.Arrived))))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -288,7 +288,7 @@
 		attrs = append(attrs, "host", req.Host, "path", req.Path, "config_version", c.Version)
 	}
 	if x != nil {
-		attrs = append(attrs, "candidates", x.candidates, "spared", x.ejected, "cut", x.cut, "leaving", x.leaving, "cooling", x.cooling)
+		attrs = append(attrs, "resumes", req.Resumes, "candidates", x.candidates, "spared", x.ejected, "cut", x.cut, "leaving", x.leaving, "cooling", x.cooling)
 	}
 	attrs = append(attrs, "reason", string(failure.Reason), "run", string(failure.Run), "retry_after_ms", failure.RetryAfter.Milliseconds())
 	if failure.Cause != nil {
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -152,6 +152,48 @@
 	})
 }
 
+// resumedStream returns the exchange of a stream that its caller takes up, and a context for its time.
+func resumedStream(t *testing.T, r *Relay, model string) (x *exchange, ctx context.Context) {
+	x, failure := r.begin(request("resume", model), &fakeAnswer{})
+	require.Nil(t, failure)
+	x.required = inventory.OnlyVersion("")
+	ctx, cancel := context.WithDeadline(context.Background(), x.deadline.Add(deadlineGrace))
+	t.Cleanup(cancel)
+	return x, ctx
+}
+
+// TestResumedStreamWaitsForRoom guards against a stream that its caller takes up and that is refused
+// after a part of its time, since the endpoints of its version have no room yet: no other version can
+// go on with it.
+func TestResumedStreamWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Longer than queueWaitFraction of the request's 4 s.
+		r := newRelay(&slowEndpoints{latency: 2 * time.Second})
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		for range 12 {
+			callers.Go(func() { _ = r.Serve(context.Background(), request("once", "m"), &fakeAnswer{}) })
+			synctest.Wait()
+		}
+		x, ctx := resumedStream(t, r, "m")
+		endpoint, failure := x.acquire(ctx)
+		require.Nil(t, failure)
+		require.NotNil(t, endpoint)
+	})
+}
+
+// TestResumedStreamWaitsForModel guards against the same while no endpoint of the version holds the
+// model, and it is unknown when one will.
+func TestResumedStreamWaitsForModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x, ctx := resumedStream(t, newRelay(&fakeEndpoints{}), "rare")
+		started := time.Now()
+		_, failure := x.acquire(ctx)
+		require.Equal(t, ReasonNoModel, failure.Reason)
+		require.GreaterOrEqual(t, time.Since(started), x.deadline.Sub(started))
+	})
+}
+
 // TestAdapterLoadBlocksNoOthers has a request at the head of a queue whose
 // adapter can't be loaded. Requests behind it that need no adapter are
 // dispatched.
