Have the response to a forwarded request name its call

Nodes send one response to each call, so it was seen with stand-ins only.

Cause: neither the response of a forwarded request nor its end names the call.

Each call has a random name now, which the other node repeats in a header and in the end. Another name, in the header or the end, makes the request one that may have run; nothing of the response is passed on. A node of an earlier version sends no name: only the first response on a connection is then taken for that of its request, as before, and the connection is not used again, so such nodes serve and decline as before during an upgrade, each call on a connection of its own. To a call without a name a node answers without one.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,10 +30,15 @@
 	headerForwardReply = "Chestnut-Forward-Reply"
 	// headerForwardEnd is a trailer with a forwardEnd. A response without it is incomplete.
 	headerForwardEnd = "Chestnut-Forward-End"
+	// headerForwardCall holds the name of the call in its response.
+	headerForwardCall = "Chestnut-Forward-Call"
 )
 
 // forwardedRequest describes a caller's request that another node serves.
 type forwardedRequest struct {
+	// Call is the name of the call. No other one has it. Nodes that don't send it get responses
+	// without a name.
+	Call   string `json:"call,omitempty"`
 	ID     string `json:"id"`
 	Method string `json:"method"`
 	Target string `json:"target"`
@@ -77,6 +83,8 @@
 
 // forwardEnd says how the request ended at the other node.
 type forwardEnd struct {
+	// Call is the name of the call.
+	Call string `json:"call,omitempty"`
 	// Runs is the number of endpoints that may have run the request.
 	Runs int `json:"runs"`
 	// Reason is empty if the response is complete.
@@ -97,19 +105,29 @@
 	relay.ReasonConfigurationOld: true,
 }
 
-// errForwarded is the error of a request that another node could not serve.
-var errForwarded = errors.New("fleet: not served by the other node")
+// Errors of forwarded requests.
+var (
+	// errForwarded is the error of a request that another node could not serve.
+	errForwarded = errors.New("fleet: not served by the other node")
+	// errOtherCall means that the end of a response names another call than its header.
+	errOtherCall = errors.New("fleet: the end of the response is that of another call")
+)
 
 // forward has another node serve a request.
 func (f *Forwarding) forward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*relay.Reply, error) {
 	end := f.nodes.Begin(node)
 	requestsForwarded.Inc()
 	var refusal *relay.Failure
-	ctx, exchange := httpclient.NewExchange(ctx, httpclient.Terms{Check: func() bool {
-		refusal = attempt.Authorized()
-		return refusal == nil
-	}})
-	resp, err := f.callForward(ctx, node, req, attempt)
+	name := rand.Text()
+	ctx, exchange := httpclient.NewExchange(ctx, httpclient.Terms{
+		Check: func() bool {
+			refusal = attempt.Authorized()
+			return refusal == nil
+		},
+		Named:     func(resp *http.Response) bool { return resp.Header.Get(headerForwardCall) == name },
+		FirstOnly: withoutName,
+	})
+	resp, err := f.callForward(ctx, node, name, req, attempt)
 	if exchange.Refused() {
 		end()
 		return nil, &relay.SendError{Refusal: refusal, Connection: connectionOf(exchange), Err: err}
@@ -142,9 +160,16 @@
 	return relay.Connection{Taken: taken, Kept: kept, Written: exchange.Written()}
 }
 
-// callForward makes the call.
-func (f *Forwarding) callForward(ctx context.Context, node string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
+// withoutName reports whether a response names no call. A node of an earlier version sends such ones:
+// one response to each call, so that the first one on a connection is that to the first call.
+func withoutName(resp *http.Response) bool {
+	return len(resp.Header.Values(headerForwardCall)) == 0
+}
+
+// callForward makes the call with a name.
+func (f *Forwarding) callForward(ctx context.Context, node, name string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
 	described, err := json.Marshal(forwardedRequest{
+		Call:         name,
 		ID:           req.ID,
 		Method:       req.Method,
 		Target:       req.Target,
@@ -191,6 +216,7 @@
 func forwardReply(resp *http.Response, described forwardedReply, body *forwardedBody) *relay.Reply {
 	header := resp.Header.Clone()
 	header.Del(headerForwardReply)
+	header.Del(headerForwardCall)
 	header.Del("Trailer")
 	header.Del("Connection")
 	return &relay.Reply{
@@ -209,10 +235,10 @@
 // notForwarded returns the error of a request that another node did not serve.
 func (f *Forwarding) notForwarded(node string, resp *http.Response) *relay.SendError {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
-	var ended forwardEnd
-	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil || ended.Reason == "" {
+	ended, err := endOf(resp)
+	if err != nil || ended.Reason == "" {
 		f.nodes.Failed(node, time.Now())
-		return &relay.SendError{Sent: true, Err: fmt.Errorf("%w: status %d", errForwarded, resp.StatusCode)}
+		return &relay.SendError{Sent: true, Err: errors.Join(fmt.Errorf("%w: status %d", errForwarded, resp.StatusCode), err)}
 	}
 	failed := &relay.SendError{Sent: ended.Run != outcome.NotRun, Runs: ended.Runs, Err: fmt.Errorf("%w: %s", errForwarded, ended.Reason)}
 	switch {
@@ -225,6 +251,19 @@
 	return failed
 }
 
+// endOf returns the end of a response whose body has been read. It returns an error if there is none,
+// or if it doesn't name the call that the header names.
+func endOf(resp *http.Response) (forwardEnd, error) {
+	var ended forwardEnd
+	if err := json.Unmarshal([]byte(resp.Trailer.Get(headerForwardEnd)), &ended); err != nil {
+		return forwardEnd{}, fmt.Errorf("fleet: end of a forwarded request: %w", err)
+	}
+	if ended.Call != resp.Header.Get(headerForwardCall) {
+		return forwardEnd{}, errOtherCall
+	}
+	return ended, nil
+}
+
 // forwardedBody is the body of a response that another node passes on. It ends with an
 // error unless the other node says that it is complete.
 type forwardedBody struct {
@@ -239,9 +278,11 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if json.Unmarshal([]byte(b.response.Trailer.Get(headerForwardEnd)), &b.ended) != nil {
-		return n, io.ErrUnexpectedEOF
+	ended, endErr := endOf(b.response)
+	if endErr != nil {
+		return n, errors.Join(io.ErrUnexpectedEOF, endErr)
 	}
+	b.ended = ended
 	if b.ended.Reason != "" {
 		return n, fmt.Errorf("%w: %s", errForwarded, b.ended.Reason)
 	}
--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -39,7 +39,7 @@
 		return
 	}
 	w.Header().Set("Trailer", headerForwardEnd)
-	answer := &forwardAnswer{w: w, control: http.NewResponseController(w), closing: f.Closing}
+	answer := &forwardAnswer{w: w, control: http.NewResponseController(w), closing: f.Closing, call: described.Call}
 	var ended forwardEnd
 	if full {
 		ended = forwardEnd{Reason: relay.ReasonNoMemory, Run: outcome.NotRun}
@@ -91,15 +91,24 @@
 	control *http.ResponseController
 	// closing reports whether responses that begin now close their connections.
 	closing func() bool
-	begun   bool
+	// call is the name of the call, or empty if the other node sent none.
+	call  string
+	begun bool
 }
 
-// begin decides on the connection if the response has not begun.
+// begin names the call and decides on the connection if the response has not begun.
 func (a *forwardAnswer) begin() {
-	if !a.begun && a.closing() {
-		a.w.Header().Set("Connection", "close")
+	if a.begun {
+		return
 	}
 	a.begun = true
+	a.w.Header().Del(headerForwardCall)
+	if a.call != "" {
+		a.w.Header().Set(headerForwardCall, a.call)
+	}
+	if a.closing() {
+		a.w.Header().Set("Connection", "close")
+	}
 }
 
 // Begin implements relay.Answer.
@@ -150,6 +159,7 @@
 	if err := a.Flush(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	ended.Call = a.call
 	text, err := json.Marshal(ended)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -70,6 +70,7 @@
 	before := c.user
 	c.user = x
 	c.mu.Unlock()
+	x.setFirst(before == nil)
 	if before != nil && !before.leaves(ctx, c, x) {
 		return false
 	}
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -40,6 +40,9 @@
 	// Named reports whether a response names the request. The connection of another response is
 	// closed. A nil Named accepts any response.
 	Named func(*http.Response) bool
+	// FirstOnly reports whether a response that does not name the request is accepted as the first
+	// one on its connection, which is not used again. A nil FirstOnly accepts none.
+	FirstOnly func(*http.Response) bool
 	// ReportBroken returns an error if a kept connection breaks before a byte is written.
 	// Otherwise the exchange takes another connection.
 	ReportBroken bool
@@ -63,9 +66,9 @@
 	// bytes is the number of bytes written.
 	bytes int64
 	// connections is the number of connections taken, kept tells whether the last one had
-	// been used before.
+	// been used before, first that no other exchange had taken it before.
 	connections int
-	kept        bool
+	kept, first bool
 	// begun and ended mean that the exchange has begun, and that nothing may be written any
 	// more. reusable means that its connection may be used again.
 	begun, ended, reusable bool
@@ -158,6 +161,13 @@
 	}
 }
 
+// setFirst records whether the exchange is the first one that takes its connection.
+func (x *Exchange) setFirst(first bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.first = first
+}
+
 // attach records the connection of a try. A second one in the same try is not used.
 func (x *Exchange) attach(c *trackedConn, kept, usable bool) {
 	x.mu.Lock()
@@ -248,19 +258,20 @@
 func (x *Exchange) accept(resp *http.Response) (*http.Response, error) {
 	defer close(x.settled)
 	named := x.terms.Named == nil || x.terms.Named(resp)
-	state, conn := x.settle(named)
-	if named {
+	accepted := named || x.first && x.terms.FirstOnly != nil && x.terms.FirstOnly(resp)
+	state, conn := x.settle(named, accepted)
+	if accepted {
 		return resp, nil
 	}
 	return nil, &Error{State: state, Err: closeNotNamed(resp, conn)}
 }
 
-// settle records whether the response names the request. Nothing is written any more if it does
-// not.
-func (x *Exchange) settle(named bool) (State, *trackedConn) {
+// settle records whether the response names the request, and whether it is accepted. Nothing is
+// written any more if it is not.
+func (x *Exchange) settle(named, accepted bool) (State, *trackedConn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.reusable, x.ended = named, !named
+	x.reusable, x.ended = named, !accepted
 	x.release()
 	return x.state, x.conn
 }
--- a/internal/httpclient/exchange_test.go
+++ b/internal/httpclient/exchange_test.go
@@ -185,3 +185,53 @@
 	require.Empty(t, recorded.written)
 	require.True(t, NotSent(x.fail(ErrNotNamed)))
 }
+
+// TestResponseWithoutNameIsAcceptedOnce guards against a response without a name that is taken for that
+// to a later request on its connection, or that is lost on a connection that no other request had.
+func TestResponseWithoutNameIsAcceptedOnce(t *testing.T) {
+	var connections, arrived atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		if r.URL.Path == "/named" {
+			w.Header().Set("Name", "n")
+		}
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	transport := NewTransport(time.Second, time.Second)
+	t.Cleanup(transport.CloseIdleConnections)
+	for i, step := range []struct {
+		path        string
+		connections int64
+		accepted    bool
+	}{
+		{"/", 1, true},
+		{"/", 2, true},
+		{"/named", 3, true},
+		{"/named", 3, true},
+		{"/", 3, false},
+		{"/", 4, true},
+	} {
+		ctx, x := NewExchange(t.Context(), Terms{
+			Named:     func(resp *http.Response) bool { return resp.Header.Get("Name") == "n" },
+			FirstOnly: func(resp *http.Response) bool { return resp.Header.Get("Name") == "" },
+		})
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+step.path, nil)
+		require.NoError(t, err)
+		resp, err := transport.RoundTrip(req)
+		if step.accepted {
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+		} else {
+			require.ErrorIs(t, err, ErrNotNamed)
+		}
+		require.True(t, x.Written())
+		require.Equal(t, step.connections, connections.Load(), i)
+		require.Equal(t, int64(i+1), arrived.Load())
+	}
+}
