Check the signature and content type of forwarded responses by their header

Cause: the absence of a statement was taken for the good case.

The node that gets the response checks the header itself, which passes unchanged; a statement of the other node against it counts as before. So the answer is the same for nodes of all versions, and none of them has to be served less during an upgrade.

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -73,11 +73,11 @@
 	Length int64 `json:"length"`
 	// Origin is what began it if it is a stream.
 	Origin streamorigin.Origin `json:"origin,omitzero"`
-	// Unsigned means that it lacks the endpoint's signature. Nodes that don't send it do not
-	// check signatures.
+	// Unsigned means that it lacks the endpoint's signature. Nodes of earlier versions don't send
+	// it, so the node that gets the response checks the header as well.
 	Unsigned bool `json:"unsigned,omitempty"`
-	// OtherContent means that its content type is not that of server-sent events. Nodes that
-	// don't send it do not check the type.
+	// OtherContent means that its content type is not that of server-sent events. It is checked
+	// as well.
 	OtherContent bool `json:"other_content,omitempty"`
 }
 
@@ -143,7 +143,7 @@
 	var described forwardedReply
 	if text := resp.Header.Get(headerForwardReply); text != "" {
 		if err := json.Unmarshal([]byte(text), &described); err == nil {
-			reply := forwardReply(resp, described, body)
+			reply := f.forwardReply(resp, described, body)
 			reply.Connection = connectionOf(exchange)
 			return reply, nil
 		}
@@ -213,8 +213,9 @@
 }
 
 // forwardReply returns an endpoint's response that another node passes on.
-func forwardReply(resp *http.Response, described forwardedReply, body *forwardedBody) *relay.Reply {
+func (f *Forwarding) forwardReply(resp *http.Response, described forwardedReply, body *forwardedBody) *relay.Reply {
 	header := resp.Header.Clone()
+	signed, eventStream := f.Direct.Describe(header)
 	header.Del(headerForwardReply)
 	header.Del(headerForwardCall)
 	header.Del("Trailer")
@@ -225,10 +226,10 @@
 		Body:   body,
 		Length: described.Length,
 		Origin: described.Origin,
-		Signed: !described.Unsigned,
+		Signed: signed && !described.Unsigned,
 		Runs:   body.runs,
 
-		EventStream: !described.OtherContent,
+		EventStream: eventStream && !described.OtherContent,
 	}
 }
 
--- a/internal/fleet/forwarding.go
+++ b/internal/fleet/forwarding.go
@@ -21,6 +21,9 @@
 	StartedAt(ctx context.Context, to *inventory.Endpoint) (ms int64, err error)
 	// Connect makes a connection to an address and closes it.
 	Connect(ctx context.Context, address string) reachability.Connection
+	// Describe reports whether the header of an endpoint's response bears its signature, and whether
+	// the body holds server-sent events.
+	Describe(header http.Header) (signed, eventStream bool)
 }
 
 // Forwarding sends requests over this node's own links, and through other nodes to endpoints
--- a/internal/fleet/forwardname_test.go
+++ b/internal/fleet/forwardname_test.go
@@ -122,7 +122,7 @@
 // otherNames are names that no call has: none, and that of another one.
 func otherNames(t *testing.T, check func(t *testing.T, other func(nodeCall) string)) {
 	for name, other := range map[string]func(nodeCall) string{
-		"no name":       func(nodeCall) string { return "" },
+		"no name":      func(nodeCall) string { return "" },
 		"another name": func(c nodeCall) string { return c.name + "0" },
 	} {
 		t.Run(name, func(t *testing.T) { check(t, other) })
