Tell the trials of a suspect on an endpoint apart

What callers could see: two suspects of crashes on one endpoint at a time.

Each trial has a random name, as places have. Nodes of earlier versions send none and end only what they began; an owner of an earlier version does as before.

--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -12,6 +12,7 @@
 
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -54,6 +55,8 @@
 
 // trialRequest asks the owner to run a suspect alone on an endpoint, or ends that.
 type trialRequest struct {
+	// Name tells the trial from others of the same suspect. Nodes of earlier versions send none.
+	Name     string           `json:"name,omitempty"`
 	Endpoint inventory.Key    `json:"endpoint"`
 	Digests  []suspect.Digest `json:"digests"`
 	TTLMS    int64            `json:"ttl_ms,omitempty"`
@@ -103,15 +106,15 @@
 }
 
 // Begin implements relay.Trials.
-func (s *Suspects) Begin(ctx context.Context, endpoint inventory.Key, digests []suspect.Digest, ttl time.Duration) (suspect.TrialAnswer, error) {
-	return s.askTrial(ctx, trialRequest{Endpoint: endpoint, Digests: digests, TTLMS: ttl.Milliseconds()})
+func (s *Suspects) Begin(ctx context.Context, trial relay.Trial, ttl time.Duration) (suspect.TrialAnswer, error) {
+	return s.askTrial(ctx, trialRequest{Name: trial.Name, Endpoint: trial.Endpoint, Digests: trial.Digests, TTLMS: ttl.Milliseconds()})
 }
 
 // End implements relay.Trials. If the owner can't be told, the trial ends with its time.
-func (s *Suspects) End(endpoint inventory.Key, digests []suspect.Digest) {
-	_, err := s.askTrial(context.Background(), trialRequest{Endpoint: endpoint, Digests: digests, Ended: true})
+func (s *Suspects) End(trial relay.Trial) {
+	_, err := s.askTrial(context.Background(), trialRequest{Name: trial.Name, Endpoint: trial.Endpoint, Digests: trial.Digests, Ended: true})
 	if err != nil {
-		s.Log.Info("end of a trial not told", "endpoint", endpoint.ID, "error", err)
+		s.Log.Info("end of a trial not told", "endpoint", trial.Endpoint.ID, "error", err)
 	}
 }
 
@@ -126,14 +129,14 @@
 	if _, ok := s.Lease.Grant(); !ok {
 		return trialResponse{}, owner.ErrNotOwner
 	}
-	endpoint := request.Endpoint.String()
+	trial := suspect.Trial{Name: request.Name, Endpoint: request.Endpoint.String(), Digests: request.Digests}
 	if request.Ended {
-		s.trials.End(endpoint, request.Digests)
+		s.trials.End(trial)
 		return trialResponse{}, nil
 	}
 	now := time.Now()
 	ttl := min(time.Duration(max(0, request.TTLMS))*time.Millisecond, maxTrialTime)
-	return trialResponse{Answer: s.trials.Begin(endpoint, request.Digests, now.Add(ttl), now)}, nil
+	return trialResponse{Answer: s.trials.Begin(trial, now.Add(ttl), now)}, nil
 }
 
 // serveTrial serves another node's request for a trial.
--- a/internal/fleet/suspects_test.go
+++ b/internal/fleet/suspects_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -13,6 +14,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/relay"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -56,6 +58,43 @@
 	}, address
 }
 
+// TestEndOfEarlierTrial guards against two suspects on an endpoint at a time since the end of a trial, told
+// after its time was over, ends the trial of another node that began meanwhile. A request that times out
+// tells it so late.
+func TestEndOfEarlierTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		trials := NewSuspects()
+		trials.Self, trials.Holder, trials.Lease, trials.Log = "self", holderAt("self"), heldLease{}, discard
+		begin := func(name string, digest suspect.Digest, ttl time.Duration) (relay.Trial, suspect.TrialAnswer) {
+			trial := relay.Trial{Name: name, Endpoint: inventory.Key{ID: "e"}, Digests: []suspect.Digest{digest}}
+			answer, err := trials.Begin(t.Context(), trial, ttl)
+			require.NoError(t, err)
+			return trial, answer
+		}
+		// Nodes of earlier versions send no name.
+		first, answer := begin("", 1, time.Millisecond)
+		require.Equal(t, suspect.TrialGranted, answer)
+		time.Sleep(5 * time.Millisecond)
+		second, answer := begin("second", 1, 5*time.Millisecond)
+		require.Equal(t, suspect.TrialGranted, answer)
+		trials.End(first)
+		_, answer = begin("other", 2, time.Minute)
+		require.Equal(t, suspect.TrialEndpointBusy, answer)
+		time.Sleep(10 * time.Millisecond)
+		third, answer := begin("third", 1, time.Minute)
+		require.Equal(t, suspect.TrialGranted, answer)
+		trials.End(second)
+		_, answer = begin("other", 2, time.Minute)
+		require.Equal(t, suspect.TrialEndpointBusy, answer)
+		trials.End(third)
+		last, answer := begin("", 2, time.Minute)
+		require.Equal(t, suspect.TrialGranted, answer)
+		trials.End(last)
+		_, answer = begin("other", 3, time.Minute)
+		require.Equal(t, suspect.TrialGranted, answer)
+	})
+}
+
 // follow makes nodes report to a holder.
 func follow(holder Holder, nodes ...*Client) {
 	for _, node := range nodes {
@@ -184,19 +223,19 @@
 	first, firstAddress := suspectNode(t, true)
 	node, _ := suspectNode(t, false)
 	follow(holderAt(firstAddress), first, node)
-	engine, digests := inventory.Key{ID: "e"}, []suspect.Digest{7}
+	trial := relay.Trial{Name: "trial", Endpoint: inventory.Key{ID: "e"}, Digests: []suspect.Digest{7}}
 	first.Suspects.Holder = holderAt(firstAddress)
 	begin := func(c *Client) bool {
-		answer, err := c.Suspects.Begin(t.Context(), engine, digests, time.Minute)
+		answer, err := c.Suspects.Begin(t.Context(), trial, time.Minute)
 		require.NoError(t, err)
 		return answer == suspect.TrialGranted
 	}
 	require.True(t, begin(node))
 	require.False(t, begin(first))
-	node.Suspects.End(engine, digests)
+	node.Suspects.End(trial)
 	require.True(t, begin(first))
 	follow(holderAt(""), node)
-	_, err := node.Suspects.Begin(t.Context(), engine, digests, time.Minute)
+	_, err := node.Suspects.Begin(t.Context(), trial, time.Minute)
 	require.ErrorIs(t, err, errNoOwner)
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -82,7 +82,7 @@
 	// trialPermit is the expected permit to run alone on any endpoint, or zero.
 	trialPermit expectedPermit
 	// trial is the trial that the next attempt belongs to, or nil.
-	trial *grantedTrial
+	trial *Trial
 	// place is the place that the next attempt has at an endpoint that limits its
 	// rejections, or nil.
 	place *grantedPlace
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -327,13 +327,13 @@
 	trials suspect.Trials
 }
 
-func (t *ownTrials) Begin(_ context.Context, endpoint inventory.Key, digests []suspect.Digest, ttl time.Duration) (suspect.TrialAnswer, error) {
+func (t *ownTrials) Begin(_ context.Context, trial Trial, ttl time.Duration) (suspect.TrialAnswer, error) {
 	now := time.Now()
-	return t.trials.Begin(endpoint.ID, digests, now.Add(ttl), now), nil
+	return t.trials.Begin(suspect.Trial{Name: trial.Name, Endpoint: trial.Endpoint.ID, Digests: trial.Digests}, now.Add(ttl), now), nil
 }
 
-func (t *ownTrials) End(endpoint inventory.Key, digests []suspect.Digest) {
-	t.trials.End(endpoint.ID, digests)
+func (t *ownTrials) End(trial Trial) {
+	t.trials.End(suspect.Trial{Name: trial.Name, Endpoint: trial.Endpoint.ID, Digests: trial.Digests})
 }
 
 func request(kind, model string) *Request {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -213,9 +213,17 @@
 type Trials interface {
 	// Begin asks to run a suspect on an endpoint. It lasts for ttl unless it is ended.
 	// An error means that the other nodes can't be asked.
-	Begin(ctx context.Context, endpoint inventory.Key, digests []suspect.Digest, ttl time.Duration) (suspect.TrialAnswer, error)
+	Begin(ctx context.Context, trial Trial, ttl time.Duration) (suspect.TrialAnswer, error)
 	// End ends what Begin has granted.
-	End(endpoint inventory.Key, digests []suspect.Digest)
+	End(trial Trial)
+}
+
+// Trial is the permission to run a suspect alone on an endpoint.
+type Trial struct {
+	// Name tells it from other trials of the same suspect.
+	Name     string
+	Endpoint inventory.Key
+	Digests  []suspect.Digest
 }
 
 // Loads predicts when a model that no engine holds will be loaded.
--- a/internal/relay/trial.go
+++ b/internal/relay/trial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"chestnutgauge/internal/inventory"
@@ -21,18 +22,12 @@
 	trialEndDelay = 200 * time.Millisecond
 )
 
-// grantedTrial is the permission to run a suspect alone on an endpoint.
-type grantedTrial struct {
-	endpoint inventory.Key
-	digests  []suspect.Digest
-}
-
 // end ends a trial after trialEndDelay. A nil trial has no effect.
-func (t *grantedTrial) end(trials Trials) {
+func (t *Trial) end(trials Trials) {
 	if t == nil {
 		return
 	}
-	time.AfterFunc(trialEndDelay, func() { trials.End(t.endpoint, t.digests) })
+	time.AfterFunc(trialEndDelay, func() { trials.End(*t) })
 }
 
 // mayRunAlone reports whether the request is no suspect, or may run as the only one on
@@ -45,13 +40,14 @@
 		return true
 	}
 	key := endpoint.Key()
-	answer, err := x.relay.Trials.Begin(ctx, key, verdict.Digests, time.Until(x.deadline)+trialEndDelay)
+	trial := Trial{Name: strconv.FormatUint(rand.Uint64(), 36), Endpoint: key, Digests: verdict.Digests}
+	answer, err := x.relay.Trials.Begin(ctx, trial, time.Until(x.deadline)+trialEndDelay)
 	x.relay.Log.Info("trial of a suspect", "request_id", x.req.ID, "endpoint", endpoint.ID, "digest", verdict.Digests[0].String(),
 		"repeated", verdict.Repeated, "answer", string(answer), "error", errorText(err))
 	switch {
 	case answer == suspect.TrialGranted:
 		trialsGranted.Inc()
-		x.trial = &grantedTrial{endpoint: key, digests: verdict.Digests}
+		x.trial = &trial
 		return true
 	case err != nil && !verdict.Repeated && verdict.State == suspect.Suspected:
 		return true
--- a/internal/suspect/registry_test.go
+++ b/internal/suspect/registry_test.go
@@ -189,14 +189,16 @@
 func TestTrials(t *testing.T) {
 	var trials suspect.Trials
 	until := now.Add(time.Second)
-	digests := func(d ...suspect.Digest) []suspect.Digest { return d }
-	require.Equal(t, suspect.TrialGranted, trials.Begin("e1", digests(1, 2), until, now))
-	require.Equal(t, suspect.TrialEndpointBusy, trials.Begin("e1", digests(3), until, now))
-	require.Equal(t, suspect.TrialDigestBusy, trials.Begin("e2", digests(2), until, now))
-	require.Equal(t, suspect.TrialGranted, trials.Begin("e2", digests(3), until, now))
-	trials.End("e1", digests(1, 2))
-	require.Equal(t, suspect.TrialGranted, trials.Begin("e1", digests(2), until, now))
-	require.Equal(t, suspect.TrialGranted, trials.Begin("e2", digests(4), until, until), "a trial ends with its time")
+	trial := func(endpoint string, digests ...suspect.Digest) suspect.Trial {
+		return suspect.Trial{Endpoint: endpoint, Digests: digests}
+	}
+	require.Equal(t, suspect.TrialGranted, trials.Begin(trial("e1", 1, 2), until, now))
+	require.Equal(t, suspect.TrialEndpointBusy, trials.Begin(trial("e1", 3), until, now))
+	require.Equal(t, suspect.TrialDigestBusy, trials.Begin(trial("e2", 2), until, now))
+	require.Equal(t, suspect.TrialGranted, trials.Begin(trial("e2", 3), until, now))
+	trials.End(trial("e1", 1, 2))
+	require.Equal(t, suspect.TrialGranted, trials.Begin(trial("e1", 2), until, now))
+	require.Equal(t, suspect.TrialGranted, trials.Begin(trial("e2", 4), until, until), "a trial ends with its time")
 }
 
 // TestEvidenceIsForgotten guards against nodes that store and exchange evidence that no
--- a/internal/suspect/trials.go
+++ b/internal/suspect/trials.go
@@ -9,11 +9,18 @@
 // maxTrials bounds the number of trials in progress.
 const maxTrials = 256
 
-// trial is a suspect that runs alone on an endpoint.
-type trial struct {
-	endpoint string
-	digests  []Digest
-	until    time.Time
+// Trial is a suspect that runs alone on an endpoint.
+type Trial struct {
+	// Name tells it from other trials of the same suspect. Nodes of earlier versions send none.
+	Name     string
+	Endpoint string
+	Digests  []Digest
+}
+
+// runningTrial is a trial that lasts until a time.
+type runningTrial struct {
+	Trial
+	until time.Time
 }
 
 // TrialAnswer says whether a trial may begin.
@@ -32,39 +39,38 @@
 // most one has a digest. The methods are safe for concurrent use.
 type Trials struct {
 	mu      sync.Mutex
-	running []trial
+	running []runningTrial
 }
 
-// Begin begins the trial of a suspect on an endpoint, if it may, which lasts until a
-// time unless it is ended.
-func (t *Trials) Begin(endpoint string, digests []Digest, until, now time.Time) TrialAnswer {
+// Begin begins a trial, if it may, which lasts until a time unless it is ended.
+func (t *Trials) Begin(trial Trial, until, now time.Time) TrialAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.running = slices.DeleteFunc(t.running, func(running trial) bool { return !now.Before(running.until) })
+	t.running = slices.DeleteFunc(t.running, func(running runningTrial) bool { return !now.Before(running.until) })
 	busy := len(t.running) >= maxTrials
 	for _, running := range t.running {
-		if running.hasAny(digests) {
+		if running.hasAny(trial.Digests) {
 			return TrialDigestBusy
 		}
-		busy = busy || running.endpoint == endpoint
+		busy = busy || running.Endpoint == trial.Endpoint
 	}
 	if busy {
 		return TrialEndpointBusy
 	}
-	t.running = append(t.running, trial{endpoint: endpoint, digests: digests, until: until})
+	t.running = append(t.running, runningTrial{Trial: trial, until: until})
 	return TrialGranted
 }
 
 // hasAny reports whether the suspect has one of the digests.
-func (t trial) hasAny(digests []Digest) bool {
-	return slices.ContainsFunc(digests, func(d Digest) bool { return slices.Contains(t.digests, d) })
+func (t Trial) hasAny(digests []Digest) bool {
+	return slices.ContainsFunc(digests, func(d Digest) bool { return slices.Contains(t.Digests, d) })
 }
 
-// End ends the trial of a suspect on an endpoint.
-func (t *Trials) End(endpoint string, digests []Digest) {
+// End ends a trial.
+func (t *Trials) End(trial Trial) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.running = slices.DeleteFunc(t.running, func(running trial) bool {
-		return running.endpoint == endpoint && slices.Equal(running.digests, digests)
+	t.running = slices.DeleteFunc(t.running, func(running runningTrial) bool {
+		return running.Name == trial.Name && running.Endpoint == trial.Endpoint && slices.Equal(running.Digests, trial.Digests)
 	})
 }
