--- a/internal/relay/stallruns_test.go
+++ b/internal/relay/stallruns_test.go
@@ -43,3 +43,10 @@
 	}
 	requireEndpoints(t, 1.25, []string{eventOne, eventTwo, "id: 3\nda"}, late, answer(200, eventThree), answer(200, eventThree))
 }
+
+// TestSuccessorThatContradictsItselfCountsAsRun guards against a stalled stream that runs on more endpoints
+// than its route allows since a success that also states "not run" does not count as a run.
+func TestSuccessorThatContradictsItselfCountsAsRun(t *testing.T) {
+	contradiction := withReply(answer(200, eventTwo), func(reply *Reply) { reply.NotRun = true })
+	requireEndpoints(t, 1.75, []string{eventOne, eventTwo}, contradiction, contradiction, contradiction, contradiction, contradiction)
+}
