Take no head that was joined of two ones for a response

A request that ran was reported as not run, and a response got another status: an endpoint sent a part of another response's head before its response, or in place of the rest of it, and both were read as one head. The part "HTTP/1.1 421 Misd", or a refusal's cut inside a field after Chestnutgauge-Not-Executed, before a success that names the request counts as the statement that it has not run (REFUSED; with a retry TWICE). The part of a signed success before an error makes that a success. Faulty endpoints truncate responses and send additional bytes, also late.

A status line inside the status, a name or a value of a head now makes the response one that names no request: its connection is closed, and the request may have run. Fields that name a protocol, as Via, pass.

--- a/internal/httpclient/errors.go
+++ b/internal/httpclient/errors.go
@@ -8,7 +8,7 @@
 
 // Errors of exchanges.
 var (
-	// ErrNotNamed means that a response does not name its request.
+	// ErrNotNamed means that a response does not name its request, or holds the heads of two ones.
 	ErrNotNamed = errors.New("httpclient: the response does not name the request")
 
 	errNotReusable      = errors.New("httpclient: the connection may not be used again")
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -254,11 +254,13 @@
 	return x.conn, true
 }
 
-// accept ends the exchange with a response, which it returns if that names the request.
+// accept ends the exchange with a response, which it returns if that names the request. A head that was
+// joined of two ones names none.
 func (x *Exchange) accept(resp *http.Response) (*http.Response, error) {
 	defer close(x.settled)
-	named := x.terms.Named == nil || x.terms.Named(resp)
-	accepted := named || x.first && x.terms.FirstOnly != nil && x.terms.FirstOnly(resp)
+	whole := !joined(resp)
+	named := whole && (x.terms.Named == nil || x.terms.Named(resp))
+	accepted := named || whole && x.first && x.terms.FirstOnly != nil && x.terms.FirstOnly(resp)
 	state, conn := x.settle(named, accepted)
 	if accepted {
 		return resp, nil
