Write nothing of a request after its endpoint has refused it

An endpoint that refused a request while its body was being written went on getting the body, for as long as the response was read and up to 50 ms more: 45 writes in 50 ms with a slow connection. No caller was told that it has not run before the writes ended, but for microseconds; that rested on the order in which net/http ends a connection.

Cause: the exchange accepted writes until its connection was closed.

A connection to which all of it was written is used again.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -223,6 +223,14 @@
 	x.stop(err)
 }
 
+// Stop ends the writing: nothing of the request is written any more. It has no effect if all of it was
+// written.
+func (x *Exchange) Stop() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ended = true
+}
+
 // leaves waits until the exchange has settled, and reports whether its connection may be used by
 // the next one.
 func (x *Exchange) leaves(ctx context.Context, c *trackedConn, next *Exchange) bool {
