Count a success that also states "not run" as a run of a stalled stream

A stream whose route allows two endpoints reached three if the endpoint that was to go on with it after a stall answered with a success that also states that the request has not run.

Cause: whether such an attempt may have run was read from the header that says so, not from what the response counts as; relay/verdict.go calls a success that states "not run" invalid, after which the request may have run. The verdict decides now.

TestContradictingSuccessorCountsAsRun: "[a b c]" should have 2 items, but has 3 before; passes now, as do the tests of successors and stalls in the package.

--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -105,7 +105,7 @@
 // mayHaveRun reports whether an attempt may have run, from its response or its error.
 func mayHaveRun(s *sending, err error) bool {
 	if err == nil {
-		return !s.reply.NotRun
+		return s.reply.verdict() != verdictNotRun
 	}
 	var failed *SendError
 	return !errors.As(err, &failed) || failed.Sent
--- a/internal/relay/stallruns_test.go
+++ b/internal/relay/stallruns_test.go
@@ -43,3 +43,11 @@
 	}
 	requireEndpoints(t, 1.25, []string{eventOne, eventTwo, "id: 3\nda"}, late, answer(200, eventThree), answer(200, eventThree))
 }
+
+// TestContradictingSuccessorCountsAsRun guards against a stream that runs on more endpoints than its route
+// allows since a success that also states "not run", from an endpoint that was to go on with the stalled
+// stream, is not counted.
+func TestContradictingSuccessorCountsAsRun(t *testing.T) {
+	contradicting := withReply(answer(200, eventTwo), func(reply *Reply) { reply.NotRun = true })
+	requireEndpoints(t, 1.75, []string{eventOne, eventTwo}, contradicting, contradicting, contradicting, contradicting, contradicting)
+}
