Pass on streams of events that begin with a byte order mark

A stream whose first bytes are a byte order mark, as the format of server-sent events allows, was broken off before its first event (502 for the caller) where it was passed on up to the check of what may follow the start of a stream. A continuation that begins with one counted as a failed attempt.

Cause: the mark was read as a part of the first line's field name, so the first event counted as text. The body of an attempt may begin with one now. It is passed on at the start of the caller's response, and left out of a continuation, where it would be a part of a field's name. Elsewhere it is still no event.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -35,8 +35,8 @@
 	// undelivered means that a piece may not have reached the caller.
 	undelivered bool
 	// continuing means that the current attempt goes on after an event, joining that it has brought
-	// none yet.
-	continuing, joining bool
+	// none yet. opening means that nothing of its body has been accepted.
+	continuing, joining, opening bool
 }
 
 // positionAfter returns the position of a caller that has a stream up to an event.
@@ -52,12 +52,27 @@
 
 // beginAttempt notes that the events of another attempt follow.
 func (p *streamPosition) beginAttempt() {
-	p.continuing, p.joining = p.known, p.known
+	p.continuing, p.joining, p.opening = p.known, p.known, true
 }
 
 // accept returns the part of complete events that the caller may get, and whether that moves the
-// position. The error tells why the rest may not follow.
+// position. The error tells why the rest may not follow. The body of an attempt may begin with a byte
+// order mark, which is left out if the response to the caller has begun.
 func (p *streamPosition) accept(complete []byte) (accepted []byte, moved bool, err error) {
+	if !p.opening || len(complete) == 0 {
+		return p.acceptEvents(complete)
+	}
+	p.opening = false
+	events := sse.TrimMark(complete)
+	accepted, moved, err = p.acceptEvents(events)
+	if mark := len(complete) - len(events); !p.begun && len(accepted) > 0 {
+		accepted = complete[:mark+len(accepted)]
+	}
+	return accepted, moved, err
+}
+
+// acceptEvents is accept for events that follow others, or a byte order mark.
+func (p *streamPosition) acceptEvents(complete []byte) (accepted []byte, moved bool, err error) {
 	length := 0
 	for text := range sse.Split(complete) {
 		event, err := sse.Parse(text)
--- a/internal/sse/event.go
+++ b/internal/sse/event.go
@@ -16,6 +16,14 @@
 	HasData bool
 }
 
+// byteOrderMark may stand at the start of a stream, and nowhere else.
+const byteOrderMark = "\xef\xbb\xbf"
+
+// TrimMark returns the start of a stream without its byte order mark, if it has one.
+func TrimMark(start []byte) []byte {
+	return bytes.TrimPrefix(start, []byte(byteOrderMark))
+}
+
 // ErrNotEvent is the error of bytes that are no event, such as an error's text or the head of
 // a response.
 var ErrNotEvent = errors.New("sse: bytes that are no event")
@@ -76,9 +84,10 @@
 	return parsed, nil
 }
 
-// HasEvent reports whether complete events hold one that readers are told of.
+// HasEvent reports whether complete events, which may be the start of a stream, hold one that readers
+// are told of.
 func HasEvent(events []byte) bool {
-	for event := range Split(events) {
+	for event := range Split(TrimMark(events)) {
 		if parsed, err := Parse(event); err == nil && parsed.HasData {
 			return true
 		}
--- a/internal/sse/event_test.go
+++ b/internal/sse/event_test.go
@@ -21,6 +21,8 @@
 		"data\r\n\r\n":              true,
 		": a\n\nid: 1\ndata:\n\n":   true,
 		"id: 1\ndata: x\n\n: b\n\n": true,
+		"\xef\xbb\xbfdata: x\n\n":   true,
+		"\xef\xbb\xbf: data: x\n\n": false,
 	}
 	for events, want := range tests {
 		require.Equal(t, want, HasEvent([]byte(events)), "%q", events)
