Have only the caller's node record what began a stream

A stream could go on at another software version where a caller took it up at a third node.

Cause: a node that serves a request for another node recorded the origin of its stream, and told three nodes. If what it sent is lost on the way, the other node asks again, and the caller may get its first event from another version. Both origins then stand under the same id, and the first answer counts. Shown by reading and by the test here; not seen in a run of processes.

Only the node that sends to the caller records an origin now; it learns it with the response of the other one.

TestForwardedStreamIsRecordedByItsCallersNode: recorded at version "1" before; passes, as does the package relay.

--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -63,14 +63,16 @@
 }
 
 // begunAt records that the caller gets the first event of its stream from an endpoint. The
-// stream then goes on only at endpoints of the same version.
+// stream then goes on only at endpoints of the same version. Of a forwarded request the node
+// that sends to the caller records the origin: what this node sends may be lost on the way, and
+// the caller may then get its first event from another version.
 func (x *exchange) begunAt(s *sending) {
 	if x.route.Kind != catalog.Stream {
 		return
 	}
 	s.reply.Origin = s.way.origin(s)
 	x.required = inventory.OnlyVersion(s.reply.Origin.Version)
-	if x.route.Resumable {
+	if x.route.Resumable && x.req.Forwarded == nil {
 		x.relay.Origins.Record(x.req.stream(), s.reply.Origin, streamorigin.MaxLifetime)
 	}
 }
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -217,3 +217,19 @@
 		})
 	}
 }
+
+// TestForwardedStreamIsRecordedByItsCallersNode guards against a stream of two versions: what another
+// node began for this one may be lost on the way, and the caller then gets its first event from an
+// endpoint of another version. Only the node that sends to the caller knows what that has.
+func TestForwardedStreamIsRecordedByItsCallersNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, origins := versionRelay(&fakeEndpoints{next: []behaviour{answer(200, eventOne)}}, engine("a1", "1"))
+		req := request("resume", "m")
+		req.Forwarded = &Forwarded{Service: "s", MaxRuns: 1}
+		got := &fakeAnswer{}
+		require.Nil(t, r.Serve(t.Context(), req, got))
+		require.Equal(t, eventOne, got.body.String())
+		origin, ok := origins.known.Get(req.ID, time.Now())
+		require.False(t, ok, "recorded at version %q", origin.Version)
+	})
+}
