Reset the connection of a HTTP/1.0 caller whose node is killed in mid-stream

Cause: a response to HTTP/1.0 without a length has no chunks either, so only the end of its connection ends it. A node that gives up a response resets the connection, but the kernel closes those of a process that is killed.

Until such a response has been sent whole, its connection has SO_LINGER 0, by which the kernel resets it when the process ends.

The packages httpserver and the tests of slow callers and headers pass.

--- a/internal/httpserver/abort.go
+++ b/internal/httpserver/abort.go
@@ -25,3 +25,15 @@
 	}
 	_ = taken.Close()
 }
+
+// ResetUntilFinished has the connection of a request be reset if it ends, also since the process does,
+// before finished is called. It is meant for responses whose end nothing else tells, which look whole
+// when their connection is closed. All of the response must have been flushed before finished is called.
+func ResetUntilFinished(r *http.Request) (finished func()) {
+	c, ok := r.Context().Value(callerKey{}).(*conn)
+	if !ok || c.SetLinger(0) != nil {
+		return func() {}
+	}
+	// An error means that the connection has ended.
+	return func() { _ = c.SetLinger(-1) }
+}
