Keep the version of an incarnation whose entry states none

An incarnation never changes its software, so it keeps the version that it is known to have.

A node that starts while no entry states a version still takes all of them for one.

--- a/internal/inventory/entries.go
+++ b/internal/inventory/entries.go
@@ -84,6 +84,7 @@
 			e.log.Warn("endpoint entry not usable", "endpoint", row.Key, "store_position", row.Position, "error", err)
 			continue
 		}
+		e.keepVersion(endpoint)
 		e.log.Info("endpoint entry", "endpoint", endpoint.ID, "service", endpoint.Service, "version", endpoint.Version, "leaving", endpoint.Leaving,
 			"models", len(endpoint.Models), "store_position", row.Position)
 		put = append(put, endpoint)
@@ -91,6 +92,15 @@
 	return put, drop
 }
 
+// keepVersion gives an endpoint whose entry states no version the one that its incarnation is known to
+// have.
+func (e *Entries) keepVersion(endpoint *Endpoint) {
+	known := e.target.target.Current().Endpoint(endpoint.ID)
+	if endpoint.Version == "" && known != nil && known.Key() == endpoint.Key() {
+		endpoint.Version = known.Version
+	}
+}
+
 func (e *Entries) replace(rows feed.Rows) {
 	put, _ := e.decodeRows(rows.Rows)
 	e.target.Replace(rows.Position, put)
--- a/internal/inventory/entries_test.go
+++ b/internal/inventory/entries_test.go
@@ -40,3 +40,22 @@
 	require.Nil(t, inventory.Current().Endpoint("k"))
 	require.NotNil(t, inventory.Current().Endpoint("j"))
 }
+
+// TestEntryWithoutVersionKeepsIt guards against streams that go on at another software version, since
+// another writer has replaced the entries of two engines by ones without their versions. Another
+// incarnation may have another version.
+func TestEntryWithoutVersionKeepsIt(t *testing.T) {
+	inventory := New()
+	decode := func(row feed.Row) (*Endpoint, error) {
+		return &Endpoint{ID: row.Key, StartedAtMS: row.Position.Era, Version: string(row.Value)}, nil
+	}
+	e := NewEntries(nil, decode, inventory, heartbeat, nil, nil, slog.New(slog.DiscardHandler))
+	change := func(startedAtMS int64, version string) string {
+		e.change([]feed.Row{{Key: "i", Position: era.Position{Era: startedAtMS}, Value: []byte(version)}})
+		return inventory.Current().Endpoint("i").Version
+	}
+	require.Equal(t, "v1", change(1, "v1"))
+	require.Equal(t, "v1", change(1, ""))
+	require.Equal(t, "v2", change(1, "v2"))
+	require.Empty(t, change(2, ""))
+}
