Forward requests with bytes that are not UTF-8 unchanged

Cause: the description of a forwarded request is JSON, which can't hold such bytes; encoding/json replaces them without an error.

A text that is not UTF-8 is sent as base 64. A node of an earlier version can't decode that and answers 400 without an end, so that its caller gets 502 in place of a request with another path.

TestForwardedBytesArriveUnchanged failed before (8 of 8 texts changed).

--- a/internal/fleet/forward.go
+++ b/internal/fleet/forward.go
@@ -39,20 +39,20 @@
 	// Call is the name of the call. No other one has it. Nodes that don't send it get responses
 	// without a name.
 	Call   string `json:"call,omitempty"`
-	ID     string `json:"id"`
-	Method string `json:"method"`
-	Target string `json:"target"`
-	Path   string `json:"path"`
-	Host   string `json:"host"`
+	ID     text   `json:"id"`
+	Method text   `json:"method"`
+	Target text   `json:"target"`
+	Path   text   `json:"path"`
+	Host   text   `json:"host"`
 	// LeftMS is the time that the caller still waits, in milliseconds.
 	LeftMS       int64              `json:"left_ms"`
-	Model        string             `json:"model,omitempty"`
-	Adapter      string             `json:"adapter,omitempty"`
+	Model        text               `json:"model,omitempty"`
+	Adapter      text               `json:"adapter,omitempty"`
 	PromptTokens int                `json:"prompt_tokens,omitempty"`
 	MaxTokens    int                `json:"max_tokens,omitempty"`
 	Prompt       []relay.PromptPart `json:"prompt,omitempty"`
-	LastEvent    string             `json:"last_event,omitempty"`
-	Resumes      string             `json:"resumes,omitempty"`
+	LastEvent    text               `json:"last_event,omitempty"`
+	Resumes      text               `json:"resumes,omitempty"`
 	Service      string             `json:"service"`
 	// MaxRuns is the number of endpoints on which the request may still run.
 	MaxRuns int `json:"max_runs"`
@@ -170,19 +170,19 @@
 func (f *Forwarding) callForward(ctx context.Context, node, name string, req *relay.Request, attempt relay.Attempt) (*http.Response, error) {
 	described, err := json.Marshal(forwardedRequest{
 		Call:         name,
-		ID:           req.ID,
-		Method:       req.Method,
-		Target:       req.Target,
-		Path:         req.Path,
-		Host:         req.Host,
+		ID:           text(req.ID),
+		Method:       text(req.Method),
+		Target:       text(req.Target),
+		Path:         text(req.Path),
+		Host:         text(req.Host),
 		LeftMS:       time.Until(attempt.Deadline).Milliseconds(),
-		Model:        req.Model,
-		Adapter:      req.Adapter,
+		Model:        text(req.Model),
+		Adapter:      text(req.Adapter),
 		PromptTokens: req.PromptTokens,
 		MaxTokens:    req.MaxTokens,
 		Prompt:       req.Prompt,
-		LastEvent:    attempt.LastEvent,
-		Resumes:      req.Resumes,
+		LastEvent:    text(attempt.LastEvent),
+		Resumes:      text(req.Resumes),
 		Service:      attempt.Service,
 		MaxRuns:      attempt.MaxRuns,
 		Counted:      attempt.Counted,
--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -103,6 +103,25 @@
 	require.Equal(t, &want, got)
 }
 
+// TestForwardedBytesArriveUnchanged guards against a request whose id, path or names hold bytes that are
+// not UTF-8, and that reaches its endpoint with others if another node serves it.
+func TestForwardedBytesArriveUnchanged(t *testing.T) {
+	var got *relay.Request
+	d, node := forwarding(t, func(_ context.Context, req *relay.Request, answer relay.Answer) (int, *relay.Failure) {
+		got = req
+		answer.Begin(&relay.Reply{Status: http.StatusOK, Header: http.Header{}}, 0)
+		return 1, nil
+	}, false)
+	req, attempt := forwardedCall()
+	req.ID, req.Target, req.Path, req.Host = "r\xe9", "/a\xff?b=\xfe", "/a\xff", "h\xe9.example"
+	req.Model, req.Adapter, req.Resumes, attempt.LastEvent = "m\xe9", "a\xe9", "q\xe9", "4\xe9"
+	reply, err := d.Send(t.Context(), node, req, attempt)
+	require.NoError(t, err)
+	require.NoError(t, reply.Body.Close())
+	require.Equal(t, [...]string{req.ID, req.Target, req.Path, req.Host, req.Model, req.Adapter, req.Resumes, attempt.LastEvent},
+		[...]string{got.ID, got.Target, got.Path, got.Host, got.Model, got.Adapter, got.Resumes, got.LastEvent})
+}
+
 // TestForwardedFailures checks what a node learns of requests that another one didn't serve.
 func TestForwardedFailures(t *testing.T) {
 	tests := []struct {
