Answer incomplete requests before a node ends

Callers whose header or body was not complete at the end of the grace got a closed connection: 14 of 14 in TestStopRefusesIncompleteRequests (real process, SIGTERM; header, body with a length and in chunks, nothing more sent or a byte every 30 ms). The shutdown only waited for them, and the process ended.

From the moment at which requests in progress are ended (0.8 s before the time is over) the callers' server refuses what is incomplete: 503, Connection: close, Retry-After 0.1. Nothing of it was passed on. A header is refused at its connection, the reading of a body ends with an error that ReadBody answers.

After: 14 of 14 get 503. internal/httpserver: TestShutdownRefusesIncomplete (14 cases) and TestShutdownRefusesDribbledRequests; TestShutdownServesRequestsThatBecomeComplete shows that what becomes complete in time is served.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -32,7 +32,7 @@
 // received in time.
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// requestTimeoutWrite bounds the time for sending requestTimeoutResponse.
+// requestTimeoutWrite bounds the time for sending the response to an incomplete header.
 const requestTimeoutWrite = 100 * time.Millisecond
 
 // extraReadTime is how long the reading of a request continues beyond its deadline
@@ -64,6 +64,11 @@
 	// with a response.
 	ending  bool
 	refused bool
+	// refusal is the response to a request whose header is not received in time.
+	refusal string
+	// readingBody means that a handler reads a request's body, bodyRefused that it has to end that.
+	readingBody bool
+	bodyRefused bool
 	// lingering means that the connection is being closed.
 	lingering bool
 	// deadline is the read deadline set by the HTTP server, deadlinesSet how often
@@ -76,7 +81,7 @@
 }
 
 func newConn(tcp *net.TCPConn, now time.Time) *conn {
-	return &conn{TCPConn: tcp, read: tcp.Read, since: now}
+	return &conn{TCPConn: tcp, read: tcp.Read, since: now, refusal: requestTimeoutResponse}
 }
 
 // Read implements net.Conn. It returns io.EOF if the connection is to end and no
@@ -140,7 +145,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.refused:
+	case c.refused || c.readingBody && c.bodyRefused:
 		return cause
 	case c.state == connServing && (size == disconnectProbe || !readable(c.TCPConn)):
 		return cause
@@ -186,7 +191,7 @@
 func (c *conn) refuseHeader() {
 	c.refused = true
 	_ = c.SetWriteDeadline(time.Now().Add(requestTimeoutWrite))
-	_, _ = io.WriteString(c.TCPConn, requestTimeoutResponse)
+	_, _ = io.WriteString(c.TCPConn, c.refusal)
 }
 
 // deadlineOfHeader is the number of the deadline, counted from a response on, that
@@ -212,7 +217,7 @@
 	if c.lingering {
 		return nil
 	}
-	if c.ending {
+	if c.ending || c.readingBody && c.bodyRefused {
 		return c.TCPConn.SetReadDeadline(inThePast)
 	}
 	return c.TCPConn.SetReadDeadline(c.deadline)
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -72,7 +72,7 @@
 	if limits.BodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := ReadAll(r.Context(), reader)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -83,6 +83,8 @@
 	case errors.Is(err, membudget.ErrFull):
 		w.Header().Set("Retry-After", fullRetryAfter)
 		refuse(w, "no memory for the body", http.StatusServiceUnavailable)
+	case errors.Is(err, ErrIncomplete):
+		refuseIncomplete(w)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		refuse(w, "body not read in time", http.StatusRequestTimeout)
 	default:
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -61,6 +61,9 @@
 	stopOnce sync.Once
 	// shuttingDown makes responses close their connections.
 	shuttingDown atomic.Bool
+	// incompleteResponse is the response to incomplete headers if the shutdown refuses incomplete
+	// requests, and nil otherwise.
+	incompleteResponse atomic.Pointer[string]
 	// firstRequestTimeout is how long a shutdown waits for the first request of
 	// a new connection.
 	firstRequestTimeout time.Duration
@@ -212,12 +215,15 @@
 	return e
 }
 
-// endIdle ends the connections that carry no request and returns the number of
-// open connections.
+// endIdle ends the connections that carry no request, refuses incomplete requests if that
+// is set, and returns the number of open connections.
 func (s *Server) endIdle(now time.Time) int {
-	open := s.open()
+	open, refusal := s.open(), s.incompleteResponse.Load()
 	for _, c := range open {
 		c.endIf(now, s.endsInShutdown)
+		if refusal != nil {
+			c.refuseIncomplete(*refusal)
+		}
 	}
 	return len(open)
 }
--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -36,7 +36,10 @@
 	defer cancel()
 	n.relay.FinishBy(startTime.Add(allowed - responseMargin))
 	n.keeper.Retire()
-	abortTimer := time.AfterFunc(allowed-responseMargin, n.relay.Shutdown)
+	abortTimer := time.AfterFunc(allowed-responseMargin, func() {
+		n.relay.Shutdown()
+		serving.callers.RefuseIncomplete(httpserver.IncompleteResponse)
+	})
 	defer abortTimer.Stop()
 	time.Sleep(time.Until(startTime.Add(balancerDelay)))
 	if err := serving.callers.Shutdown(shutdownCtx); err != nil {
