Tell other nodes that a request was not read when a node ends

It now refuses incomplete requests when that time begins: the handler of a part of a body ends it as "not run", and a part of a header gets a response with the same end, so that a third node can serve it.

--- a/internal/fleet/forwarder.go
+++ b/internal/fleet/forwarder.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -23,6 +23,15 @@
 	Memory *membudget.Budget
 }
 
+// IncompleteResponse returns the response to a request of another node whose header is not complete when
+// the process has to end: it was not sent to an endpoint, so a third node may serve it.
+func IncompleteResponse() string {
+	// A struct of plain values always has an encoding.
+	ended, _ := json.Marshal(forwardEnd{Reason: relay.ReasonShuttingDown, Run: outcome.NotRun})
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nTrailer: %[1]s\r\n\r\n"+
+		"0\r\n%[1]s: %[2]s\r\n\r\n", headerForwardEnd, ended)
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var described forwardedRequest
@@ -32,9 +41,9 @@
 	}
 	share := f.Memory.Open()
 	defer share.Close()
-	body, err := io.ReadAll(share.Reader(r.Body))
-	full := errors.Is(err, membudget.ErrFull)
-	if err != nil && !full {
+	body, err := httpserver.ReadAll(r.Context(), share.Reader(r.Body))
+	full, incomplete := errors.Is(err, membudget.ErrFull), errors.Is(err, httpserver.ErrIncomplete)
+	if err != nil && !full && !incomplete {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -43,7 +52,7 @@
 	var ended forwardEnd
 	if full {
 		ended = forwardEnd{Reason: relay.ReasonNoMemory, Run: outcome.NotRun}
-	} else if f.Closing() {
+	} else if incomplete || f.Closing() {
 		ended = forwardEnd{Reason: relay.ReasonShuttingDown, Run: outcome.NotRun}
 	} else {
 		ctx := relay.WithCaller(r.Context(), func() bool { return httpserver.CallerLeft(r.Context()) })
--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chestnutgauge/internal/fleet"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/pause"
 )
@@ -55,11 +56,12 @@
 	<-peersEnded
 }
 
-// endPeerCalls takes no more calls of other nodes and finishes those that have arrived, so that none
-// ends without telling whether a request was sent. The streams that other nodes follow outlast it.
+// endPeerCalls takes no more calls of other nodes, finishes those that have arrived and refuses those
+// that are incomplete, so that none ends without telling whether a request was sent. The streams that other nodes follow outlast it.
 func (n *Node) endPeerCalls(peers *httpserver.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	peers.RefuseIncomplete(fleet.IncompleteResponse())
 	if err := peers.Shutdown(ctx); err != nil {
 		n.log.Info("calls of other nodes interrupted by the shutdown", "error", err)
 	}
