Tell the owner of the ends of places before a node ends

The last requests' places at small plain services, and at endpoints that limit their rejections, could stay taken until their time was over: the call that gives them back runs beside the response, and the process ended without waiting for it.

The shutdown waits for these calls as it waits for forwarded requests (relay.Idle), within its time.

--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -46,7 +46,7 @@
 	if err := serving.callers.Shutdown(shutdownCtx); err != nil {
 		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
 	}
-	n.awaitForwarded(shutdownCtx)
+	n.awaitIdle(shutdownCtx)
 	peersEnded := make(chan struct{})
 	go func() {
 		defer close(peersEnded)
@@ -67,16 +67,16 @@
 	}
 }
 
-// inFlightPollInterval is the interval at which a node that shuts down checks whether it
+// idlePollInterval is the interval at which a node that shuts down checks whether it
 // still serves requests.
-const inFlightPollInterval = 20 * time.Millisecond
+const idlePollInterval = 20 * time.Millisecond
 
-// awaitForwarded waits for the requests that other nodes forward to this one, which are on no
-// caller's connection, until ctx ends.
-func (n *Node) awaitForwarded(ctx context.Context) {
-	for n.relay.InFlight() > 0 {
-		if !pause.For(ctx, inFlightPollInterval) {
-			n.log.Warn("forwarded requests interrupted by the shutdown", "in_flight", n.relay.InFlight())
+// awaitIdle waits for the requests that other nodes forward to this one, which are on no
+// caller's connection, and until the ends of places are told to the owner, until ctx ends.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for !n.relay.Idle() {
+		if !pause.For(ctx, idlePollInterval) {
+			n.log.Warn("forwarded requests or ends of places interrupted by the shutdown", "in_flight", n.relay.InFlight())
 			return
 		}
 	}
--- a/internal/relay/balance.go
+++ b/internal/relay/balance.go
@@ -74,15 +74,15 @@
 const minServerError = 500
 
 // end gives a place back. A nil place has no effect.
-func (p *balancedPlace) end(balancer Balancer) {
+func (p *balancedPlace) end(r *Relay) {
 	if p != nil {
-		go balancer.End(p.endpoint, p.request, p.rejected, p.work)
+		r.tell(func() { r.Balancer.End(p.endpoint, p.request, p.rejected, p.work) })
 	}
 }
 
 // dropBalanced gives the place of a request back that is not sent.
 func (x *exchange) dropBalanced() {
-	x.balanced.end(x.relay.Balancer)
+	x.balanced.end(x.relay)
 	x.balanced = nil
 }
 
--- a/internal/relay/places.go
+++ b/internal/relay/places.go
@@ -41,9 +41,9 @@
 }
 
 // end gives a place back. A nil place has no effect.
-func (p *grantedPlace) end(places Places) {
+func (p *grantedPlace) end(r *Relay) {
 	if p != nil {
-		go places.End(p.Place, p.rejected)
+		r.tell(func() { r.Places.End(p.Place, p.rejected) })
 	}
 }
 
@@ -104,6 +104,6 @@
 
 // dropPlace gives the place of a request back that is not sent.
 func (x *exchange) dropPlace() {
-	x.place.end(x.relay.Places)
+	x.place.end(x.relay)
 	x.place = nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,6 +93,8 @@
 	held      heldTeams
 	claims    *reserve.Book
 	inFlight  atomic.Int64
+	// telling is the number of calls of tell that have not ended.
+	telling atomic.Int64
 	// costPerKB is the cost of 1,024 bytes between data centres, in nanoseconds.
 	costPerKB atomic.Int64
 	// shutdown is cancelled when the process is about to exit.
@@ -132,6 +134,21 @@
 	return r.inFlight.Load()
 }
 
+// tell calls a function that tells the owner of the end of a place.
+func (r *Relay) tell(f func()) {
+	r.telling.Add(1)
+	go func() {
+		defer r.telling.Add(-1)
+		f()
+	}()
+}
+
+// Idle reports whether no request is being served, and the ends of all places have been told to the
+// owner as far as it could be reached.
+func (r *Relay) Idle() bool {
+	return r.inFlight.Load() == 0 && r.telling.Load() == 0
+}
+
 // Shutdown ends each request in progress with its final response, because the
 // process is about to exit.
 func (r *Relay) Shutdown() {
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -122,8 +122,8 @@
 		}
 		r.loads.End(endpoint.ID, time.Now())
 		trial.end(r.Trials)
-		s.place.end(r.Places)
-		s.balanced.end(r.Balancer)
+		s.place.end(r)
+		s.balanced.end(r)
 	}
 }
 
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -228,3 +228,31 @@
 		require.Equal(t, eventOne+eventTwo, got.body.String())
 	})
 }
+
+// slowBalancer takes a time to learn of the end of a place.
+type slowBalancer struct {
+	fakeBalancer
+	takes time.Duration
+}
+
+func (b *slowBalancer) End(endpoint inventory.Key, request string, rejected bool, work concurrency.Work) {
+	pause.For(context.Background(), b.takes)
+	b.fakeBalancer.End(endpoint, request, rejected, work)
+}
+
+// TestIdleOncePlaceIsGivenBack guards against the exit of a process that has answered all requests but
+// not told the owner of the end of their places, which then end with their time.
+func TestIdleOncePlaceIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		balancer := &slowBalancer{fakeBalancer{endpoint: "a", granted: true, answers: true}, 100 * time.Millisecond}
+		r := plainRelay(&fakeEndpoints{next: []behaviour{answer(200, "a")}}, balancer)
+		require.True(t, r.Idle())
+		require.Nil(t, r.Serve(t.Context(), request("repeat", ""), &fakeAnswer{}))
+		require.Empty(t, balancer.ended)
+		require.False(t, r.Idle())
+		time.Sleep(balancer.takes)
+		synctest.Wait()
+		require.Len(t, balancer.ended, 1)
+		require.True(t, r.Idle())
+	})
+}
