Ignore further SIGTERMs in a graceful shutdown

A second SIGTERM ended a node at once, with all requests that it had passed on: in TestStopBesideOtherEvents/further_SIGTERMs (one every 300 ms) each call after the first 300 ms ended with EOF, among them 6 that had reached an endpoint. The handler was removed with the first signal, so that the default action followed. Supervisors may repeat SIGTERM, and send SIGKILL once their time is over.

Only SIGINT, as a user types it, ends the process at once now. TestFurtherSignals fails before (terminated) and passes; of the 120 calls 87 are answered and 33 rejected, as without further signals. TestStopBesideOtherEvents plays stops beside SIGHUPs, at once after the start, with a silent store and at the owner, too; these passed before.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -62,10 +62,12 @@
 }
 
 // Main runs a command until it ends. SIGTERM or SIGINT starts a graceful
-// shutdown. A second signal ends the process immediately.
+// shutdown. A SIGINT during it ends the process immediately. Further SIGTERMs
+// change nothing: supervisors may repeat them.
 func Main(cmd *cobra.Command) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop)
+	defer stop()
+	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
 	if err := cmd.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, cmd.Name()+": "+err.Error())
 		os.Exit(1)
