Leave time to end connections in a stop with a short limit

With graceS 2 a node still waited 2.5 s for the load balancer and outlasted its time (2.6 s, so SIGKILL cut it); with 3 it ended 2.6 s after the SIGTERM without having ended connections, and an incomplete request got no response (TestStopWithLittleTime). Deployments state 8, where nothing changes.

The wait now leaves 0.5 s of the limit for that: 1.6 s with 2, 2.6 s with 3, each call answered or rejected, and 503 for what is incomplete.

--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -16,6 +16,9 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the shutdown limit that stays unused.
 	shutdownMargin = 500 * time.Millisecond
+	// closingTime is the least time within the limit for ending connections in order. It shortens
+	// balancerDelay where the limit is short.
+	closingTime = 500 * time.Millisecond
 	// responseMargin is the time reserved for the final responses to requests
 	// that can't be finished.
 	responseMargin = 300 * time.Millisecond
@@ -42,7 +45,7 @@
 		serving.callers.RefuseIncomplete(httpserver.IncompleteResponse)
 	})
 	defer abortTimer.Stop()
-	time.Sleep(time.Until(startTime.Add(balancerDelay)))
+	time.Sleep(time.Until(startTime.Add(min(balancerDelay, allowed-closingTime))))
 	if err := serving.callers.Shutdown(shutdownCtx); err != nil {
 		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
 	}
