End the wait for a configuration once it is too late in a stop

A request that waits for a recent configuration at a node that stops was held until the end of the grace and told 503 then, though it was known before that it could not end any more (TestLateWaitInShutdown/ for_a_configuration: not told at all within the time). The wait comes before the request's exchange, where lateness was checked.

It now ends as the other waits do, by how long such requests take by the configuration in force: refused once that is longer than what is left.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -207,10 +207,16 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	defer context.AfterFunc(r.shutdown, cancel)()
-	if r.AwaitConfiguration(ctx) != nil {
-		return refuse(ReasonConfigurationOld, endedRetryAfter)
+	ctx, release := r.untilLate(ctx, func() attemptTime { return r.attemptTimeOf(req) })
+	defer release()
+	if r.AwaitConfiguration(ctx) == nil {
+		return nil
+	}
+	if errors.Is(context.Cause(ctx), errLate) {
+		lateRefusals.Inc()
+		return refuse(ReasonShuttingDown, endedRetryAfter)
 	}
-	return nil
+	return refuse(ReasonConfigurationOld, endedRetryAfter)
 }
 
 // run runs an exchange until the request's deadline or the shutdown of the
--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -52,6 +52,14 @@
 	return attemptTime{relay: x.relay, work: x.workKind(), tokens: x.req.MaxTokens, deadline: x.deadline.Add(deadlineGrace)}
 }
 
+// attemptTimeOf returns that of a request that is not served yet, by the configuration in force.
+func (r *Relay) attemptTimeOf(req *Request) attemptTime {
+	if x, _ := r.begin(req, nil); x != nil {
+		return x.attemptTime()
+	}
+	return attemptTime{relay: r, deadline: req.Deadline}
+}
+
 // workKind returns the kind of work of the request.
 func (x *exchange) workKind() load.Work {
 	kind := load.Work{Service: x.service.Name}
@@ -110,9 +118,16 @@
 	if x.started {
 		return ctx, func() {}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
 	attempt := x.attemptTime()
-	unregister := context.AfterFunc(x.relay.stopping.begun, func() {
+	return x.relay.untilLate(ctx, func() attemptTime { return attempt })
+}
+
+// untilLate is that of an exchange for a request whose attemptTime is asked for once the process stops,
+// by another goroutine.
+func (r *Relay) untilLate(ctx context.Context, attemptTime func() attemptTime) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(r.stopping.begun, func() {
+		attempt := attemptTime()
 		for !attempt.tooLong(time.Now()) {
 			if !pause.For(ctx, lateCheckInterval) {
 				return
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -102,6 +102,12 @@
 	}{
 		{"for a model that is loaded too late", "rare", func(r *Relay) { r.Loads = loadIn{Duration: 2500 * time.Millisecond} }, 0},
 		{"for a model that may be loaded at any time", "rare", func(*Relay) {}, left - took},
+		{"for a configuration", "m", func(r *Relay) {
+			r.AwaitConfiguration = func(ctx context.Context) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}, left - took},
 		{"for room", "m", func(r *Relay) {
 			for _, id := range []string{"a", "b", "c"} {
 				for range 4 {
@@ -240,6 +246,13 @@
 	b.fakeBalancer.End(endpoint, request, rejected, work)
 }
 
+// endings returns the number of places whose end it has learned.
+func (b *slowBalancer) endings() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ended)
+}
+
 // TestIdleOncePlaceIsGivenBack guards against the exit of a process that has answered all requests but
 // not told the owner of the end of their places, which then end with their time.
 func TestIdleOncePlaceIsGivenBack(t *testing.T) {
@@ -248,11 +261,11 @@
 		r := plainRelay(&fakeEndpoints{next: []behaviour{answer(200, "a")}}, balancer)
 		require.True(t, r.Idle())
 		require.Nil(t, r.Serve(t.Context(), request("repeat", ""), &fakeAnswer{}))
-		require.Empty(t, balancer.ended)
+		require.Zero(t, balancer.endings())
 		require.False(t, r.Idle())
 		time.Sleep(balancer.takes)
 		synctest.Wait()
-		require.Len(t, balancer.ended, 1)
+		require.Equal(t, 1, balancer.endings())
 		require.True(t, r.Idle())
 	})
 }
