Expect the time of a route's own requests while a node stops

How long a request takes was expected by its service and model alone: a rare route that takes 2 s was passed on 1 s before the end, since 90 of 120 requests of its service, on another route, took 0.1 s (TestLateOfRareRouteInShutdown; only the last 64 count). The caller got 502.

Durations are kept for each route as well. With fewer than 20 of the route those of the model's other routes count too, then those of the service's other models, but what the route's own requests took, times 2, is the least.

--- a/internal/load/durations.go
+++ b/internal/load/durations.go
@@ -33,6 +33,14 @@
 type Work struct {
 	Service string
 	Model   string
+	Route   string
+}
+
+// similar are the kinds of work whose durations count for another one, the most similar ones first.
+var similar = []func(a, b Work) bool{
+	func(a, b Work) bool { return a == b },
+	func(a, b Work) bool { return a.Service == b.Service && a.Model == b.Model },
+	func(a, b Work) bool { return a.Service == b.Service },
 }
 
 // Durations records how long the requests of each kind of work took of late, and how long those in
@@ -134,38 +142,49 @@
 }
 
 // Expected returns the time within which nearly every request of a kind of work ends that begins now.
-// known is false if nothing is known of the service. Of a model without enough requests, the others of
-// the service count as well.
+// known is false if nothing is known of the service. Without enough requests, those on other routes count
+// as well, and then those of other models; it takes no less than the work's own requests may.
 func (d *Durations) Expected(work Work, tokens int, now time.Time) (expected time.Duration, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ended, running := d.kinds[work].observations(tokens, now)
-	if len(ended) < enoughSamples {
-		for other, kind := range d.kinds {
-			if other.Service == work.Service && other != work {
-				endedThere, runningThere := kind.observations(tokens, now)
-				ended, running = append(ended, endedThere...), append(running, runningThere...)
-			}
+	var ended, running []observation
+	for _, counts := range similar {
+		ended, running = d.observations(func(other Work) bool { return counts(work, other) }, tokens, now)
+		if len(ended) > 0 {
+			expected = max(expected, expectedBy(ended, running, now))
+		}
+		if len(ended) >= enoughSamples {
+			break
 		}
 	}
-	if len(ended) == 0 {
-		return 0, false
-	}
+	return expected, len(ended) > 0
+}
+
+// expectedBy returns the time within which nearly every request ends that begins now, by others like it.
+func expectedBy(ended, running []observation, now time.Time) time.Duration {
 	times := sortedTimes(slices.Concat(ended, running))
 	longest := times[int(math.Ceil(durationQuantile*float64(len(times))))-1]
 	factor := knownFactor
 	if len(ended) < enoughSamples {
 		factor = littleKnownFactor
 	}
-	return time.Duration(factor*float64(longest+growth(ended, now))) + durationMargin, true
+	return time.Duration(factor*float64(longest+growth(ended, now))) + durationMargin
+}
+
+// observations returns the durations of some kinds of work that count.
+func (d *Durations) observations(counts func(Work) bool, tokens int, now time.Time) (ended, running []observation) {
+	for work, kind := range d.kinds {
+		if counts(work) {
+			endedThere, runningThere := kind.observations(tokens, now)
+			ended, running = append(ended, endedThere...), append(running, runningThere...)
+		}
+	}
+	return ended, running
 }
 
 // observations returns the durations that count for a request that asks for a number of tokens: of
 // requests that have ended, and of those in progress the time so far if that is longer than any of these.
 func (k *durations) observations(tokens int, now time.Time) (ended, running []observation) {
-	if k == nil {
-		return nil, nil
-	}
 	var longest time.Duration
 	for _, sample := range k.ended {
 		if now.Sub(sample.at) <= durationAge {
--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -62,7 +62,7 @@
 
 // workKind returns the kind of work of the request.
 func (x *exchange) workKind() load.Work {
-	kind := load.Work{Service: x.service.Name}
+	kind := load.Work{Service: x.service.Name, Route: x.route.Name}
 	if x.service.Engine != nil {
 		kind.Model = x.req.Model
 	}
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// TestLateOfRareRouteInShutdown guards against requests of a route that takes long, and are sent late since
+// nearly all others of its service, on another route, are short.
+func TestLateOfRareRouteInShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{}
+		r := newRelay(endpoints)
+		serveMany(t, r, endpoints, "once", after(2*time.Second, answer(200, "a")))
+		for range 3 {
+			serveMany(t, r, endpoints, "repeat", after(100*time.Millisecond, answer(200, "a")))
+		}
+		r.FinishBy(time.Now().Add(time.Second))
+		sent := len(endpoints.attempts)
+		endpoints.next = []behaviour{after(2*time.Second, answer(200, "a"))}
+		failure := r.Serve(t.Context(), request("once", "m"), &fakeAnswer{})
+		require.Equal(t, &Failure{Reason: ReasonShuttingDown, Run: outcome.NotRun, RetryAfter: endedRetryAfter}, failure)
+		require.Len(t, endpoints.attempts, sent)
+		endpoints.next = []behaviour{after(100*time.Millisecond, answer(200, "a"))}
+		require.Nil(t, r.Serve(t.Context(), request("repeat", "m"), &fakeAnswer{}))
+	})
+}
+
 // loadIn predicts that a model is loaded in a time.
 type loadIn struct {
 	noLoads
