--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chestnutgauge/internal/fleet"
 	"chestnutgauge/internal/httpserver"
 	"chestnutgauge/internal/pause"
 )
@@ -15,6 +16,9 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the shutdown limit that stays unused.
 	shutdownMargin = 500 * time.Millisecond
+	// closingTime is the least time within the limit for ending connections in order. It shortens
+	// balancerDelay where the limit is short.
+	closingTime = 500 * time.Millisecond
 	// responseMargin is the time reserved for the final responses to requests
 	// that can't be finished.
 	responseMargin = 300 * time.Millisecond
@@ -36,13 +40,16 @@
 	defer cancel()
 	n.relay.FinishBy(startTime.Add(allowed - responseMargin))
 	n.keeper.Retire()
-	abortTimer := time.AfterFunc(allowed-responseMargin, n.relay.Shutdown)
+	abortTimer := time.AfterFunc(allowed-responseMargin, func() {
+		n.relay.Shutdown()
+		serving.callers.RefuseIncomplete(httpserver.IncompleteResponse)
+	})
 	defer abortTimer.Stop()
-	time.Sleep(time.Until(startTime.Add(balancerDelay)))
+	time.Sleep(time.Until(startTime.Add(min(balancerDelay, allowed-closingTime))))
 	if err := serving.callers.Shutdown(shutdownCtx); err != nil {
 		n.log.Warn("requests interrupted by the shutdown", "in_flight", n.relay.InFlight(), "error", err)
 	}
-	n.awaitForwarded(shutdownCtx)
+	n.awaitIdle(shutdownCtx)
 	peersEnded := make(chan struct{})
 	go func() {
 		defer close(peersEnded)
@@ -52,26 +59,27 @@
 	<-peersEnded
 }
 
-// endPeerCalls takes no more calls of other nodes and finishes those that have arrived, so that none
-// ends without telling whether a request was sent. The streams that other nodes follow outlast it.
+// endPeerCalls takes no more calls of other nodes, finishes those that have arrived and refuses those
+// that are incomplete, so that none ends without telling whether a request was sent. The streams that other nodes follow outlast it.
 func (n *Node) endPeerCalls(peers *httpserver.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	peers.RefuseIncomplete(fleet.IncompleteResponse())
 	if err := peers.Shutdown(ctx); err != nil {
 		n.log.Info("calls of other nodes interrupted by the shutdown", "error", err)
 	}
 }
 
-// inFlightPollInterval is the interval at which a node that shuts down checks whether it
+// idlePollInterval is the interval at which a node that shuts down checks whether it
 // still serves requests.
-const inFlightPollInterval = 20 * time.Millisecond
+const idlePollInterval = 20 * time.Millisecond
 
-// awaitForwarded waits for the requests that other nodes forward to this one, which are on no
-// caller's connection, until ctx ends.
-func (n *Node) awaitForwarded(ctx context.Context) {
-	for n.relay.InFlight() > 0 {
-		if !pause.For(ctx, inFlightPollInterval) {
-			n.log.Warn("forwarded requests interrupted by the shutdown", "in_flight", n.relay.InFlight())
+// awaitIdle waits for the requests that other nodes forward to this one, which are on no
+// caller's connection, and until the ends of places are told to the owner, until ctx ends.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for !n.relay.Idle() {
+		if !pause.For(ctx, idlePollInterval) {
+			n.log.Warn("forwarded requests or ends of places interrupted by the shutdown", "in_flight", n.relay.InFlight())
 			return
 		}
 	}
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// TestLateOfRareRouteInShutdown guards against requests of a route that takes long, and are sent late since
+// nearly all others of its service, on another route, are short.
+func TestLateOfRareRouteInShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := &fakeEndpoints{}
+		r := newRelay(endpoints)
+		serveMany(t, r, endpoints, "once", after(2*time.Second, answer(200, "a")))
+		for range 3 {
+			serveMany(t, r, endpoints, "repeat", after(100*time.Millisecond, answer(200, "a")))
+		}
+		r.FinishBy(time.Now().Add(time.Second))
+		sent := len(endpoints.attempts)
+		endpoints.next = []behaviour{after(2*time.Second, answer(200, "a"))}
+		failure := r.Serve(t.Context(), request("once", "m"), &fakeAnswer{})
+		require.Equal(t, &Failure{Reason: ReasonShuttingDown, Run: outcome.NotRun, RetryAfter: endedRetryAfter}, failure)
+		require.Len(t, endpoints.attempts, sent)
+		endpoints.next = []behaviour{after(100*time.Millisecond, answer(200, "a"))}
+		require.Nil(t, r.Serve(t.Context(), request("repeat", "m"), &fakeAnswer{}))
+	})
+}
+
 // loadIn predicts that a model is loaded in a time.
 type loadIn struct {
 	noLoads
@@ -102,6 +123,12 @@
 	}{
 		{"for a model that is loaded too late", "rare", func(r *Relay) { r.Loads = loadIn{Duration: 2500 * time.Millisecond} }, 0},
 		{"for a model that may be loaded at any time", "rare", func(*Relay) {}, left - took},
+		{"for a configuration", "m", func(r *Relay) {
+			r.AwaitConfiguration = func(ctx context.Context) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}, left - took},
 		{"for room", "m", func(r *Relay) {
 			for _, id := range []string{"a", "b", "c"} {
 				for range 4 {
@@ -228,3 +255,38 @@
 		require.Equal(t, eventOne+eventTwo, got.body.String())
 	})
 }
+
+// slowBalancer takes a time to learn of the end of a place.
+type slowBalancer struct {
+	fakeBalancer
+	takes time.Duration
+}
+
+func (b *slowBalancer) End(endpoint inventory.Key, request string, rejected bool, work concurrency.Work) {
+	pause.For(context.Background(), b.takes)
+	b.fakeBalancer.End(endpoint, request, rejected, work)
+}
+
+// endings returns the number of places whose end it has learned.
+func (b *slowBalancer) endings() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ended)
+}
+
+// TestIdleOncePlaceIsGivenBack guards against the exit of a process that has answered all requests but
+// not told the owner of the end of their places, which then end with their time.
+func TestIdleOncePlaceIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		balancer := &slowBalancer{fakeBalancer{endpoint: "a", granted: true, answers: true}, 100 * time.Millisecond}
+		r := plainRelay(&fakeEndpoints{next: []behaviour{answer(200, "a")}}, balancer)
+		require.True(t, r.Idle())
+		require.Nil(t, r.Serve(t.Context(), request("repeat", ""), &fakeAnswer{}))
+		require.Zero(t, balancer.endings())
+		require.False(t, r.Idle())
+		time.Sleep(balancer.takes)
+		synctest.Wait()
+		require.Equal(t, 1, balancer.endings())
+		require.True(t, r.Idle())
+	})
+}
