Stream origins: ask silent nodes again after a suspension

A stream that could go on was refused with 503, since its origin counted as unknown although a node that keeps it was there.

Cause: a question to another node ends after 300 ms. If the asking process does not run for that long (suspended, or a busy machine), its own time-outs end all questions before the answers are read, and silence was taken for "no node knows the stream".

A round of questions that took longer than their time limit now asks the nodes without an answer again, three times at most. Nodes that are silent while the process runs are asked once, as before, so a cut between data centres costs no more time.

--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/rendezvous"
 	"chestnutgauge/internal/streamorigin"
 )
@@ -35,6 +36,11 @@
 	maxQueuedOrigins = 4096
 	// originTimeout bounds a call.
 	originTimeout = 300 * time.Millisecond
+	// originSlack is the time beyond originTimeout from which on calls show that this process was
+	// suspended while it waited for them.
+	originSlack = 30 * time.Millisecond
+	// maxOriginAsks bounds how often a node is asked for an origin.
+	maxOriginAsks = 3
 )
 
 // Timing of the history of versions.
@@ -73,6 +79,8 @@
 	Serving func(ctx context.Context) (map[streamorigin.Origin]bool, error)
 	HTTP    *http.Client
 	Log     *slog.Logger
+	// Clock counts the time in which the process is suspended.
+	Clock monotime.Clock
 
 	known   *streamorigin.Registry
 	history *streamorigin.History
@@ -88,6 +96,7 @@
 // first call.
 func NewOrigins() *Origins {
 	return &Origins{
+		Clock:   monotime.Now,
 		known:   streamorigin.NewRegistry(),
 		history: streamorigin.NewHistory(),
 		queued:  make(chan struct{}, 1),
@@ -184,32 +193,63 @@
 }
 
 // askAtOnce asks nodes at the same time, and returns the first origin that one of them
-// knows. It counts the nodes in asked.
+// knows. It counts the nodes in asked. Those without an answer are asked again if this
+// process was suspended meanwhile: their time was over before it could read the answers.
 func (o *Origins) askAtOnce(ctx context.Context, stream string, nodes []string, asked *originAsks) (streamorigin.Origin, bool) {
+	asked.asked += len(nodes)
+	for range maxOriginAsks {
+		begun := o.Clock()
+		round := o.askRound(ctx, stream, nodes)
+		asked.answered += round.answered
+		suspended := o.Clock()-begun > originTimeout+originSlack
+		if round.found || len(round.silent) == 0 || !suspended || ctx.Err() != nil {
+			return round.origin, round.found
+		}
+		nodes = round.silent
+	}
+	return streamorigin.Origin{}, false
+}
+
+// originRound is the result of asking nodes once.
+type originRound struct {
+	origin streamorigin.Origin
+	found  bool
+	// answered is the number of nodes that answered, silent are the others. Both are incomplete if
+	// the origin was found.
+	answered int
+	silent   []string
+}
+
+// askRound asks nodes once, at the same time, until one of them knows the origin.
+func (o *Origins) askRound(ctx context.Context, stream string, nodes []string) originRound {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
 		findOriginResponse
-		err error
+		node string
+		err  error
 	}
 	answers := make(chan answer, len(nodes))
 	for _, node := range nodes {
 		go func() {
 			response, err := o.askNode(ctx, node, stream)
-			answers <- answer{response, err}
+			answers <- answer{response, node, err}
 		}()
 	}
-	asked.asked += len(nodes)
+	var round originRound
 	for range nodes {
 		response := <-answers
-		if response.err == nil {
-			asked.answered++
+		if response.err != nil {
+			round.silent = append(round.silent, response.node)
+			continue
 		}
+		round.answered++
 		if response.Known {
-			return response.Origin, true
+			round.origin, round.found = response.Origin, true
+			return round
 		}
 	}
-	return streamorigin.Origin{}, false
+	return round
 }
 
 // askNode asks a node for the origin of a stream, and learns its history.
