Refuse streams that the split of a route may have begun elsewhere

Callers that resume a stream with Last-Event-Id and without the id of the attempt that began it could get the rest from another service, where the route splits its traffic and no node knows the stream.

Cause: the split chooses by the id of the attempt that began the stream. Without it each attempt is split by its own id, and the service that it is sent to counted as the one that began the stream if only one version of it has served.

Such a stream is refused with 503, as one of an unknown version. A log line names the request, the stream and the source of the decision.

TestStreamOfUnknownServiceIsRefused: failed before (no refusal, sent to the service of the split), passes now.

--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -37,7 +37,12 @@
 		return nil
 	}
 	decision := x.relay.Origins.Find(ctx, x.req.stream(), x.service.Name, streamorigin.MaxLifetime)
-	if decision.Source == streamorigin.SourceUnknown {
+	x.relay.Log.Info("stream resumed by its caller", "request_id", x.req.ID, "stream", x.req.stream(), "origin_source", string(decision.Source),
+		"service", decision.Origin.Service, "version", decision.Origin.Version)
+	// Without the id of the attempt that began the stream, the split of the route's traffic can have
+	// sent it to another service.
+	unsure := decision.Source == streamorigin.SourceOnlyVersion && x.req.Resumes == "" && len(x.route.Targets) > 1
+	if decision.Source == streamorigin.SourceUnknown || unsure {
 		return refuse(ReasonUnknownVersion, 0)
 	}
 	if !x.setService(decision.Origin.Service) {
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -191,6 +191,33 @@
 	})
 }
 
+// TestStreamOfUnknownServiceIsRefused guards against a resumed stream that goes on at another
+// service, since the caller does not name the attempt that began it and the split of the route's
+// traffic sends each attempt elsewhere.
+func TestStreamOfUnknownServiceIsRefused(t *testing.T) {
+	for targets, want := range map[int]int{1: http.StatusOK, 2: http.StatusServiceUnavailable} {
+		synctest.Test(t, func(t *testing.T) {
+			endpoints := &fakeEndpoints{next: []behaviour{answer(200, eventTwo)}}
+			r, origins := versionRelay(endpoints, engine("a1", "1"))
+			origins.onlyVersion = "1"
+			route := *r.Catalog().Route("h", "/resume/x")
+			route.Targets = []catalog.Target{{Service: "s", Weight: 1000}, {Service: "other", Weight: 1}}[:targets]
+			models := &catalog.Engine{Models: map[string]catalog.Model{"m": {Name: "m"}}}
+			c := catalog.New(2, []*catalog.Route{&route}, []*catalog.Service{{Name: "s", Engine: models}, {Name: "other", Engine: models}}, catalog.Limits{})
+			r.Dependencies.Catalog = func() *catalog.Catalog { return c }
+			req := resuming("")
+			failure := r.Serve(t.Context(), req, &fakeAnswer{})
+			if want == http.StatusOK {
+				require.Nil(t, failure)
+				return
+			}
+			require.NotNil(t, failure)
+			require.Equal(t, ReasonUnknownVersion, failure.Reason)
+			require.Empty(t, endpoints.endpointIDs)
+		})
+	}
+}
+
 // TestRestartedEngineIsNotResumedAt guards against streams that go on at an engine which
 // has restarted with another version under its id, before its entry tells.
 func TestRestartedEngineIsNotResumedAt(t *testing.T) {
