Refuse streams whose route may have been moved to another service

A caller that resumes a stream gets the rest from another service: its route was moved there after the stream had begun, the nodes that knew the stream are lost, and one version of the new service has served lately.

Cause: a single version counts as the one that began a stream of the service to which the route sends now. Nothing told that it sent to another one.

Nodes remember to which services the routes of streams sent, as they do with versions: all of them as one digest, so that the accounts between nodes stay small. A change within the last two minutes makes streams of unknown origin be refused, and origins are replicated for two minutes after it, also of services with one version. The log line of the decision states what was missing, and chestnut_stream_origins_unknown_total counts it.

--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -28,7 +28,10 @@
 		`",source="` + string(admission.Source) + `"}`).Inc()
 }
 
-// countOrigin counts a decision on the origin of a stream.
-func countOrigin(source streamorigin.Source) {
+// countOrigin counts a decision on the origin of a stream, and what was missing if it is not known.
+func countOrigin(source streamorigin.Source, missing string) {
 	metrics.GetOrCreateCounter(`chestnut_stream_origin_lookups_total{source="` + string(source) + `"}`).Inc()
+	if missing != "" {
+		metrics.GetOrCreateCounter(`chestnut_stream_origins_unknown_total{missing="` + missing + `"}`).Inc()
+	}
 }
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -66,6 +66,9 @@
 	// Nodes returns the addresses of the other nodes.
 	Nodes     func() []string
 	Inventory *inventory.Inventory
+	// StreamTargets identifies the services that the routes of streams send to, and is empty
+	// without a configuration. It may be nil.
+	StreamTargets func() string
 	// Current reports whether the inventory is up to date.
 	Current func() bool
 	// Serving reads which versions serve from the store, as it is now. With nil what this node has
@@ -118,22 +121,30 @@
 	if !evidence.Found {
 		evidence.Origin, evidence.Found, asked = o.askNodes(ctx, stream)
 	}
-	evidence.Versions, evidence.Observed = o.history.Seen(service, lifetime, time.Now())
+	o.see(&evidence, lifetime)
 	decision := streamorigin.Decide(evidence, lifetime)
 	confirmed := true
 	if decision.Source == streamorigin.SourceOnlyVersion {
 		confirmed = o.confirm(ctx, asked)
-		evidence.Versions, evidence.Observed = o.history.Seen(service, lifetime, time.Now())
+		o.see(&evidence, lifetime)
 		evidence.Unconfirmed = !confirmed
 		decision = streamorigin.Decide(evidence, lifetime)
 	}
-	countOrigin(decision.Source)
+	countOrigin(decision.Source, evidence.Missing(lifetime))
 	o.Log.Info("origin of a stream", "stream", stream, "service", decision.Origin.Service, "version", decision.Origin.Version,
 		"source", string(decision.Source), "nodes_asked", asked.asked, "nodes_answered", asked.answered, "confirmed", confirmed,
-		"versions_served", len(evidence.Versions), "observed_ms", evidence.Observed.Milliseconds())
+		"versions_served", len(evidence.Versions), "observed_ms", evidence.Observed.Milliseconds(), "missing", evidence.Missing(lifetime))
 	return decision
 }
 
+// see adds to the evidence what this node has seen and what others have told it.
+func (o *Origins) see(evidence *streamorigin.Evidence, lifetime time.Duration) {
+	now := time.Now()
+	routes, _ := o.history.SeenRoutes(lifetime, now)
+	evidence.RoutesChanged = len(routes) > 1
+	evidence.Versions, evidence.Observed = o.history.Seen(evidence.Service, lifetime, now)
+}
+
 // confirmTimeout bounds a read of the versions that serve.
 const confirmTimeout = time.Second
 
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -152,6 +152,7 @@
 	n.origins.Nodes = n.client.Others
 	n.origins.Inventory = n.inventory
 	n.origins.Current = n.inventoryCurrent
+	n.origins.StreamTargets = n.streamTargets()
 	n.origins.Serving = n.readServing
 	n.origins.HTTP = fleet.NewHTTP()
 	n.origins.Log = log
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -11,6 +11,9 @@
 	// are those of its versions that served while the stream can have begun.
 	Service  string
 	Versions []string
+	// RoutesChanged means that the routes of streams may have sent the stream to another
+	// service when it began.
+	RoutesChanged bool
 	// Observed is for how long all versions that served are known.
 	Observed time.Duration
 	// Unconfirmed means that a version may have come since, unseen by this node.
@@ -41,8 +44,42 @@
 	if e.Found {
 		return Decision{Origin: e.Origin, Source: SourceRecord}
 	}
-	if len(e.Versions) != 1 || e.Observed < lifetime || e.Unconfirmed {
+	if e.Missing(lifetime) != "" {
 		return Decision{Source: SourceUnknown}
 	}
 	return Decision{Origin: Origin{Service: e.Service, Version: e.Versions[0]}, Source: SourceOnlyVersion}
 }
+
+// What evidence can lack.
+const (
+	// MissingVersion means that no version was seen that can have begun the stream.
+	MissingVersion = "no_version_seen"
+	// MissingUnique means that more than one version can have begun the stream.
+	MissingUnique = "several_versions"
+	// MissingRoutes means that another service can have begun the stream.
+	MissingRoutes = "routes_changed"
+	// MissingTime means that the versions are not known for the stream's lifetime.
+	MissingTime = "versions_not_known_long_enough"
+	// MissingConfirmation means that the versions that serve now could not be read.
+	MissingConfirmation = "not_confirmed"
+)
+
+// Missing returns what is missing to know the origin of a stream that can have begun within
+// a time before now, or an empty text.
+func (e Evidence) Missing(lifetime time.Duration) string {
+	switch {
+	case e.Found:
+		return ""
+	case len(e.Versions) == 0:
+		return MissingVersion
+	case len(e.Versions) > 1:
+		return MissingUnique
+	case e.RoutesChanged:
+		return MissingRoutes
+	case e.Observed < lifetime:
+		return MissingTime
+	case e.Unconfirmed:
+		return MissingConfirmation
+	}
+	return ""
+}
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -95,7 +95,13 @@
 // are recorded now, so that their origins need no replicas.
 func (h *History) OnlyVersion(service string, now time.Time) bool {
 	versions, observed := h.Seen(service, MaxLifetime, now)
-	return len(versions) == 1 && observed >= MaxLifetime
+	routes, _ := h.SeenRoutes(MaxLifetime, now)
+	return len(versions) == 1 && len(routes) <= 1 && observed >= MaxLifetime
+}
+
+// SeenRoutes is like Seen for the services that the routes of streams send to.
+func (h *History) SeenRoutes(within time.Duration, now time.Time) (targets []string, observed time.Duration) {
+	return h.Seen(Routes("").Service, within, now)
 }
 
 // observed returns for how long the history has been complete. The caller holds mu.
