Let streams go on after all nodes were killed where the store proves their version

After all nodes were killed, callers that resumed their streams got 503 for two minutes, also where one software version served throughout.

Cause: without a record of the stream a single version counts only if nodes have watched all versions for two minutes, and all that they had watched was lost with them. No stream begins while no node runs, so what the last nodes had watched is enough, if it is kept and nothing has come between.

The owner writes its history of versions as a row of the store, with the position up to which it has read the tables: every 5 s, and within 250 ms after a version appears. A node that has started adds that row and all changes since that position. Without a row, in era 0, the owner takes the changes since the store's beginning if all are there. The row proves nothing if the store was restored since, no longer has the changes, or leaves out one that the node knows; then streams are refused as before. No time of day and not the store's clock enter: time while no node ran counts as none. Origins are replicated as before until nodes have watched for two minutes themselves.

Log: "stored history of versions read" with the result. Metrics: chestnut_version_history_reads_total, chestnut_version_history_writes_total.

Tests of streams that must not go on (TestAllNodesKilledWithoutProof, -BeforeRestore, -AfterRouteMoved; TestStoredHistory*, TestProof*) fail when the check that each of them guards is taken out: era, changes gone, changes listed, routes, watch without a gap.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -119,6 +119,8 @@
 	confirmedAt monotime.Mark
 	// appliedAt is the start of the last call whose result has been passed on.
 	appliedAt monotime.Mark
+	// applied is the position up to which all changes have been passed on, or nil.
+	applied atomic.Pointer[era.Position]
 	// attempts are the calls that have ended.
 	attempts attempts
 }
@@ -161,6 +163,16 @@
 	return f.appliedAt.Age(f.Clock())
 }
 
+// Applied returns the position up to which all changes have been passed on, or false if
+// there is none.
+func (f *Follower) Applied() (era.Position, bool) {
+	at := f.applied.Load()
+	if at == nil {
+		return era.Position{}, false
+	}
+	return *at, true
+}
+
 // LastOutage returns the time since the store last recovered from an outage and
 // the duration of that outage, both 0 if there was none.
 func (f *Follower) LastOutage() (sinceRecovery, duration time.Duration) {
@@ -291,6 +303,7 @@
 		f.Update(rows.Rows)
 	}
 	f.appliedAt.Set(sentAt)
+	f.applied.Store(&rows.Position)
 	if len(rows.Rows) > 0 && f.awaitNotify(ctx, f.batchPause()) {
 		return f.readAll(ctx)
 	}
@@ -375,6 +388,7 @@
 	}
 	f.Replace(rows)
 	f.appliedAt.Set(sentAt)
+	f.applied.Store(&rows.Position)
 	if restored && f.Restored != nil {
 		f.Restored(rows.Position, len(rows.Rows))
 	}
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -74,8 +74,10 @@
 	// Serving reads which versions serve from the store, as it is now. With nil what this node has
 	// observed is taken as confirmed.
 	Serving func(ctx context.Context) (map[streamorigin.Origin]bool, error)
-	HTTP    *http.Client
-	Log     *slog.Logger
+	// Stored is the history that the store keeps.
+	Stored StoredHistory
+	HTTP   *http.Client
+	Log    *slog.Logger
 
 	known   *streamorigin.Registry
 	history *streamorigin.History
--- a/internal/noded/run.go
+++ b/internal/noded/run.go
@@ -160,6 +160,7 @@
 	supervise.Add(tree, "withdrawals", n.relay.RunWithdrawals)
 	supervise.Add(tree, "stream origins", n.origins.RunReplication)
 	supervise.Add(tree, "version history", n.origins.RunHistory)
+	supervise.Add(tree, "stored version history", n.origins.RunStoredHistory)
 	supervise.Add(tree, "links", n.forwarding.Run)
 	supervise.Add(tree, "partition", n.watchPartition)
 	supervise.Add(tree, "inventory", n.follower.Run)
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -154,6 +154,11 @@
 	n.origins.Current = n.inventoryCurrent
 	n.origins.StreamTargets = n.streamTargets()
 	n.origins.Serving = n.readServing
+	n.origins.Stored = fleet.StoredHistory{
+		Store:    platform.NewHistoryStore(n.store),
+		Position: n.appliedPosition,
+		Owns:     n.owns,
+	}
 	n.origins.HTTP = fleet.NewHTTP()
 	n.origins.Log = log
 }
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -14,7 +14,8 @@
 	// RoutesChanged means that the routes of streams may have sent the stream to another
 	// service when it began.
 	RoutesChanged bool
-	// Observed is for how long all versions that served are known.
+	// Observed is for how long all versions that served are known, by nodes that watched or
+	// by the store.
 	Observed time.Duration
 	// Unconfirmed means that a version may have come since, unseen by this node.
 	Unconfirmed bool
