Keep routes out of the history of versions

A change of any route of streams made origins be replicated for two minutes, and those that no node knows be refused.

--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -66,9 +66,6 @@
 	// Nodes returns the addresses of the other nodes.
 	Nodes     func() []string
 	Inventory *inventory.Inventory
-	// StreamTargets identifies the services that the routes of streams send to, and is empty
-	// without a configuration. It may be nil.
-	StreamTargets func() string
 	// Current reports whether the inventory is up to date.
 	Current func() bool
 	// Serving reads which versions serve from the store, as it is now. With nil what this node has
@@ -141,10 +138,7 @@
 
 // see adds to the evidence what this node has seen and what others have told it.
 func (o *Origins) see(evidence *streamorigin.Evidence, lifetime time.Duration) {
-	now := time.Now()
-	routes, _ := o.history.SeenRoutes(lifetime, now)
-	evidence.RoutesChanged = len(routes) > 1
-	evidence.Versions, evidence.Observed = o.history.Seen(evidence.Service, lifetime, now)
+	evidence.Versions, evidence.Observed = o.history.Seen(evidence.Service, lifetime, time.Now())
 }
 
 // confirmTimeout bounds a read of the versions that serve.
--- a/internal/fleet/originstore.go
+++ b/internal/fleet/originstore.go
@@ -41,10 +41,9 @@
 	Era int64
 }
 
-// Listed are the changes of endpoints' entries and of the configuration after a position of the
-// store.
+// Listed are the changes of endpoints' entries after a position of the store.
 type Listed struct {
-	// Versions are those of the endpoints, and the routes of streams.
+	// Versions are those of the endpoints.
 	Versions map[streamorigin.Origin]bool
 	// Gap means that an endpoint was removed whose entry is not among the changes.
 	Gap bool
@@ -80,8 +79,7 @@
 // the store that it includes. A node that has started reads it with all changes since.
 type StoredHistory struct {
 	Store HistoryStore
-	// Position returns the position of the store that the inventory and the configuration
-	// include.
+	// Position returns the position of the store that the inventory includes.
 	Position func() (era.Position, bool)
 	// Owns reports whether this node writes the history.
 	Owns func() bool
@@ -204,7 +202,7 @@
 		k.era, k.eraSeen = position.Era, now
 	}
 	// The position is read first, so that the observation includes it.
-	k.history.Observe(k.serving(k.Inventory.Current()), k.Current(), now)
+	k.history.Observe(serving(k.Inventory.Current()), k.Current(), now)
 	if !known || !k.Current() {
 		return
 	}
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -152,7 +152,6 @@
 	n.origins.Nodes = n.client.Others
 	n.origins.Inventory = n.inventory
 	n.origins.Current = n.inventoryCurrent
-	n.origins.StreamTargets = n.streamTargets()
 	n.origins.Serving = n.readServing
 	n.origins.Stored = fleet.StoredHistory{
 		Store:    platform.NewHistoryStore(n.store),
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -11,9 +11,6 @@
 	// are those of its versions that served while the stream can have begun.
 	Service  string
 	Versions []string
-	// RoutesChanged means that the routes of streams may have sent the stream to another
-	// service when it began.
-	RoutesChanged bool
 	// Observed is for how long all versions that served are known, by nodes that watched or
 	// by the store.
 	Observed time.Duration
@@ -57,8 +54,6 @@
 	MissingVersion = "no_version_seen"
 	// MissingUnique means that more than one version can have begun the stream.
 	MissingUnique = "several_versions"
-	// MissingRoutes means that another service can have begun the stream.
-	MissingRoutes = "routes_changed"
 	// MissingTime means that the versions are not known for the stream's lifetime.
 	MissingTime = "versions_not_known_long_enough"
 	// MissingConfirmation means that the versions that serve now could not be read.
@@ -75,8 +70,6 @@
 		return MissingVersion
 	case len(e.Versions) > 1:
 		return MissingUnique
-	case e.RoutesChanged:
-		return MissingRoutes
 	case e.Observed < lifetime:
 		return MissingTime
 	case e.Unconfirmed:
--- a/internal/streamorigin/origin.go
+++ b/internal/streamorigin/origin.go
@@ -15,12 +15,6 @@
 	Version string `json:"version"`
 }
 
-// Routes stands for the services that the routes of streams send to, which targets
-// identifies. A History keeps it like a version that serves, under a service without a name.
-func Routes(targets string) Origin {
-	return Origin{Version: targets}
-}
-
 // Record is the origin of a stream, for other nodes.
 type Record struct {
 	// Stream is the id of the caller's attempt that brought the first event.
