--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -77,8 +77,10 @@
 	// Serving reads which versions serve from the store, as it is now. With nil what this node has
 	// observed is taken as confirmed.
 	Serving func(ctx context.Context) (map[streamorigin.Origin]bool, error)
-	HTTP    *http.Client
-	Log     *slog.Logger
+	// Stored is the history that the store keeps.
+	Stored StoredHistory
+	HTTP   *http.Client
+	Log    *slog.Logger
 	// Clock counts the time in which the process is suspended.
 	Clock monotime.Clock
 
@@ -127,22 +129,27 @@
 	if !evidence.Found {
 		evidence.Origin, evidence.Found, asked = o.askNodes(ctx, stream)
 	}
-	evidence.Versions, evidence.Observed = o.history.Seen(service, lifetime, time.Now())
+	o.see(&evidence, lifetime)
 	decision := streamorigin.Decide(evidence, lifetime)
 	confirmed := true
 	if decision.Source == streamorigin.SourceOnlyVersion {
 		confirmed = o.confirm(ctx, asked)
-		evidence.Versions, evidence.Observed = o.history.Seen(service, lifetime, time.Now())
+		o.see(&evidence, lifetime)
 		evidence.Unconfirmed = !confirmed
 		decision = streamorigin.Decide(evidence, lifetime)
 	}
-	countOrigin(decision.Source)
+	countOrigin(decision.Source, evidence.Missing(lifetime))
 	o.Log.Info("origin of a stream", "stream", stream, "service", decision.Origin.Service, "version", decision.Origin.Version,
 		"source", string(decision.Source), "nodes_asked", asked.asked, "nodes_answered", asked.answered, "confirmed", confirmed,
-		"versions_served", len(evidence.Versions), "observed_ms", evidence.Observed.Milliseconds())
+		"versions_served", len(evidence.Versions), "observed_ms", evidence.Observed.Milliseconds(), "missing", evidence.Missing(lifetime))
 	return decision
 }
 
+// see adds to the evidence what this node has seen and what others have told it.
+func (o *Origins) see(evidence *streamorigin.Evidence, lifetime time.Duration) {
+	evidence.Versions, evidence.Observed = o.history.Seen(evidence.Service, lifetime, time.Now())
+}
+
 // confirmTimeout bounds a read of the versions that serve.
 const confirmTimeout = time.Second
 
