--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -31,20 +31,14 @@
 			return copied
 		}, func(w *world, a, b *machine) {
 			token := a.keeper.fence
-			for range 1000 {
-				w.run(10 * time.Millisecond)
-				require.True(w.t, a.holds())
-			}
+			requireHoldsFor(w, a, 10*time.Second)
 			require.Equal(w.t, token, a.keeper.fence)
 			require.Equal(w.t, w.era, w.stored().Era)
 		}},
 		{"the holder continues where the row is missing", func(w *world, a, b *machine) state {
 			return state{}
 		}, func(w *world, a, b *machine) {
-			for range 1000 {
-				w.run(10 * time.Millisecond)
-				require.True(w.t, a.holds())
-			}
+			requireHoldsFor(w, a, 10*time.Second)
 		}},
 		{"a holder whose grant has just expired continues", func(w *world, a, b *machine) state {
 			copied := w.copied()
@@ -67,9 +61,7 @@
 			return w.copied()
 		}, func(w *world, a, b *machine) {
 			a.cut = false
-			requireNoHolder(w, wait)
-			w.run(time.Second)
-			require.True(w.t, a.holds())
+			requireAcquiresAfterWait(w, nil, a)
 		}},
 		{"a holder that is frozen over it waits", func(w *world, a, b *machine) state {
 			b.frozen, a.frozen = true, true
@@ -78,9 +70,7 @@
 		}, func(w *world, a, b *machine) {
 			w.run(time.Second)
 			a.frozen = false
-			requireNoHolder(w, wait)
-			w.run(time.Second)
-			require.True(w.t, a.holds())
+			requireAcquiresAfterWait(w, nil, a)
 		}},
 		{"a takeover is lost, and the former holder returns", func(w *world, a, b *machine) state {
 			copied := w.copied()
@@ -91,9 +81,7 @@
 			return copied
 		}, func(w *world, a, b *machine) {
 			a.cut = false
-			requireNoHolderBut(w, b, wait)
-			w.run(time.Second)
-			require.True(w.t, a.holds())
+			requireAcquiresAfterWait(w, b, a)
 		}},
 		{"a takeover is lost, and the new holder continues", func(w *world, a, b *machine) state {
 			copied := w.copied()
@@ -102,10 +90,7 @@
 			return copied
 		}, func(w *world, a, b *machine) {
 			a.cut = false
-			for range 1000 {
-				w.run(10 * time.Millisecond)
-				require.True(w.t, b.holds())
-			}
+			requireHoldsFor(w, b, 10*time.Second)
 		}},
 		{"a release is lost", func(w *world, a, b *machine) state {
 			copied := w.copied()
@@ -120,9 +105,7 @@
 			return copied
 		}, func(w *world, a, b *machine) {
 			a.frozen = false
-			requireNoHolder(w, wait)
-			w.run(time.Second)
-			require.True(w.t, a.holds())
+			requireAcquiresAfterWait(w, nil, a)
 		}},
 		{"a process starts with nothing in memory", func(w *world, a, b *machine) state {
 			copied := w.copied()
@@ -132,9 +115,7 @@
 			return copied
 		}, func(w *world, a, b *machine) {
 			c := w.machine("c", 7*time.Hour)
-			requireNoHolderBut(w, b, wait)
-			w.run(time.Second)
-			require.True(w.t, c.holds())
+			requireAcquiresAfterWait(w, b, c)
 		}},
 		{"a process restarts on the recorded holder's machine", func(w *world, a, b *machine) state {
 			copied := w.copied()
@@ -145,9 +126,7 @@
 			return copied
 		}, func(w *world, a, b *machine) {
 			b.cut, a.frozen = true, false
-			requireNoHolderBut(w, b, wait)
-			w.run(time.Second)
-			require.True(w.t, a.holds())
+			requireAcquiresAfterWait(w, b, a)
 		}},
 		{"the row is missing and the holder is gone", func(w *world, a, b *machine) state {
 			w.run(time.Second)
@@ -178,10 +157,7 @@
 			w.run(100 * time.Millisecond)
 			return copied
 		}, func(w *world, a, b *machine) {
-			for range 1000 {
-				w.run(10 * time.Millisecond)
-				require.True(w.t, a.holds())
-			}
+			requireHoldsFor(w, a, 10*time.Second)
 		}},
 	}
 	for _, tc := range cases {
@@ -223,6 +199,23 @@
 	}
 }
 
+// requireAcquiresAfterWait requires that none but the process of one machine, which
+// may be nil, has a grant during the wait, and that next has one a second later.
+func requireAcquiresAfterWait(w *world, but, next *machine) {
+	requireNoHolderBut(w, but, wait)
+	w.run(time.Second)
+	require.True(w.t, next.holds(), "%s does not hold the lease after the wait", next.name)
+}
+
+// requireHoldsFor runs the processes for d and requires that one machine's process
+// has a grant throughout.
+func requireHoldsFor(w *world, m *machine, d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.run(10 * time.Millisecond)
+		require.True(w.t, m.holds(), "%s lost the lease %s before the end", m.name, end-w.now)
+	}
+}
+
 // TestLateWriteAfterRestore has the store execute writes of an earlier era after
 // a restore, where their condition holds by chance. None may grant the lease.
 func TestLateWriteAfterRestore(t *testing.T) {
@@ -240,9 +233,7 @@
 		w.restore(copied, 0)
 		require.True(t, w.execute(w.late[0]))
 		a.frozen = true
-		requireNoHolder(w, wait)
-		w.run(time.Second)
-		require.True(t, b.holds())
+		requireAcquiresAfterWait(w, nil, b)
 	})
 	t.Run("an acquisition over a new holder that continues", func(t *testing.T) {
 		w := newWorld(t)
@@ -265,10 +256,7 @@
 		require.True(t, w.execute(late))
 		a.start()
 		a.frozen = false
-		for range 800 {
-			w.run(10 * time.Millisecond)
-			require.True(t, c.holds(), "the holder lost the lease to a write of an earlier era")
-		}
+		requireHoldsFor(w, c, 8*time.Second)
 	})
 	t.Run("a write that is executed after the era rose on its way", func(t *testing.T) {
 		w := newWorld(t)
