--- a/internal/controller/guard_test.go
+++ b/internal/controller/guard_test.go
@@ -44,6 +44,14 @@
 	return nil
 }
 
+// fillBySuccessor has the owner of e1 other than before load two models on it, which
+// fill it.
+func (c *cluster) fillBySuccessor(before *testsystem.ControllerNode) {
+	next := c.successor(before)
+	require.NoError(c.t, c.load(next, "m2", true, 20*time.Second))
+	require.NoError(c.t, c.load(next, "m3", false, 20*time.Second))
+}
+
 // firstEvent returns the time of a controller's first event of a kind about e1.
 func (c *cluster) firstEvent(node *testsystem.ControllerNode, kind events.Kind) time.Time {
 	recorded := node.Events.Select(&pb.GetTimelineRequest{Endpoint: "e1"})
@@ -82,18 +90,14 @@
 			old.Freeze()
 			c.background.Go(func() { _ = c.load(old, "m1", false, 2*time.Minute) })
 			time.Sleep(70 * time.Second)
-			next := c.successor(old)
-			require.NoError(c.t, c.load(next, "m2", true, 20*time.Second))
-			require.NoError(c.t, c.load(next, "m3", false, 20*time.Second))
+			c.fillBySuccessor(old)
 			old.Thaw()
 			time.Sleep(10 * time.Second)
 		}},
 		{"an owner thawed after its lease has expired sends no order", false, func(c *cluster, old *testsystem.ControllerNode) {
 			old.Freeze()
 			time.Sleep(70 * time.Second)
-			next := c.successor(old)
-			require.NoError(c.t, c.load(next, "m2", true, 20*time.Second))
-			require.NoError(c.t, c.load(next, "m3", false, 20*time.Second))
+			c.fillBySuccessor(old)
 			c.background.Go(func() { _ = c.load(old, "m1", false, 5*time.Second) })
 			time.Sleep(100 * time.Millisecond)
 			old.Thaw()
@@ -103,9 +107,7 @@
 			old.Freeze()
 			c.background.Go(func() { _ = c.load(old, "m1", false, 2*time.Minute) })
 			time.Sleep(70 * time.Second)
-			next := c.successor(old)
-			require.NoError(c.t, c.load(next, "m2", true, 20*time.Second))
-			require.NoError(c.t, c.load(next, "m3", false, 20*time.Second))
+			c.fillBySuccessor(old)
 			old.Thaw()
 			time.Sleep(10 * time.Second)
 		}},
