--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -6,18 +6,12 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/demand"
-	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/lease"
 	"chestnutgauge/internal/orders"
@@ -216,74 +210,6 @@
 	}
 }
 
-// state returns the planner's snapshot of a service.
-func (o *Owner) state(service *catalog.Service, endpoints []*inventory.Endpoint, totals demand.Totals, now time.Time) swap.State {
-	state := swap.State{
-		Now:        now,
-		Models:     service.Engine.Models,
-		Demand:     map[string]swap.Demand{},
-		StoreLoads: o.storeLimiter(service).allowed(now, o.storeLoadsInProgress(service.Name)),
-	}
-	for key, total := range totals.Models {
-		if key.Service == service.Name {
-			state.Demand[key.Model] = swap.Demand{
-				Rate:         total.Rate,
-				TokenRate:    total.TokenRate,
-				LateRate:     total.LateRate,
-				Waiting:      total.Waiting,
-				WaitingAt:    total.WaitingAt,
-				CooldownRate: total.CooldownRate,
-				Cooldown:     total.Cooldown,
-				Running:      total.RunningSum(),
-			}
-		}
-	}
-	for _, e := range endpoints {
-		state.Engines = append(state.Engines, o.engine(service, e, totals, now))
-	}
-	return state
-}
-
-// engine returns the planner's view of one engine.
-func (o *Owner) engine(service *catalog.Service, e *inventory.Endpoint, totals demand.Totals, now time.Time) swap.Engine {
-	key := e.Key()
-	tracker := o.trackers[key]
-	if drain, ok := o.drains[key]; ok && now.After(drain.until) {
-		delete(o.drains, key)
-	}
-	engine := swap.Engine{
-		ID:         e.ID,
-		Version:    e.Version,
-		MemoryMB:   service.Engine.MemoryMB,
-		Copies:     map[string]swap.Copy{},
-		Ready:      tracker.Ready(),
-		Leaving:    e.Leaving || totals.Unreachable(e.ID),
-		Loading:    tracker.Reserved(),
-		DrainedFor: o.drains[key].model,
-		InMemory:   e.InMemory,
-		OnDisk:     e.OnDisk,
-	}
-	if e.Leaving {
-		engine.Draining = slices.Sorted(maps.Keys(e.Models))
-	}
-	for name, loaded := range tracker.Models {
-		total := totals.Models[demand.ModelKey{Service: service.Name, Model: name}]
-		engine.Copies[name] = swap.Copy{
-			Running:   total.Running[e.ID],
-			Since:     loaded.Since,
-			AdapterMB: float64(len(loaded.Adapters)) * service.Engine.Models[name].AdapterMB,
-		}
-	}
-	if engine.Loading != "" {
-		if _, loaded := engine.Copies[engine.Loading]; !loaded && tracker.Pending == nil {
-			// The engine may still execute an order that got no response, so
-			// its memory stays reserved.
-			engine.MemoryMB -= service.Engine.Models[engine.Loading].WeightsMB
-		}
-	}
-	return engine
-}
-
 // execute sends the order of one step of the plan.
 func (o *Owner) execute(ctx context.Context, service *catalog.Service, endpoints []*inventory.Endpoint, step swap.Step, now time.Time) {
 	for _, e := range endpoints {
@@ -309,61 +235,6 @@
 	}
 }
 
-var errLeaseNotHeld = errors.New("owner: the lease is not held")
-
-// order sends an order and records the response.
-func (o *Owner) order(ctx context.Context, tracker *orders.Tracker, order orders.Order, accepted, fence int64) {
-	result, err := o.call(ctx, tracker.Engine, order, accepted, fence)
-	now := time.Now()
-	o.recordResult(tracker, order, result, now)
-	o.Log.Info("order answered", "endpoint", tracker.Engine.ID, "unload", order.Unload, "model", order.Model, "adapter", order.Adapter,
-		"result", result.String(), "accepted", accepted, "fence", fence, "error", err)
-}
-
-// recordResult records the response to an order and notifies the control loop.
-func (o *Owner) recordResult(tracker *orders.Tracker, order orders.Order, result orders.Result, now time.Time) {
-	o.mu.Lock()
-	tracker.Answered(order, result, now)
-	o.mu.Unlock()
-	metrics.GetOrCreateCounter(`chestnut_orders_total{result="` + result.String() + `"}`).Inc()
-	o.Notify()
-}
-
-// call sends an order if the lease is still held under the given fencing token.
-// It checks the lease immediately before the call, and again before its first byte is written.
-func (o *Owner) call(ctx context.Context, to orders.Engine, order orders.Order, accepted, fence int64) (orders.Result, error) {
-	grant, ok := o.Lease.Grant()
-	if !ok || grant.Fence != fence {
-		return orders.Rejected, errLeaseNotHeld
-	}
-	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, grant.Left))
-	defer cancel()
-	holds := func() bool {
-		grant, ok := o.Lease.Grant()
-		return ok && grant.Fence == fence
-	}
-	return o.Engines.Order(httpclient.WithGuard(ctx, holds), to, order, accepted, fence)
-}
-
-// report requests an engine's report and records it.
-func (o *Owner) report(ctx context.Context, tracker *orders.Tracker) {
-	requestedAt := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := o.Engines.Report(ctx, tracker.Engine)
-	now := time.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if err != nil {
-		tracker.CallInFlight = false
-		tracker.NextReport = now.Add(orders.ReportLag)
-		o.Log.Info("engine report failed", "endpoint", tracker.Engine.ID, "error", err)
-		return
-	}
-	tracker.Reported(report, requestedAt, now)
-	o.Log.Info("engine report received", "endpoint", tracker.Engine.ID, "accepted", report.Accepted, "busy", report.Busy, "models", len(report.Models), "known", tracker.StateKnown)
-}
-
 // Expected returns, for each model being loaded, the time until the load should
 // complete.
 func (o *Owner) Expected(now time.Time) map[demand.LoadKey]time.Duration {
