--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -133,3 +133,15 @@
 	}
 	return b
 }
+
+// observations returns the observations of a record.
+func (r *record) observations() []Evidence {
+	out := slices.Clone(r.others)
+	if !r.failed.At.IsZero() {
+		out = append(out, r.failed)
+	}
+	if !r.answered.At.IsZero() {
+		out = append(out, r.answered)
+	}
+	return out
+}
