Name the end of a wait for a place as what it is

The doc comment of countAsk named another function.

go test ./internal/concurrency ./internal/fleet passes.

--- a/internal/concurrency/balancer.go
+++ b/internal/concurrency/balancer.go
@@ -96,8 +96,8 @@
 	return b.limiter.Begin(ask, now)
 }
 
-// Forget is Limiter.Forget.
-func (b *Balancer[K]) Forget(request string) { b.limiter.Forget(request) }
+// EndWait is Limiter.EndWait.
+func (b *Balancer[K]) EndWait(request string) { b.limiter.EndWait(request) }
 
 // Cancel is Limiter.Cancel.
 func (b *Balancer[K]) Cancel(request string) { b.limiter.Cancel(request) }
--- a/internal/concurrency/balancer_test.go
+++ b/internal/concurrency/balancer_test.go
@@ -92,7 +92,7 @@
 		}
 		_, granted, _ := balancer.Begin(balanced("none"), now)
 		require.False(t, granted)
-		balancer.Forget("none")
+		balancer.EndWait("none")
 	}
 	fill(0, balancerNow)
 	later := balancerNow.Add(minPlaceTime + time.Millisecond)
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -119,7 +119,7 @@
 }
 
 // Begin grants a place at one of the candidates: the one of the lowest cost, among equal ones
-// the one with the most free places. If there is none, the request waits until Forget, and
+// the one with the most free places. If there is none, the request waits until EndWait, and
 // changed is closed when it should ask again.
 func (l *Limiter[K]) Begin(ask Ask[K], now time.Time) (endpoint K, granted bool, changed <-chan struct{}) {
 	l.mu.Lock()
@@ -181,8 +181,8 @@
 	return p
 }
 
-// Forget ends the wait of a request.
-func (l *Limiter[K]) Forget(request string) {
+// EndWait ends the wait of a request.
+func (l *Limiter[K]) EndWait(request string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.waiting, request)
--- a/internal/concurrency/limiter_test.go
+++ b/internal/concurrency/limiter_test.go
@@ -34,7 +34,7 @@
 		if e, granted, _ := l.Begin(a, at(0)); granted {
 			got[e]++
 		}
-		l.Forget(a.Request)
+		l.EndWait(a.Request)
 	}
 	require.Equal(t, map[string]int{"a": 2 + spare, "b": 2 + spare}, got)
 	_, granted, _ := l.Begin(ask("late", 0, "a"), at(time.Minute+1))
@@ -84,7 +84,7 @@
 			_, granted, _ := l.Begin(ask(request, 0, "a"), now)
 			switch {
 			case !granted:
-				l.Forget(request)
+				l.EndWait(request)
 			case len(held) < slots:
 				held[request] = true
 			default:
@@ -120,11 +120,11 @@
 				held[e][request] = true
 				require.LessOrEqual(t, len(held[e]), 2+spare)
 			} else if rapid.Bool().Draw(t, "leaves") {
-				l.Forget(request)
+				l.EndWait(request)
 			}
 		}
 		for _, request := range []string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"} {
-			l.Forget(request)
+			l.EndWait(request)
 			for e := range held {
 				l.End(e, request, false, at(time.Hour))
 			}
--- a/internal/fleet/awaitplace.go
+++ b/internal/fleet/awaitplace.go
@@ -13,8 +13,8 @@
 type placeQueue struct {
 	// begin grants a place, or returns a channel that is closed when one may be free.
 	begin func(now time.Time) (endpoint inventory.Key, granted bool, changed <-chan struct{})
-	// forget ends the wait of the request.
-	forget func()
+	// endWait ends the wait of the request.
+	endWait func()
 }
 
 // await waits for a place until ctx ends. The lease may be lost meanwhile, and a node that waits no
@@ -22,11 +22,11 @@
 func (q placeQueue) await(ctx context.Context, lease owner.Lease) (endpoint inventory.Key, granted bool, err error) {
 	for {
 		if _, ok := lease.Grant(); !ok {
-			q.forget()
+			q.endWait()
 			return inventory.Key{}, false, owner.ErrNotOwner
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
-			q.forget()
+			q.endWait()
 			return inventory.Key{}, false, ctx.Err()
 		}
 		endpoint, granted, changed := q.begin(time.Now())
@@ -36,7 +36,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			q.forget()
+			q.endWait()
 			return inventory.Key{}, false, nil
 		}
 	}
--- a/internal/fleet/balancer.go
+++ b/internal/fleet/balancer.go
@@ -32,7 +32,7 @@
 	endTimeout = 300 * time.Millisecond
 	// maxBalanceCalls bounds the requests in a second for which the owner grants places.
 	maxBalanceCalls = 800
-	// balancePruneInterval is the interval at which the owner forgets endpoints that are gone.
+	// balancePruneInterval is the interval at which the owner drops endpoints that are gone.
 	balancePruneInterval = 10 * time.Second
 )
 
@@ -190,14 +190,14 @@
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(request.MaxWaitUS)*time.Microsecond, maxBalanceWait))
 	defer cancel()
 	queue := placeQueue{
-		begin:  func(now time.Time) (inventory.Key, bool, <-chan struct{}) { return b.places.Begin(ask, now) },
-		forget: func() { b.places.Forget(ask.Request) },
+		begin:   func(now time.Time) (inventory.Key, bool, <-chan struct{}) { return b.places.Begin(ask, now) },
+		endWait: func() { b.places.EndWait(ask.Request) },
 	}
 	endpoint, granted, err := queue.await(ctx, b.Lease)
 	return balanceResponse{Granted: granted, Endpoint: endpoint}, err
 }
 
-// count counts a place to be granted, and reports whether the owner has time for it.
+// countAsk counts a place to be granted, and reports whether the owner has time for it.
 func (b *Balancer) countAsk(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -212,8 +212,8 @@
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(request.MaxWaitMS)*time.Millisecond, maxPlaceWait))
 	defer cancel()
 	queue := placeQueue{
-		begin:  func(now time.Time) (inventory.Key, bool, <-chan struct{}) { return p.limiter.Begin(ask, now) },
-		forget: func() { p.limiter.Forget(ask.Request) },
+		begin:   func(now time.Time) (inventory.Key, bool, <-chan struct{}) { return p.limiter.Begin(ask, now) },
+		endWait: func() { p.limiter.EndWait(ask.Request) },
 	}
 	endpoint, granted, err := queue.await(ctx, p.Lease)
 	return placeResponse{Granted: granted, Endpoint: endpoint}, err
