Use plain names for suspects that are cleared and evidence that is over

innocent is harmless, the word of the rest of the package; forgotten is expired, as for the crashes in the evidence. No behaviour changes.

go test ./internal/suspect passes.

--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -206,8 +206,8 @@
 	return 2
 }
 
-// forgotten reports whether the evidence has no effect any more, at any node.
-func (e *evidence) forgotten(now time.Time) bool {
+// expired reports whether the evidence has no effect any more, at any node.
+func (e *evidence) expired(now time.Time) bool {
 	live := slices.ContainsFunc(e.crashes, func(c crash) bool { return !c.expired(now) })
 	return !live && now.Sub(e.clearedAt) > aloneRetention
 }
--- a/internal/suspect/exchange.go
+++ b/internal/suspect/exchange.go
@@ -95,7 +95,7 @@
 	var newer []versioned
 	for _, digest := range r.marks.Keys() {
 		e, _ := r.marks.Peek(digest)
-		if e.forgotten(now) {
+		if e.expired(now) {
 			r.marks.Remove(digest)
 			continue
 		}
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -126,13 +126,13 @@
 // to. If not, it may be harmless although it has the digest. The caller holds mu.
 func (r *Registry) explains(req Request, e *evidence, now time.Time) bool {
 	return !slices.ContainsFunc(e.companions(now), func(companion Digest) bool {
-		return !req.has(companion) && !r.innocent(companion, now)
+		return !req.has(companion) && !r.harmless(companion, now)
 	})
 }
 
-// innocent reports whether a response with a digest came whole lately, here or after
+// harmless reports whether a response with a digest was completed recently, here or after
 // the crashes that it was blamed for. The caller holds mu.
-func (r *Registry) innocent(digest Digest, now time.Time) bool {
+func (r *Registry) harmless(digest Digest, now time.Time) bool {
 	if r.trusts(digest, now) {
 		return true
 	}
@@ -140,7 +140,7 @@
 	return ok && e.weight(now) == 0
 }
 
-// trusts reports whether a response with a digest came whole within trustTime, at this
+// trusts reports whether a response with a digest was completed within trustTime, at this
 // node or, after a crash, at any. The caller holds mu.
 func (r *Registry) trusts(digest Digest, now time.Time) bool {
 	if at, ok := r.trusted.Peek(digest); ok && now.Sub(at) <= trustTime {
