--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -35,12 +35,14 @@
 	return e
 }
 
+// onDisk returns an engine that has checkpoints on its disk.
+func onDisk(e Engine, names ...string) Engine {
+	e.OnDisk = names
+	return e
+}
+
 // TestPlan checks the plan for each pattern of demand.
 func TestPlan(t *testing.T) {
-	onDisk := func(e Engine, names ...string) Engine {
-		e.OnDisk = names
-		return e
-	}
 	inMemory := func(e Engine, names ...string) Engine {
 		e.InMemory = names
 		return e
--- a/internal/swap/versions_test.go
+++ b/internal/swap/versions_test.go
@@ -17,10 +17,6 @@
 // by engines of another software version.
 func TestPlanOfVersions(t *testing.T) {
 	waitingAt1 := map[string]Demand{"r": {Rate: 0.5, WaitingAt: map[string]int{"1": 1}}}
-	onDisk := func(e Engine, names ...string) Engine {
-		e.OnDisk = names
-		return e
-	}
 	tests := []struct {
 		name    string
 		engines []Engine
