Choose in one place in the simulation of nodes that report their load

The two policies of the simulation that choose by a node's own view wrote out the same choice, with the wait of a request that finds all endpoints full; reported.begin does it for both.

go test -v ./internal/choose prints the same 143 lines before and after, apart from durations.

--- a/internal/choose/balance_others_test.go
+++ b/internal/choose/balance_others_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"chestnutgauge/internal/choose"
@@ -70,17 +69,10 @@
 		p.started = true
 		s.every(p.interval, func() { p.pass(s) })
 	}
-	n := p.nodes[r.chooser]
-	chosen, verdict := p.chooser.Choose(p.request(s, r), p.candidates(s, n), n.rng)
-	if verdict != choose.Found {
-		s.noteWait(r)
-		s.after(pollInterval, func() { p.choose(s, r) })
-		return
+	if i, found := p.begin(s, r, func() { p.choose(s, r) }); found {
+		p.inFlight[i]++
+		s.send(r, i)
 	}
-	i, _ := strconv.Atoi(chosen.Name)
-	p.inFlight[i]++
-	n.tracker.Begin(chosen.Name, s.time())
-	s.send(r, i)
 }
 
 // pass passes the sums on to all choosers, by way of the owner.
--- a/internal/choose/balance_policies_test.go
+++ b/internal/choose/balance_policies_test.go
@@ -85,16 +85,24 @@
 }
 
 func (p *reported) choose(s *sim, r *simRequest) {
+	if i, found := p.begin(s, r, func() { p.choose(s, r) }); found {
+		s.send(r, i)
+	}
+}
+
+// begin chooses an endpoint by what the node of a request knows and counts the request
+// there. If all are full, the request waits, and again is called after pollInterval.
+func (p *reported) begin(s *sim, r *simRequest, again func()) (endpoint int, found bool) {
 	n := p.nodes[r.chooser]
 	chosen, verdict := p.chooser.Choose(p.request(s, r), p.candidates(s, n), n.rng)
 	if verdict != choose.Found {
 		s.noteWait(r)
-		s.after(pollInterval, func() { p.choose(s, r) })
-		return
+		s.after(pollInterval, again)
+		return 0, false
 	}
-	i, _ := strconv.Atoi(chosen.Name)
 	n.tracker.Begin(chosen.Name, s.time())
-	s.send(r, i)
+	endpoint, _ = strconv.Atoi(chosen.Name)
+	return endpoint, true
 }
 
 func (p *reported) report(s *sim, r *simRequest, running, waiting int, slowness float64) {
