--- a/internal/controller/keepalive_test.go
+++ b/internal/controller/keepalive_test.go
@@ -17,13 +17,7 @@
 
 // unloads returns the unloads of a model in the journal.
 func (s wakeSystem) unloads(model string) []standin.Entry {
-	var out []standin.Entry
-	for _, entry := range s.StandIn.Journal.Entries() {
-		if entry.Kind == standin.EntryUnload && entry.Model == model {
-			out = append(out, entry)
-		}
-	}
-	return out
+	return s.journal(standin.EntryUnload, model)
 }
 
 func modelWithWeight(weight float64, maxIdle time.Duration) *pb.Model {
--- a/internal/controller/wake_test.go
+++ b/internal/controller/wake_test.go
@@ -107,9 +107,14 @@
 
 // loads returns the journal entries of started loads of a model.
 func (s wakeSystem) loads(model string) []standin.Entry {
+	return s.journal(standin.EntryLoadStart, model)
+}
+
+// journal returns the journal entries of a kind about a model.
+func (s wakeSystem) journal(kind standin.EntryKind, model string) []standin.Entry {
 	var out []standin.Entry
 	for _, entry := range s.StandIn.Journal.Entries() {
-		if entry.Kind == standin.EntryLoadStart && entry.Model == model {
+		if entry.Kind == kind && entry.Model == model {
 			out = append(out, entry)
 		}
 	}
