Name what is dropped or expires as such, not as forgotten

Comments and unexported names spoke of forgetting, remembering and memory where entries are dropped, stored or expire: unknownMemory is unknownTTL, forgetWaiting removeWaiting, forgetRow dropRow, idleGaps.forget prune. No behaviour, log line or name on the wire changes.

go test of ./internal/controller, fairshare, inventory, ratelimit and retrybudget passes.

--- a/internal/controller/keepalive.go
+++ b/internal/controller/keepalive.go
@@ -54,8 +54,8 @@
 	return keepalive.IdleTimeout(keepalive.DefaultSettings(), own, &g.all, coldStartCost(model, own.Callers()))
 }
 
-// forget deletes the gaps of models that are no longer offered.
-func (g *idleGaps) forget(current *config.Snapshot) {
+// prune deletes the gaps of models that are no longer offered.
+func (g *idleGaps) prune(current *config.Snapshot) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	maps.DeleteFunc(g.own, func(model string, _ *keepalive.History) bool {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -128,7 +128,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		c.idleGaps.forget(c.Config.Current())
+		c.idleGaps.prune(c.Config.Current())
 		for _, name := range c.engineNames() {
 			c.enqueueEngine(name)
 			c.enqueueTable(name)
--- a/internal/controller/ownership.go
+++ b/internal/controller/ownership.go
@@ -66,7 +66,8 @@
 	}
 }
 
-func (c *Controller) forgetRow(name string) {
+// dropRow drops the cached row of an engine and its mark as unowned.
+func (c *Controller) dropRow(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.rows, name)
@@ -161,7 +162,7 @@
 	if _, offered := c.Config.Current().Endpoint(name); version == 0 && !offered {
 		// The engine left the configuration and its row was deleted: there is
 		// nothing to take.
-		c.forgetRow(name)
+		c.dropRow(name)
 		return 0, nil
 	}
 	c.cacheRow(name, row)
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -299,7 +299,7 @@
 	if err != nil && !platform.IsConflict(err) {
 		return err
 	}
-	o.controller.forgetRow(o.name)
+	o.controller.dropRow(o.name)
 	o.controller.stopOwning(o, events.EndpointReleased)
 	return nil
 }
--- a/internal/fairshare/aggregator.go
+++ b/internal/fairshare/aggregator.go
@@ -84,7 +84,7 @@
 func (a *Aggregator) Add(node string, uses []Use, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.forgetWaiting(node)
+	a.removeWaiting(node)
 	var waiting []Use
 	for _, u := range uses {
 		t, ok := a.teams[u.Key]
@@ -106,8 +106,8 @@
 	}
 }
 
-// forgetWaiting drops the waiting requests that a node has reported. The caller holds mu.
-func (a *Aggregator) forgetWaiting(node string) {
+// removeWaiting drops the waiting requests that a node has reported. The caller holds mu.
+func (a *Aggregator) removeWaiting(node string) {
 	for _, u := range a.waiting[node].uses {
 		if t := a.teams[u.Key]; t != nil {
 			t.waiting = max(0, t.waiting-u.Waiting)
@@ -136,7 +136,7 @@
 	a.leadsAt = now
 	for node, w := range a.waiting {
 		if now.Sub(w.at) > waitingTTL {
-			a.forgetWaiting(node)
+			a.removeWaiting(node)
 		}
 	}
 	groups := map[sharing][]Key{}
--- a/internal/fairshare/meter.go
+++ b/internal/fairshare/meter.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// minDemand is the averaged work below which a node forgets a team.
+// minDemand is the averaged work below which a node drops a team.
 const minDemand = 0.01
 
 // Meter measures the work of teams at one node. Its methods are safe for concurrent use, also on
--- a/internal/inventory/removals.go
+++ b/internal/inventory/removals.go
@@ -1,6 +1,6 @@
 package inventory
 
-// maxRemovals bounds the number of removals that are remembered.
+// maxRemovals bounds the number of removals that are stored.
 const maxRemovals = 4096
 
 // removal is the removal of an endpoint.
@@ -11,7 +11,7 @@
 	startedAtMS int64
 }
 
-// removals remembers the endpoints that were removed last.
+// removals holds the endpoints that were removed last.
 type removals struct {
 	// last is the last removal of each endpoint that was not published again, by id.
 	last map[string]removal
@@ -22,7 +22,7 @@
 }
 
 // update records the endpoints that are removed by the change from before to
-// after, and forgets those that are published.
+// after, and drops those that are published.
 func (r *removals) update(before, after map[string]*Endpoint) {
 	for id := range after {
 		delete(r.last, id)
--- a/internal/ratelimit/teambucket.go
+++ b/internal/ratelimit/teambucket.go
@@ -25,7 +25,7 @@
 	missing float64
 }
 
-// maxCharges bounds the charges that a bucket remembers.
+// maxCharges is the number of charges that a bucket stores.
 const maxCharges = 32
 
 // charge takes tokens.
--- a/internal/ratelimit/teams_test.go
+++ b/internal/ratelimit/teams_test.go
@@ -227,7 +227,7 @@
 		}
 	}
 	require.InDelta(t, 50, used, 5)
-	require.False(t, r.UsesPart("a", now+unknownMemory))
+	require.False(t, r.UsesPart("a", now+unknownTTL))
 }
 
 // TestRefillOfNodesInContact guards against an owner that refills the limits for nodes that use
--- a/internal/ratelimit/teamtokens.go
+++ b/internal/ratelimit/teamtokens.go
@@ -24,7 +24,7 @@
 	meanCost float64
 	// waiting are the costs of the requests that wait for tokens.
 	waiting []float64
-	// refusedUntil is the end of the memory of a refusal, availableAt when the owner expects
+	// refusedUntil is when a refusal no longer counts, availableAt when the owner expects
 	// to have tokens.
 	refusedUntil, availableAt time.Duration
 	spread                    returnSpread
@@ -144,16 +144,16 @@
 	return max(0, need-left), max(0, slices.Min(t.waiting)-left)
 }
 
-// unknownMemory is the time for which the owner's answer holds that it does not know a team. The
+// unknownTTL is the time for which the owner's answer holds that it does not know a team. The
 // nodes apply a new configuration within a few seconds of each other.
-const unknownMemory = 250 * time.Millisecond
+const unknownTTL = 250 * time.Millisecond
 
 // unknown records that the owner does not know the team.
 func (t *teamTokens) unknown(now time.Duration) {
 	if now-t.unknownUntil > partEnd {
 		t.unknownSince = now
 	}
-	t.unknownUntil = now + unknownMemory
+	t.unknownUntil = now + unknownTTL
 }
 
 // refillPart adds to the node's part since it may use it.
--- a/internal/retrybudget/part.go
+++ b/internal/retrybudget/part.go
@@ -6,7 +6,7 @@
 )
 
 // askInterval is the longest time between two asks of a process to the same owner, which may have
-// forgotten what it knew. It is well below the time for which a new owner grants nothing.
+// lost what it knew. It is well below the time for which a new owner grants nothing.
 const askInterval = 5 * time.Second
 
 // usePeriods is the number of periods in a window for which the retries of a service are counted.
--- a/internal/retrybudget/pool.go
+++ b/internal/retrybudget/pool.go
@@ -135,7 +135,7 @@
 	return p.unknown
 }
 
-// expire forgets the processes whose part has lapsed, and that can have used none of it within the
+// expire drops the processes whose part has lapsed, and that can have used none of it within the
 // window. The caller holds mu.
 func (p *Pool) expire(now time.Duration) {
 	if now-p.expiredAt < expireInterval {
