Say send, notify and complete in the code of places and suspects

tell of Balancer and Places is notifyOwner, that of Suspects send; responses that came whole are completed. Comments and unexported names only; log lines and messages stay.

go test ./internal/fleet ./internal/suspect passes.

--- a/internal/fleet/balancer.go
+++ b/internal/fleet/balancer.go
@@ -23,12 +23,12 @@
 const (
 	// maxBalanceWait bounds the time for which the owner lets a request wait for a place.
 	maxBalanceWait = 50 * time.Millisecond
-	// balanceTimeout is the time for a call beside that wait. Without an answer the node
+	// balanceTimeout is the time for a call in addition to that wait. Without an answer the node
 	// chooses by what it knows itself.
 	balanceTimeout = 40 * time.Millisecond
 	// balancePause is the time after a failed call for which the node does not ask.
 	balancePause = 500 * time.Millisecond
-	// endTimeout is the time for a call that tells of an end.
+	// endTimeout is the time for a call that reports an end.
 	endTimeout = 300 * time.Millisecond
 	// maxBalanceCalls bounds the requests in a second for which the owner grants places.
 	maxBalanceCalls = 800
@@ -116,7 +116,7 @@
 		TTLUS:      ask.Expires.Sub(now).Microseconds(),
 	})
 	if err != nil && !errors.Is(err, errNoOwner) {
-		go b.tell(balanceRequest{Request: ask.Request, Cancelled: true})
+		go b.notifyOwner(balanceRequest{Request: ask.Request, Cancelled: true})
 	}
 	if ctx.Err() == nil {
 		b.record(err, time.Now())
@@ -126,11 +126,11 @@
 
 // End implements relay.Balancer.
 func (b *Balancer) End(endpoint inventory.Key, request string, rejected bool, work concurrency.Work) {
-	b.tell(balanceRequest{Request: request, Ended: true, Endpoint: endpoint, Rejected: rejected, TookUS: work.Took.Microseconds(), Slowness: work.Slowness})
+	b.notifyOwner(balanceRequest{Request: request, Ended: true, Endpoint: endpoint, Rejected: rejected, TookUS: work.Took.Microseconds(), Slowness: work.Slowness})
 }
 
-// tell tells the owner of the end of a place. One that is not given back ends with its time.
-func (b *Balancer) tell(request balanceRequest) {
+// notifyOwner reports the end of a place to the owner. One that is not given back ends with its time.
+func (b *Balancer) notifyOwner(request balanceRequest) {
 	_, _ = b.call(context.Background(), endTimeout, request)
 }
 
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -21,7 +21,7 @@
 const (
 	// maxPlaceWait bounds the time for which the owner lets a request wait for a place.
 	maxPlaceWait = 200 * time.Millisecond
-	// placeCallTimeout is the time for a call beside that wait.
+	// placeCallTimeout is the time for a call in addition to that wait.
 	placeCallTimeout = 300 * time.Millisecond
 	// maxHandovers is the number of times in a row that a place goes from one request of a
 	// node to another one of it, before those of other nodes are considered.
@@ -142,16 +142,16 @@
 // endPlace gives a place back to the owner.
 func (p *Places) endPlace(place relay.Place, rejected bool) {
 	p.hold(place.Endpoint, -1)
-	p.tell(placeRequest{Request: place.Request, Ended: true, Endpoint: place.Endpoint, Rejected: rejected})
+	p.notifyOwner(placeRequest{Request: place.Request, Ended: true, Endpoint: place.Endpoint, Rejected: rejected})
 }
 
 // prolong tells the owner that a place is used by another request.
 func (p *Places) prolong(place relay.Place, ask concurrency.Ask[inventory.Key]) {
-	p.tell(placeRequest{Request: place.Request, Prolonged: true, Endpoint: place.Endpoint, TTLMS: time.Until(ask.Expires).Milliseconds()})
+	p.notifyOwner(placeRequest{Request: place.Request, Prolonged: true, Endpoint: place.Endpoint, TTLMS: time.Until(ask.Expires).Milliseconds()})
 }
 
-// tell makes a call to the owner that changes a place.
-func (p *Places) tell(request placeRequest) {
+// notifyOwner makes a call to the owner that changes a place.
+func (p *Places) notifyOwner(request placeRequest) {
 	if _, err := p.ask(context.Background(), request); err != nil {
 		p.Log.Info("change of a place not told", "endpoint", request.Endpoint.ID, "ended", request.Ended, "error", err)
 	}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -27,8 +27,8 @@
 	trialTimeout = 300 * time.Millisecond
 	// maxTrialTime bounds the time for which a trial is granted.
 	maxTrialTime = time.Minute
-	// tellConcurrency is the number of nodes that are told of suspects at once.
-	tellConcurrency = 16
+	// sendConcurrency is the number of nodes that suspects are sent to at once.
+	sendConcurrency = 16
 	// askInterval is the time after which other nodes are asked for theirs again,
 	// askedNodes the number of them that answer.
 	askInterval = time.Second
@@ -79,9 +79,9 @@
 	trials suspect.Trials
 	// received is the version of the owner's suspects that this node has received.
 	received atomic.Int64
-	// told is the version of this node's own suspects that it has told other nodes
+	// sent is the version of this node's own suspects that it has sent to other nodes
 	// without an owner, askedAt when it last asked for theirs. Only exchange uses them.
-	told    int64
+	sent    int64
 	askedAt time.Time
 }
 
@@ -162,10 +162,10 @@
 	if len(nodes) == 0 {
 		return
 	}
-	marks, version := s.Known.OwnSince(s.told, now)
+	marks, version := s.Known.OwnSince(s.sent, now)
 	if len(marks) > 0 {
-		s.told = version
-		go s.tell(ctx, nodes, marks)
+		s.sent = version
+		go s.send(ctx, nodes, marks)
 	}
 	if now.Sub(s.askedAt) >= askInterval {
 		s.askedAt = now
@@ -173,10 +173,10 @@
 	}
 }
 
-// tell tells nodes of suspects.
-func (s *Suspects) tell(ctx context.Context, nodes []string, marks []suspect.CrashMark) {
+// send sends suspects to nodes.
+func (s *Suspects) send(ctx context.Context, nodes []string, marks []suspect.CrashMark) {
 	var group errgroup.Group
-	group.SetLimit(tellConcurrency)
+	group.SetLimit(sendConcurrency)
 	for _, node := range nodes {
 		group.Go(func() error {
 			_, err := s.call(ctx, node, suspectsRequest{Suspects: marks})
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -10,7 +10,7 @@
 )
 
 // Weights of the evidence from which a digest is suspected. trustedWeight applies if a
-// response with it came whole within trustTime.
+// response with it was completed within trustTime.
 const (
 	suspectWeight = 2
 	trustedWeight = 6
@@ -20,7 +20,7 @@
 // Limits of a Registry.
 const (
 	registrySize = 1024
-	// trustedSize is the number of digests of whole responses that are stored.
+	// trustedSize is the number of digests of completed responses that are stored.
 	trustedSize = 8192
 	// unansweredSize is the number of crashed endpoints for which requests without a
 	// response are stored, maxUnanswered the number of these requests.
@@ -35,7 +35,7 @@
 type Registry struct {
 	mu    sync.Mutex
 	marks *lru.Cache[Digest, *evidence]
-	// trusted is when a response with a digest last came whole at this node.
+	// trusted is when a response with a digest was last completed at this node.
 	trusted *lru.Cache[Digest, time.Time]
 	// unanswered are the requests without a response on an endpoint when it crashed.
 	unanswered *lru.Cache[string, []Digest]
@@ -74,7 +74,7 @@
 }
 
 // OwnChanged returns a channel that receives a value when this node has learned of a
-// crash, or that a suspect's response came whole.
+// crash, or that a suspect's response was completed.
 func (r *Registry) OwnChanged() <-chan struct{} {
 	return r.ownChanged
 }
@@ -265,7 +265,7 @@
 	}
 }
 
-// Answered records that a response to a request came whole, and reports whether that
+// Answered records that a response to a request was completed, and reports whether that
 // clears it of a crash.
 func (r *Registry) Answered(req Request, now time.Time) (cleared bool) {
 	r.mu.Lock()
