--- a/internal/noded/shutdown.go
+++ b/internal/noded/shutdown.go
@@ -60,7 +60,8 @@
 }
 
 // endPeerCalls takes no more calls of other nodes, finishes those that have arrived and refuses those
-// that are incomplete, so that none ends without telling whether a request was sent. The streams that other nodes follow outlast it.
+// that are incomplete, so that none ends without telling whether a request was sent. The streams that
+// other nodes follow outlast it.
 func (n *Node) endPeerCalls(peers *httpserver.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
