--- a/internal/relay/authorize.go
+++ b/internal/relay/authorize.go
@@ -97,9 +97,9 @@
 	return k, failure
 }
 
-// sendAuthorization returns a function that checks the request's key as authorize does, whether
-// the caller is still there, and whether it is too late before the process ends. The sender may call it while the exchange goes on after a cancellation, so
-// it changes nothing there.
+// sendAuthorization returns a function that checks the request's key as authorize does, whether the
+// caller is still there, and whether it is too late before the process ends. The sender may call it
+// while the exchange goes on after a cancellation, so it changes nothing there.
 func (x *exchange) sendAuthorization(ctx context.Context) func() *Failure {
 	r, req, began, begun, attempt := x.relay, x.req, x.team, x.started, x.attemptTime()
 	return func() *Failure {
