--- a/internal/fleet/configuration_test.go
+++ b/internal/fleet/configuration_test.go
@@ -10,6 +10,7 @@
 
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
+	"chestnutgauge/internal/lease"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
@@ -70,3 +71,30 @@
 	node.OnConfigConfirmed = func(int64, time.Duration) { t.Error("confirmed") }
 	require.NoError(t, node.report(t.Context()))
 }
+
+// lapsedLease is a lease whose grant has expired.
+type lapsedLease struct{}
+
+func (lapsedLease) Grant() (lease.Grant, bool) { return lease.Grant{}, false }
+
+// TestFormerOwnerKnowsOtherNodes guards against a node whose lease has expired, as the store does not
+// answer it, and that then knows no other node to ask for the configuration: nobody reports to it any
+// more, and it took the list of those that do for the list of all nodes.
+func TestFormerOwnerKnowsOtherNodes(t *testing.T) {
+	node, address := suspectNode(t, false)
+	node.Owner = owner.New(owner.Dependencies{Inventory: inventory.New(), Lease: lapsedLease{}, Log: discard})
+	node.Aggregator = demand.NewAggregator()
+	follow(holderAt(address), node)
+	node.storeResponse(address, DemandResponse{Peers: []string{address, "127.0.0.1:1", "127.0.0.1:2"}})
+	_ = node.report(t.Context())
+	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, node.randomPeers(copiesAsked))
+}
+
+// TestNewOwnerNamesFewNodes guards against a node that asks none of the nodes that it knew, since a new
+// owner names only those that have reported to it so far.
+func TestNewOwnerNamesFewNodes(t *testing.T) {
+	node, address := suspectNode(t, false)
+	node.storeResponse("127.0.0.1:1", DemandResponse{Peers: []string{address, "127.0.0.1:1", "127.0.0.1:2"}})
+	node.storeResponse("127.0.0.1:2", DemandResponse{Peers: []string{"127.0.0.1:2"}})
+	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, node.randomPeers(copiesAsked))
+}
