A node remembers the nodes that it may ask

What callers saw: a former owner of the engines, which the store does not answer, handled requests by a version that others had replaced more than configApplyMs before, for 4 s and longer.

Cause: a node asks for configurations, and calls the store, through the nodes on the list that the owner last told. A node whose lease has expired goes on answering its own reports, and 4 s after the last report of another node (demand.reportTTL) that list holds itself only; a new owner names only those that have reported to it so far. The class: the answer of one who knows few replaces what was known.

Change: a node that does not hold the lease takes no answer of its own as the owner's.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -65,6 +65,8 @@
 
 	mu    sync.Mutex
 	peers []string
+	// askable are the nodes that may be asked.
+	askable peers
 	// peersVersion is the version of peers, 0 if the owner states none.
 	peersVersion uint64
 	// expected holds, by model and software version, when loads should complete.
@@ -198,6 +200,10 @@
 	case "":
 		return errNoOwner
 	case c.Self:
+		if _, owns := c.Owner.Lease.Grant(); !owns {
+			// Nobody else reports to a former owner, so its list of nodes would be of no use.
+			return errNoOwner
+		}
 		if c.sent.to != c.Self {
 			go c.Suspects.ask(ctx, c.Others())
 		}
@@ -290,6 +296,7 @@
 	if len(response.Peers) > 0 || response.PeersVersion == 0 {
 		c.peers = response.Peers
 	}
+	c.askable.add(c.peers, now)
 	c.peersVersion = response.PeersVersion
 	c.expected = make(map[demand.ModelKey]map[string]time.Time, len(response.Expected))
 	for _, e := range response.Expected {
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -70,7 +70,7 @@
 func (c *Client) ConfigCopies(ctx context.Context, newerThan int64) []catalog.Copy {
 	ctx, cancel := context.WithTimeout(ctx, configCopyTimeout)
 	defer cancel()
-	peers := c.randomPeers(copiesAsked)
+	peers := c.nextPeers(copiesAsked)
 	answers := make(chan *catalog.Copy, len(peers))
 	for _, peer := range peers {
 		go func() { answers <- c.configCopy(ctx, peer, newerThan) }()
--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -80,7 +79,7 @@
 		return c.storeRead(ctx, call)
 	}
 	err := errNoPeer
-	for _, peer := range c.randomPeers(writeAttempts) {
+	for _, peer := range c.nextPeers(writeAttempts) {
 		var reply StoreReply
 		if reply, err = c.storeCallThrough(ctx, peer, call); err == nil {
 			return reply, nil
@@ -95,7 +94,7 @@
 // storeRead is StoreCall for a read. A node that does not answer soon is not waited for alone.
 func (c *Client) storeRead(ctx context.Context, call StoreCall) (StoreReply, error) {
 	var ways []storeWay
-	for _, peer := range c.randomPeers(readAttempts) {
+	for _, peer := range c.nextPeers(readAttempts) {
 		ways = append(ways, func(ctx context.Context, call StoreCall) (StoreReply, error) {
 			return c.storeCallThrough(ctx, peer, call)
 		})
@@ -127,19 +126,6 @@
 	return reply, err
 }
 
-// randomPeers returns at most limit other nodes, chosen at random.
-func (c *Client) randomPeers(limit int) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []string
-	for _, i := range rand.Perm(len(c.peers)) {
-		if peer := c.peers[i]; peer != c.Self && len(out) < limit {
-			out = append(out, peer)
-		}
-	}
-	return out
-}
-
 // serveStore handles requests of other nodes to make a call to the store.
 func serveStore(store Store, respond func(w http.ResponseWriter, body any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
