One place decides what a configuration of which age may decide

What callers saw: 404, without Retry-After and within milliseconds, for a route that had been added longer than configApplyMs ago, at nodes that could not have their configuration confirmed.

Cause: catalog.Await returned without an error for 2 s after a failed round, and nothing after it knew that the configuration was too old: a round that fails says that it can't be confirmed, what followed said that the route does not exist. A round asked three nodes, once. The class: a result that says 'unknown' read as 'no', since the decision and the age it rests on were apart.

Change: Basis holds the configuration, the age of its confirmation and who gave it, read once for a decision, which carries it; Basis.Permits is the table of decisions. What a configuration that is not recent lacks gets 503 with Retry-After; what it has is served. From 0.6 of the limit on a node asks three other nodes each 0.1 s, each that it knows before any comes again, so that a confirmation spreads from the nodes that the store answers to all. A wait for changes is shorter after a pause, so that the two don't add up.

--- a/internal/catalog/await.go
+++ b/internal/catalog/await.go
@@ -9,19 +9,25 @@
 
 	"chestnutgauge/internal/feed"
 	"chestnutgauge/internal/monotime"
+	"chestnutgauge/internal/pause"
 )
 
 // DefaultMaxAge is the default of Follower.MaxAge.
 const DefaultMaxAge = 2 * time.Second
 
-// Timing of the rounds in which a confirmation is asked for.
+// Timing of the questions for a confirmation.
 const (
-	// roundTimeout bounds a round.
-	roundTimeout = 1500 * time.Millisecond
-	// minRoundInterval is the shortest time between the starts of two rounds.
-	minRoundInterval = 100 * time.Millisecond
-	// failureValidity is how long a failed round shows that no confirmation can be had.
-	failureValidity = 2 * time.Second
+	// askShare is the share of the age limit from which on other nodes are asked. What is left is the
+	// time in which a confirmation has to spread from the nodes that the store answers.
+	askShare = 0.6
+	// askInterval is the time between two questions.
+	askInterval = 100 * time.Millisecond
+	// askPatience is how long a process asks in vain before it takes it that no confirmation can be
+	// had now.
+	askPatience = 700 * time.Millisecond
+	// maxAskGap is the time between two questions after which the process counts as suspended
+	// meanwhile: what it asked before says nothing of what can be had now.
+	maxAskGap = 5 * askInterval
 )
 
 var (
@@ -41,116 +47,184 @@
 	ConfirmedAt time.Duration
 }
 
-// rounds are the rounds in which a confirmation of the configuration is asked for. The zero value
-// has none.
-type rounds struct {
+// asking is the state of the questions for a confirmation. The zero value has asked nothing.
+type asking struct {
 	mu sync.Mutex
-	// running is closed at the end of the round in progress. It is nil if there is none.
-	running chan struct{}
-	begunAt monotime.Mark
-	// failedAt is when a round last ended without a confirmation, if the last one did.
-	failedAt monotime.Mark
+	// since is when the process began to ask without a pause, last is when it last asked.
+	since, last monotime.Mark
+	// progress is closed after the next question and at the next answer.
+	progress chan struct{}
+	// logged means that it was logged that no confirmation can be had.
+	logged bool
 }
 
-// Await waits until the configuration in force was confirmed within MaxAge, for as long as the
-// store or another node may confirm it or have a newer one. It returns without waiting while
-// neither has been able to for a short time: then what is known is used. The only error is that
-// of the context.
-func (f *Follower) Await(ctx context.Context) error {
-	if f.fresh() || f.Get() == nil {
-		return nil
+// watch returns a channel that is closed after the next question and at the next answer.
+func (a *asking) watch() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.progress == nil {
+		a.progress = make(chan struct{})
+	}
+	return a.progress
+}
+
+// advance wakes those that watch.
+func (a *asking) advance() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.progress != nil {
+		close(a.progress)
+		a.progress = nil
+	}
+}
+
+// begin records a question, and reports whether it is the first one after a pause.
+func (a *asking) begin(now time.Duration) (first bool) {
+	gap, asked := a.last.Age(now)
+	a.last.Set(now)
+	if asked && gap <= maxAskGap {
+		return a.since.SetFirst(now)
+	}
+	a.since.Set(now)
+	return true
+}
+
+// restart records that an answer was of use, so that the process has not asked in vain.
+func (a *asking) restart(now time.Duration) {
+	if _, asking := a.since.Age(now); asking {
+		a.since.Set(now)
+	}
+}
+
+// end records that a confirmation was had.
+func (a *asking) end() {
+	a.since.Clear()
+}
+
+// duration returns for how long the process has asked without a pause.
+func (a *asking) duration(now time.Duration) time.Duration {
+	gap, asked := a.last.Age(now)
+	since, asking := a.since.Age(now)
+	if !asked || !asking || gap > maxAskGap {
+		return 0
+	}
+	return since
+}
+
+// Basis returns what a decision that is made now rests on. The age is read before the configuration,
+// which is at least as new.
+func (f *Follower) Basis() Basis {
+	age, source := f.confirmed()
+	b := Basis{Age: age, Source: source, Catalog: f.Get()}
+	b.Recent = source != SourceNone && age <= f.MaxAge()
+	limit, limited := f.keyLimit()
+	b.KeysRecent = !limited || source != SourceNone && age <= limit
+	if !b.Recent {
+		b.Asked = f.asking.duration(f.clock())
+	}
+	return b
+}
+
+// keyLimit returns the age up to which keys are accepted, or false if there is no limit.
+func (f *Follower) keyLimit() (time.Duration, bool) {
+	if f.MaxKeyAge == nil {
+		return 0, false
+	}
+	return f.MaxKeyAge()
+}
+
+// Await returns the basis of a decision on a request. It waits while the configuration in force is not
+// known to be recent, for as long as the store or another node may confirm it or have a newer one. If
+// the process has asked in vain for a time, the basis is what is known. The only error is that of the
+// context.
+func (f *Follower) Await(ctx context.Context) (Basis, error) {
+	b := f.Basis()
+	if b.Recent || b.Catalog == nil {
+		return b, nil
 	}
 	for {
-		done := f.joinRound()
-		if f.confirmationFailed() {
+		progress := f.asking.watch()
+		switch b = f.Basis(); {
+		case b.Recent:
+			awaitedConfirmed.Inc()
+			return b, nil
+		case b.Asked >= askPatience:
 			awaitedUnavailable.Inc()
-			return nil
+			return b, nil
 		}
+		f.wake()
 		select {
-		case <-done:
+		case <-progress:
 		case <-ctx.Done():
 			awaitedInVain.Inc()
-			return ctx.Err()
-		}
-		if f.fresh() {
-			awaitedConfirmed.Inc()
-			return nil
+			return b, ctx.Err()
 		}
 	}
 }
 
-// fresh reports whether the configuration in force was confirmed within MaxAge.
-func (f *Follower) fresh() bool {
-	age, known := f.ConfirmedAge()
-	return known && age <= f.MaxAge()
-}
-
-// confirmationFailed reports whether the last round ended a short time ago without a confirmation.
-func (f *Follower) confirmationFailed() bool {
-	age, failed := f.rounds.failedAt.Age(f.clock())
-	return failed && age < failureValidity
+// wake has the process ask at once.
+func (f *Follower) wake() {
+	select {
+	case f.urgent <- struct{}{}:
+	default:
+	}
 }
 
-// joinRound returns a channel that is closed at the end of the round in progress. It begins one if
-// there is none and the last one did not begin just before.
-func (f *Follower) joinRound() <-chan struct{} {
-	r := &f.rounds
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.running != nil {
-		return r.running
-	}
-	done := make(chan struct{})
-	since, begun := r.begunAt.Age(f.clock())
-	if begun && since < minRoundInterval {
-		time.AfterFunc(minRoundInterval-since, func() { close(done) })
-		return done
+// ask asks other nodes, and after a pause the store, for a confirmation until ctx ends, while the last
+// one is not recent.
+func (f *Follower) ask(ctx context.Context) error {
+	for pause.Until(ctx, f.urgent, askInterval) {
+		now := f.clock()
+		if gap, asked := f.asking.last.Age(now); asked && gap < askInterval/2 {
+			// Requests that wait don't make it ask more often.
+			continue
+		}
+		age, source := f.confirmed()
+		if f.Get() == nil || source != SourceNone && age <= f.share(askShare) {
+			f.asking.end()
+			f.logConfirmed()
+			continue
+		}
+		if f.asking.begin(now) && age > f.MaxAge() {
+			go f.readStore(ctx, now-f.MaxAge())
+		}
+		if f.AskOthers != nil {
+			go f.AskOthers(ctx, f.Version(), f.receive)
+		}
+		f.logUnconfirmed(age)
+		f.asking.advance()
 	}
-	r.running = done
-	r.begunAt.Set(f.clock())
-	go f.runRound(done)
-	return done
+	return ctx.Err()
 }
 
-// runRound asks the store and then other nodes for a confirmation.
-func (f *Follower) runRound(done chan struct{}) {
-	ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
+// readStore has the store read at once until what is known is at least as new as at a time since.
+func (f *Follower) readStore(ctx context.Context, since time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	begun := f.clock()
-	f.confirmByStore(ctx)
-	if !f.fresh() && f.Copies != nil {
-		for _, c := range f.Copies(ctx, f.Version()) {
-			f.receive(c)
-		}
-	}
-	f.recordRound(begun)
-	f.rounds.mu.Lock()
-	f.rounds.running = nil
-	f.rounds.mu.Unlock()
-	close(done)
+	// Whether the store was read shows in the age of the confirmation.
+	_ = f.feed.Await(ctx, since)
+	f.asking.advance()
 }
 
-// recordRound records the result of a round that began at a time. One during which the process was
-// suspended says nothing of what can be had now.
-func (f *Follower) recordRound(begun time.Duration) {
-	now := f.clock()
-	switch {
-	case f.fresh():
-		f.rounds.failedAt.Clear()
-	case now-begun <= 2*roundTimeout:
-		f.log.Warn("configuration not confirmed", "config_version", f.Version(), "age_ms", f.ageMS())
-		f.rounds.failedAt.Set(now)
+// logUnconfirmed logs once that no confirmation can be had.
+func (f *Follower) logUnconfirmed(age time.Duration) {
+	asked := f.asking.duration(f.clock())
+	if f.asking.logged || asked < askPatience || age <= f.MaxAge() {
+		return
 	}
+	f.asking.logged = true
+	f.log.Warn("configuration not confirmed", "config_version", f.Version(), "age_ms", age.Milliseconds(),
+		"asked_ms", asked.Milliseconds(), "store_unavailable", f.feed.Unavailable())
 }
 
-// confirmByStore has the store read. It does not wait while the store is known to be unavailable.
-func (f *Follower) confirmByStore(ctx context.Context) {
-	if f.feed.Unavailable() {
-		f.feed.Notify()
+// logConfirmed logs the end of what logUnconfirmed has logged.
+func (f *Follower) logConfirmed() {
+	if !f.asking.logged {
 		return
 	}
-	// Whether the store was read shows in the age of the confirmation.
-	_ = f.feed.Await(ctx, f.clock()-f.MaxAge())
+	f.asking.logged = false
+	age, source := f.confirmed()
+	f.log.Info("configuration confirmed again", "config_version", f.Version(), "age_ms", age.Milliseconds(), "confirmed_by", string(source))
 }
 
 // receive uses what another node knows of the configuration.
@@ -158,7 +232,10 @@
 	if len(c.Row.Value) > 0 {
 		f.apply([]feed.Row{c.Row})
 	}
-	f.Confirm(c.Version, c.ConfirmedAt)
+	if f.confirm(SourceNode, c.Version, c.ConfirmedAt) && f.Basis().Recent {
+		f.asking.restart(f.clock())
+	}
+	f.asking.advance()
 }
 
 // CopyFor returns what this node knows of the configuration for another one that has a version in
@@ -174,12 +251,3 @@
 	}
 	return c, age, known && c.Version > 0
 }
-
-// ageMS returns the age of the confirmation in milliseconds, or -1 if there is none.
-func (f *Follower) ageMS() int64 {
-	age, known := f.ConfirmedAge()
-	if !known {
-		return -1
-	}
-	return age.Milliseconds()
-}
--- a/internal/catalog/await_test.go
+++ b/internal/catalog/await_test.go
@@ -75,11 +75,14 @@
 		s.Follower = NewFollower(s, decodeVersion, nilNotified, datingPeriod, slog.New(slog.DiscardHandler))
 		s.clock = func() time.Duration { return time.Since(s.started) + time.Duration(s.jump.Load()) }
 		s.feed.Clock = s.clock
-		s.Copies = func(context.Context, int64) []Copy {
+		s.AskOthers = func(_ context.Context, _ int64, answer func(Copy)) {
 			s.mu.Lock()
-			defer s.mu.Unlock()
+			copies := s.copies
 			s.asked++
-			return s.copies
+			s.mu.Unlock()
+			for _, c := range copies {
+				answer(c)
+			}
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -91,7 +94,6 @@
 		act(s)
 		cancel()
 		<-done
-		time.Sleep(roundTimeout)
 	})
 }
 
@@ -102,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	begun := time.Now()
-	err = s.Await(ctx)
+	_, err = s.Await(ctx)
 	return time.Since(begun), err
 }
 
--- a/internal/catalog/confirm.go
+++ b/internal/catalog/confirm.go
@@ -25,29 +25,53 @@
 // it, on a clock that includes suspension. A caller that uses the age and the configuration
 // reads the age first.
 func (f *Follower) ConfirmedAge() (time.Duration, bool) {
-	age, known := f.feed.ConfirmedAge()
-	announced, ok := f.announcedAt.Age(f.clock())
-	if ok && (!known || announced < age) {
-		age, known = announced, true
+	age, source := f.confirmed()
+	return max(age, 0), source != SourceNone
+}
+
+// confirmed returns the time since the latest confirmation and who gave it, or -1 and SourceNone.
+func (f *Follower) confirmed() (age time.Duration, source Source) {
+	age, source = -1, SourceNone
+	if read, known := f.feed.ConfirmedAge(); known {
+		age, source = read, SourceStore
+	}
+	now := f.clock()
+	if told, known := f.byOwner.Age(now); known && (source == SourceNone || told < age) {
+		age, source = told, SourceOwner
+	}
+	if told, known := f.byNode.Age(now); known && (source == SourceNone || told < age) {
+		age, source = told, SourceNode
 	}
-	return age, known
+	return age, source
 }
 
-// Confirm records that, as of a time at on the clock of monotime, another node had a version
+// Confirm records that, as of a time at on the clock of monotime, the owner had a version
 // in force that was the one in the store. Announcements of an older time, and of a version
 // that is newer than the one in force here, don't confirm it; the latter makes the store be
 // read at once.
 func (f *Follower) Confirm(version int64, at time.Duration) {
+	f.confirm(SourceOwner, version, at)
+}
+
+// confirm is Confirm for a source other than the store. It reports whether it is a newer confirmation
+// of that source.
+func (f *Follower) confirm(by Source, version int64, at time.Duration) bool {
 	if f.Version() < version {
 		f.NotifyVersion(version)
-		return
+		return false
+	}
+	mark := &f.byOwner
+	if by == SourceNode {
+		mark = &f.byNode
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
-	if age, known := f.announcedAt.Age(now); !known || now-at < age {
-		f.announcedAt.Set(at)
+	if age, known := mark.Age(now); known && now-at >= age {
+		return false
 	}
+	mark.Set(at)
+	return true
 }
 
 // Confirmation returns the version in force and the age of its confirmation. ok is false if
@@ -65,7 +89,13 @@
 	return !known || age > f.share(dueShare)
 }
 
-// changesWait returns the wait of one call of Changes.
+// changesWait returns the wait of one call of Changes. It is shorter the older the last confirmation
+// is, so that a pause after a change does not add to it.
 func (f *Follower) changesWait() time.Duration {
-	return f.share(waitShare)
+	longest := f.share(waitShare)
+	age, known := f.feed.ConfirmedAge()
+	if !known {
+		return longest
+	}
+	return min(longest, max(0, 2*longest-age))
 }
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
 	"chestnutgauge/internal/feed"
 	"chestnutgauge/internal/monotime"
 )
@@ -25,17 +28,21 @@
 	decode Decode
 	log    *slog.Logger
 	clock  monotime.Clock
-	// MaxAge returns the age of its last confirmation up to which the configuration is used while
-	// a newer confirmation can be had.
+	// MaxAge returns the age of its last confirmation up to which the configuration is recent.
 	MaxAge func() time.Duration
-	// Copies asks other nodes for the configuration that they have in force, if it is newer than a
-	// version. It may be nil.
-	Copies func(ctx context.Context, newerThan int64) []Copy
-
-	rounds rounds
-	// announcedAt is the latest time as of which another node has confirmed the
-	// configuration in force.
-	announcedAt monotime.Mark
+	// MaxKeyAge returns the age up to which keys are accepted by it, or false if there is no limit. It
+	// may be nil.
+	MaxKeyAge func() (time.Duration, bool)
+	// AskOthers asks some other nodes for the configuration that they have in force, if it is newer
+	// than a version, and calls a function with each answer. It may be nil.
+	AskOthers func(ctx context.Context, newerThan int64, answer func(Copy))
+
+	asking asking
+	// urgent has the process ask at once.
+	urgent chan struct{}
+	// byOwner and byNode are the latest times as of which the owner and another node have confirmed
+	// the configuration in force.
+	byOwner, byNode monotime.Mark
 
 	mu     sync.Mutex
 	dating dating
@@ -59,7 +66,7 @@
 // was restored, for a sign of how old the stored one is: within it operators write
 // theirs again, and other nodes announce what they have in force.
 func NewFollower(source feed.Source, decode Decode, notified func() bool, datingPeriod time.Duration, log *slog.Logger) *Follower {
-	f := &Follower{decode: decode, log: log, clock: monotime.Now, dating: dating{period: datingPeriod}}
+	f := &Follower{decode: decode, log: log, clock: monotime.Now, urgent: make(chan struct{}, 1), dating: dating{period: datingPeriod}}
 	f.MaxAge = func() time.Duration { return DefaultMaxAge }
 	f.feed = feed.New(source, "configuration", f.replace, f.apply, log)
 	f.feed.Idle = func() bool { return f.Get() != nil && notified() && !f.confirmationDue() }
@@ -101,7 +108,10 @@
 
 // Run follows the configuration until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
-	return f.feed.Run(ctx)
+	workers, ctx := errgroup.WithContext(ctx)
+	workers.Go(func() error { return f.feed.Run(ctx) })
+	workers.Go(func() error { return f.ask(ctx) })
+	return workers.Wait()
 }
 
 // replace handles a read of the whole table.
@@ -140,12 +150,27 @@
 		return
 	}
 	f.held = nil
+	f.recordDelay(c.Version)
 	if f.Update(c) {
 		f.row = row
 		f.log.Info("configuration in force", "config_version", c.Version, "store_position", row.Position)
 	}
 }
 
+// inForceSeconds is an upper bound of the time from the acknowledgement of a version until it is in
+// force: the time since the one before was confirmed to be the one in the store.
+var inForceSeconds = metrics.NewHistogram(`chestnut_config_in_force_seconds`)
+
+// recordDelay records how long a version that replaces another one may have been in the store.
+func (f *Follower) recordDelay(version int64) {
+	if before := f.Version(); before == 0 || version <= before {
+		return
+	}
+	if age, known := f.ConfirmedAge(); known {
+		inForceSeconds.Update(age.Seconds())
+	}
+}
+
 // hold keeps a configuration until it may be used, and requests a read at the end
 // of the dating period. The caller holds mu.
 func (f *Follower) hold(c *Catalog, row feed.Row) {
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"chestnutgauge/internal/catalog"
@@ -43,10 +44,10 @@
 // configCopyPath is the path of the call by which a node asks another one for its configuration.
 const configCopyPath = "/v1/configuration"
 
-// configCopyTimeout bounds the call, copiesAsked is the number of nodes that are asked.
+// configCopyTimeout bounds the call, configAsked is the number of nodes that are asked.
 const (
 	configCopyTimeout = 300 * time.Millisecond
-	copiesAsked       = 3
+	configAsked       = 3
 )
 
 // configCopyRequest asks for the configuration if it is newer than a version.
@@ -65,23 +66,21 @@
 	Position era.Position `json:"position,omitzero"`
 }
 
-// ConfigCopies asks a few other nodes for the configuration that they have in force, if it is newer
-// than a version.
-func (c *Client) ConfigCopies(ctx context.Context, newerThan int64) []catalog.Copy {
+// AskConfig asks a few other nodes, each time the next ones, for the configuration that they have in
+// force, if it is newer than a version. It calls answer with each response as it comes, and returns when
+// all have come or the time for them is over.
+func (c *Client) AskConfig(ctx context.Context, newerThan int64, answer func(catalog.Copy)) {
 	ctx, cancel := context.WithTimeout(ctx, configCopyTimeout)
 	defer cancel()
-	peers := c.nextPeers(copiesAsked)
-	answers := make(chan *catalog.Copy, len(peers))
-	for _, peer := range peers {
-		go func() { answers <- c.configCopy(ctx, peer, newerThan) }()
+	var asked sync.WaitGroup
+	for _, peer := range c.nextPeers(configAsked) {
+		asked.Go(func() {
+			if known := c.configCopy(ctx, peer, newerThan); known != nil {
+				answer(*known)
+			}
+		})
 	}
-	var copies []catalog.Copy
-	for range peers {
-		if answer := <-answers; answer != nil {
-			copies = append(copies, *answer)
-		}
-	}
-	return copies
+	asked.Wait()
 }
 
 // configCopy asks one node. It returns nil if that knows nothing or can't be asked.
--- a/internal/fleet/configuration_test.go
+++ b/internal/fleet/configuration_test.go
@@ -87,7 +87,7 @@
 	follow(holderAt(address), node)
 	node.storeResponse(address, DemandResponse{Peers: []string{address, "127.0.0.1:1", "127.0.0.1:2"}})
 	_ = node.report(t.Context())
-	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, node.nextPeers(copiesAsked))
+	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, node.nextPeers(configAsked))
 }
 
 // TestNewOwnerNamesFewNodes guards against a node that asks none of the nodes that it knew, since a new
@@ -96,5 +96,5 @@
 	node, address := suspectNode(t, false)
 	node.storeResponse("127.0.0.1:1", DemandResponse{Peers: []string{address, "127.0.0.1:1", "127.0.0.1:2"}})
 	node.storeResponse("127.0.0.1:2", DemandResponse{Peers: []string{"127.0.0.1:2"}})
-	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, node.nextPeers(copiesAsked))
+	require.ElementsMatch(t, []string{"127.0.0.1:1", "127.0.0.1:2"}, node.nextPeers(configAsked))
 }
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -19,6 +19,9 @@
 	// fullRetryAfter is the time, in seconds, after which a caller whose body there was no
 	// memory for may come back.
 	fullRetryAfter = "1"
+	// provisionalRetryAfter is that, in seconds, of a caller whose request exceeds limits that may have
+	// been replaced.
+	provisionalRetryAfter = "0.25"
 	// smallBody is the length of bodies for which there is always memory.
 	smallBody = 16 << 10
 )
@@ -60,7 +63,7 @@
 // it sends the error response and returns false.
 func ReadBody(w http.ResponseWriter, r *http.Request, limits Limits) ([]byte, bool) {
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
-		refuse(w, "header too large", http.StatusRequestHeaderFieldsTooLarge)
+		limits.refuse(w, "header too large", http.StatusRequestHeaderFieldsTooLarge)
 		return nil, false
 	}
 	if r.ContentLength == 0 {
@@ -79,7 +82,7 @@
 	case err == nil:
 		return body, true
 	case errors.As(err, &tooLarge):
-		refuse(w, "body too large", http.StatusRequestEntityTooLarge)
+		limits.refuse(w, "body too large", http.StatusRequestEntityTooLarge)
 	case errors.Is(err, membudget.ErrFull):
 		w.Header().Set("Retry-After", fullRetryAfter)
 		refuse(w, "no memory for the body", http.StatusServiceUnavailable)
@@ -93,6 +96,15 @@
 	return nil, false
 }
 
+// refuse refuses a request that exceeds the limits.
+func (l Limits) refuse(w http.ResponseWriter, reason string, status int) {
+	if l.Provisional {
+		w.Header().Set("Retry-After", provisionalRetryAfter)
+		status = http.StatusServiceUnavailable
+	}
+	refuse(w, reason, status)
+}
+
 // refuse sends an error response to a request that was not read completely, and
 // closes its connection.
 func refuse(w http.ResponseWriter, reason string, status int) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -39,6 +39,9 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// Provisional means that HeaderBytes and BodyBytes may have been replaced, so that a request that
+	// exceeds them is told to come back.
+	Provisional bool
 	// Header is the maximum time until the header of a connection's first
 	// request is received.
 	Header time.Duration
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -298,10 +298,12 @@
 // The size of the body is always limited.
 func (n *Node) limits() httpserver.Limits {
 	limits := httpserver.Limits{BodyBytes: defaultMaxBody}
-	c := n.config.Get()
+	basis := n.config.Basis()
+	c := basis.Catalog
 	if c == nil {
 		return limits
 	}
+	limits.Provisional = !basis.Permits(catalog.DecisionRefuseSize)
 	if c.Limits.BodyBytes > 0 {
 		limits.BodyBytes = c.Limits.BodyBytes
 	}
--- a/internal/noded/settings_test.go
+++ b/internal/noded/settings_test.go
@@ -48,11 +48,11 @@
 	require.Equal(t, 6*time.Second, n.settings.Load().ShutdownLimit)
 	require.InDelta(t, 70, n.relay.Budget.Extra, 0)
 
-	require.True(t, n.relay.Authority.Current())
+	require.True(t, n.relay.Basis().KeysRecent)
 	require.Contains(t, read(changed+"\nbounds.revokeStrict=true\nbounds.revokeMs=5000\n"), "changed=true restart_needed=false")
-	require.False(t, n.relay.Authority.Current(), "the limit on keys took effect, and nothing is confirmed")
+	require.False(t, n.relay.Basis().KeysRecent, "the limit on keys took effect, and nothing is confirmed")
 	read(changed)
-	require.True(t, n.relay.Authority.Current())
+	require.True(t, n.relay.Basis().KeysRecent)
 
 	require.Contains(t, read("nodeName=n1"), "level=ERROR")
 	require.Equal(t, 6*time.Second, n.settings.Load().ShutdownLimit)
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -53,6 +53,7 @@
 	// the configuration too.
 	n.config.Feed().IsOwner = n.owns
 	n.config.MaxAge = func() time.Duration { return n.settings.Load().MaxConfigurationAge() }
+	n.config.MaxKeyAge = func() (time.Duration, bool) { return n.settings.Load().MaxConfirmationAge() }
 	n.follower.OnConfigVersion = n.config.NotifyVersion
 	n.follower.OnStoreEra = store.Eras().Learn
 	n.entries = inventory.NewEntries(store.Endpoints(), platform.DecodeEndpoint, n.inventory, s.EndpointHeartbeat, n.follower.Fresh, n.owns, log)
@@ -94,7 +95,7 @@
 		HTTP: fleet.NewHTTP(),
 		Log:  log,
 	}
-	n.config.Copies = n.client.ConfigCopies
+	n.config.AskOthers = n.client.AskConfig
 }
 
 // wireLimits sets up the limits that all nodes share.
@@ -206,13 +207,13 @@
 		Trials:          n.suspects,
 		Origins:         n.origins,
 		Isolated:        n.isolation.Isolated,
-		Authority:       keyAuthority{n.settings.Load, n.config.ConfirmedAge},
 		Memory:          n.memory,
 		RetryParts:      n.retryParts,
 		Budget:          relay.Budget{Share: s.RetryShare, Extra: s.RetryExtra, Nodes: n.client.Nodes},
 		Log:             log,
 
 		AwaitConfiguration: n.config.Await,
+		Basis:              n.config.Basis,
 	})
 	n.client.OnLeads = n.relay.HoldBack
 }
--- a/internal/relay/authorize.go
+++ b/internal/relay/authorize.go
@@ -9,13 +9,6 @@
 	"chestnutgauge/internal/team"
 )
 
-// Authority says whether keys can be accepted by the configuration in force.
-type Authority interface {
-	// Current reports whether the configuration in force was confirmed recently enough. It is
-	// called before the configuration is read, so that this is at least as new.
-	Current() bool
-}
-
 // Retry delays sent to callers whose keys were not accepted.
 const (
 	// keyMovedRetryAfter applies if the key belongs to another team now.
@@ -28,9 +21,8 @@
 // longer accepted.
 var errNotAuthorized = errors.New("relay: key no longer accepted")
 
-// keyCheck is the result of a check of a request's key by the configuration in force.
+// keyCheck is the result of a check of a request's key by a configuration.
 type keyCheck struct {
-	catalog *catalog.Catalog
 	// route is nil if there is none.
 	route *catalog.Route
 	// team is nil if the request has no key that is known, which needs none then.
@@ -40,22 +32,22 @@
 }
 
 // checkKey checks the key of a request.
-func (r *Relay) checkKey(req *Request) (keyCheck, *Failure) {
-	current := r.Authority == nil || r.Authority.Current()
-	c := r.Catalog()
+func checkKey(req *Request, basis catalog.Basis) (keyCheck, *Failure) {
+	c := basis.Catalog
 	if c == nil {
 		return keyCheck{}, refuse(ReasonNotReady, notReadyRetryAfter)
 	}
-	k := keyCheck{catalog: c, route: c.Route(req.Host, req.Path)}
+	k := keyCheck{route: c.Route(req.Host, req.Path)}
 	k.needed = needsKey(c, k.route)
-	if k.needed && !current || req.Forwarded.newerThan(c, k.needed) {
+	accepts := basis.Permits(catalog.DecisionAcceptKey)
+	if k.needed && !accepts || req.Forwarded.newerThan(c, k.needed) {
 		return k, refuse(ReasonConfigurationOld, configurationOldRetryAfter)
 	}
 	k.team = c.Teams.Find(req.Credential)
 	if k.team == nil && k.needed {
-		return k, refuse(ReasonUnknownKey, 0)
+		return k, refuseBy(basis, catalog.DecisionRefuseKey, ReasonUnknownKey)
 	}
-	if !current {
+	if !accepts {
 		// The key of a public request may have been taken away.
 		k.team = nil
 	}
@@ -77,20 +69,21 @@
 // authorize checks the request's key again, by the configuration that is in force now. A
 // request keeps the team that it began with, but one that needs no key may lose it.
 func (x *exchange) authorize() *Failure {
-	k, failure := x.relay.checkKeyOf(x.req, x.team)
+	basis := x.relay.basis()
+	k, failure := checkKeyOf(x.req, basis, x.team)
 	if failure != nil {
 		return failure
 	}
 	if nameOf(k.team) != nameOf(x.team) {
 		x.team = nil
 	}
-	x.authorizedBy = k.catalog.Version
+	x.authorizedBy = basis.Catalog.Version
 	return nil
 }
 
 // checkKeyOf checks the key of a request that has begun with a team.
-func (r *Relay) checkKeyOf(req *Request, began *team.Team) (keyCheck, *Failure) {
-	k, failure := r.checkKey(req)
+func checkKeyOf(req *Request, basis catalog.Basis, began *team.Team) (keyCheck, *Failure) {
+	k, failure := checkKey(req, basis)
 	if failure == nil && k.needed && nameOf(k.team) != nameOf(began) {
 		failure = refuse(ReasonKeyMoved, keyMovedRetryAfter)
 	}
@@ -109,7 +102,7 @@
 		if now := time.Now(); !begun && attempt.tooLong(now) {
 			return x.late(now)
 		}
-		k, failure := r.checkKeyOf(req, began)
+		k, failure := checkKeyOf(req, r.basis(), began)
 		if failure == nil && nameOf(k.team) != nameOf(began) {
 			// The attempt names a team that a public request no longer has.
 			failure = refuse(ReasonKeyMoved, keyMovedRetryAfter)
--- a/internal/relay/authorize_test.go
+++ b/internal/relay/authorize_test.go
@@ -24,8 +24,10 @@
 	old atomic.Bool
 }
 
-// Current implements Authority.
-func (f *keyFixture) Current() bool { return !f.old.Load() }
+// basis returns the configuration, which may be too old for keys.
+func (f *keyFixture) basis() catalog.Basis {
+	return catalog.Basis{Catalog: f.catalog.Load(), Source: catalog.SourceStore, Recent: true, KeysRecent: !f.old.Load()}
+}
 
 // newKeyFixture returns a relay in whose configuration team a has keys a1 and a2, and team b
 // key b1. Requests on the route "once" need no key.
@@ -33,7 +35,7 @@
 	f := &keyFixture{Relay: newRelay(sender)}
 	f.catalog.Store(f.Relay.Catalog())
 	f.Relay.Catalog = f.catalog.Load
-	f.Authority = f
+	f.Basis = f.basis
 	f.catalog.Load().Routes(func(r *catalog.Route) { r.Public = r.Name == "once" })
 	f.setKeys(map[string][]string{"a": {"a1", "a2"}, "b": {"b1"}})
 	return f
@@ -329,26 +331,18 @@
 	}
 }
 
-// changingAuthority takes the keys of a team away during the last check of a request.
-type changingAuthority struct {
-	f      *keyFixture
-	checks int
-}
-
-// Current implements Authority.
-func (a *changingAuthority) Current() bool {
-	a.checks++
-	if a.checks == 2 {
-		a.f.setKeys(map[string][]string{"b": {"b1"}})
-	}
-	return true
-}
-
-// TestAgeIsReadBeforeConfiguration guards against a key that is accepted by a configuration
-// whose successor was the one that was confirmed.
-func TestAgeIsReadBeforeConfiguration(t *testing.T) {
+// TestKeyTakenAwayBeforeSending guards against a request that is sent by a key that was taken away after
+// it was first checked.
+func TestKeyTakenAwayBeforeSending(t *testing.T) {
 	f := newKeyFixture(&fakeEndpoints{next: []behaviour{answer(http.StatusOK, "x")}})
-	f.Authority = &changingAuthority{f: f}
+	checks := 0
+	f.Basis = func() catalog.Basis {
+		checks++
+		if checks == 2 {
+			f.setKeys(map[string][]string{"b": {"b1"}})
+		}
+		return f.basis()
+	}
 	failure := f.Serve(t.Context(), keyed("repeat", "a1"), &fakeAnswer{})
 	require.NotNil(t, failure)
 	require.Equal(t, ReasonUnknownKey, failure.Reason)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -23,6 +23,8 @@
 	service *catalog.Service
 	// catalog is the configuration that the request is served by.
 	catalog *catalog.Catalog
+	// basis is what the choice of the route and the service rested on.
+	basis catalog.Basis
 	// team is the caller's team. It is nil if the configuration has no teams, or on a public
 	// route.
 	team *team.Team
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,11 +54,12 @@
 	Places          Places
 	// TeamLimits are the limits of teams.
 	TeamLimits TeamLimits
-	// AwaitConfiguration waits until the configuration in force is recent, for as long as a newer
-	// one can be had. Its only error is that of the context. It may be nil.
-	AwaitConfiguration func(ctx context.Context) error
-	// Authority decides on keys. With nil they are accepted by the configuration in force.
-	Authority Authority
+	// AwaitConfiguration returns the configuration by which a request is decided, once it is recent or
+	// nothing newer can be had. Its only error is that of the context. With nil it is Basis.
+	AwaitConfiguration func(ctx context.Context) (catalog.Basis, error)
+	// Basis returns the configuration in force and how recent it is known to be. With nil it is that of
+	// Catalog, and always recent.
+	Basis func() catalog.Basis
 	// Balancer has the owner choose the endpoints of small plain services. Nil means that each
 	// node chooses.
 	Balancer Balancer
@@ -175,12 +176,13 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	var x *exchange
+	var basis catalog.Basis
 	failure = callerLeft(ctx)
 	if failure == nil {
-		failure = r.awaitConfiguration(ctx, req)
+		basis, failure = r.awaitConfiguration(ctx, req)
 	}
 	if failure == nil {
-		x, failure = r.begin(req, answer)
+		x, failure = r.begin(req, answer, basis)
 	}
 	if failure == nil {
 		failure = x.refuseLate(time.Now())
@@ -191,32 +193,33 @@
 	if failure != nil && errors.Is(ctx.Err(), context.Canceled) {
 		failure = &Failure{Reason: ReasonCallerDisconnected, Run: failure.Run, Cause: failure.Cause}
 	}
-	r.logEnd(req, x, failure)
+	r.logEnd(req, x, basis, failure)
 	if x != nil {
 		runs = x.possibleRuns
 	}
 	return runs, failure
 }
 
-// awaitConfiguration has a request neither refused nor sent by a configuration that is too old while
-// a newer one may be had.
-func (r *Relay) awaitConfiguration(ctx context.Context, req *Request) *Failure {
+// awaitConfiguration returns the configuration by which a request is decided. The request waits while
+// that may be too old and a newer one may be had.
+func (r *Relay) awaitConfiguration(ctx context.Context, req *Request) (catalog.Basis, *Failure) {
 	if r.AwaitConfiguration == nil {
-		return nil
+		return r.basis(), nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	defer context.AfterFunc(r.shutdown, cancel)()
 	ctx, release := r.untilLate(ctx, func() attemptTime { return r.attemptTimeOf(req) })
 	defer release()
-	if r.AwaitConfiguration(ctx) == nil {
-		return nil
-	}
-	if errors.Is(context.Cause(ctx), errLate) {
+	basis, err := r.AwaitConfiguration(ctx)
+	switch {
+	case err == nil:
+		return basis, nil
+	case errors.Is(context.Cause(ctx), errLate):
 		lateRefusals.Inc()
-		return refuse(ReasonShuttingDown, endedRetryAfter)
+		return basis, refuse(ReasonShuttingDown, endedRetryAfter)
 	}
-	return refuse(ReasonConfigurationOld, endedRetryAfter)
+	return basis, refuse(ReasonConfigurationOld, endedRetryAfter)
 }
 
 // run runs an exchange until the request's deadline or the shutdown of the
@@ -231,21 +234,22 @@
 	return x.run(deadlineCtx)
 }
 
-// begin finds the route and service of a request.
-func (r *Relay) begin(req *Request, answer Answer) (*exchange, *Failure) {
-	key, failure := r.checkKey(req)
+// begin finds the route and service of a request by a configuration.
+func (r *Relay) begin(req *Request, answer Answer, basis catalog.Basis) (*exchange, *Failure) {
+	key, failure := checkKey(req, basis)
 	if failure != nil {
 		return nil, failure
 	}
-	c, route := key.catalog, key.route
+	c, route := basis.Catalog, key.route
 	if route == nil {
-		return nil, refuse(ReasonNoRoute, 0)
+		return nil, refuseBy(basis, catalog.DecisionRefuseRoute, ReasonNoRoute)
 	}
 	name := route.Pick(splitPoint(req.stream()))
 	if req.Forwarded != nil {
 		name = req.Forwarded.Service
 		if !route.HasTarget(name) {
-			return nil, refuse(ReasonNoRoute, 0)
+			// The two nodes have different versions.
+			return nil, refuse(ReasonConfigurationOld, unconfirmedRetryAfter)
 		}
 	}
 	service := c.Services[name]
@@ -256,14 +260,14 @@
 	if req.Deadline.Before(deadline) {
 		deadline = req.Deadline
 	}
-	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, team: key.team, deadline: deadline}
+	x := &exchange{relay: r, req: req, answer: answer, route: route, service: service, catalog: c, basis: basis, team: key.team, deadline: deadline}
 	x.identity = identify(req, name)
 	if route.Resumable {
 		x.position = positionAfter(req.LastEvent)
 	}
 	if service.Engine != nil && req.Model != "" {
 		if _, ok := service.Engine.Models[req.Model]; !ok {
-			return x, refuse(ReasonUnknownModel, 0)
+			return x, refuseBy(basis, catalog.DecisionRefuseModel, ReasonUnknownModel)
 		}
 	}
 	if req.Forwarded != nil {
@@ -291,13 +295,14 @@
 	backoffMax   = 60 * time.Millisecond
 )
 
-func (r *Relay) logEnd(req *Request, x *exchange, failure *Failure) {
+func (r *Relay) logEnd(req *Request, x *exchange, basis catalog.Basis, failure *Failure) {
 	took := time.Since(req.Arrived)
 	requestSeconds.Update(took.Seconds())
+	countBasis(basis, failure)
 	attrs := []any{"request_id", req.ID, "took_ms", took.Milliseconds()}
+	attrs = append(attrs, basisAttrs(basis)...)
 	if x != nil {
-		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "config_version", x.catalog.Version,
-			"team", x.teamName(), "model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
+		attrs = append(attrs, "route", x.route.Name, "service", x.service.Name, "team", x.teamName(), "model", req.Model, "adapter", req.Adapter, "endpoint", x.endpoint, "sendings", x.attempts)
 		attrs = append(attrs, x.progress.attrs(req.Arrived)...)
 		attrs = append(attrs, x.connection.attrs()...)
 	}
@@ -307,8 +312,8 @@
 		return
 	}
 	countFailure(failure.Reason)
-	if c := r.Catalog(); x == nil && c != nil {
-		attrs = append(attrs, "host", req.Host, "path", req.Path, "config_version", c.Version)
+	if x == nil {
+		attrs = append(attrs, "host", req.Host, "path", req.Path)
 	}
 	if x != nil {
 		attrs = append(attrs, "resumes", req.Resumes, "candidates", x.candidates, "spared", x.ejected, "cut", x.cut, "leaving", x.leaving, "cooling", x.cooling)
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -85,8 +85,9 @@
 
 		ConfigVersion: x.authorizedBy,
 	}
-	r.Log.Info("request sent", "request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
-		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes)
+	attrs := []any{"request_id", x.req.ID, "endpoint", endpoint.ID, "address", endpoint.Address, "version", endpoint.Version,
+		"inventory_version", r.Inventory.Current().Version, "left_ms", time.Until(x.deadline).Milliseconds(), "resume_after", lastEvent, "resumes", x.req.Resumes}
+	r.Log.Info("request sent", append(attrs, basisAttrs(x.basis)...)...)
 	reply, err := r.Sender.Send(ctx, endpoint, x.req, attempt)
 	x.connection = connectionOf(reply, err)
 	if err != nil {
--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -54,7 +54,7 @@
 
 // attemptTimeOf returns that of a request that is not served yet, by the configuration in force.
 func (r *Relay) attemptTimeOf(req *Request) attemptTime {
-	if x, _ := r.begin(req, nil); x != nil {
+	if x, _ := r.begin(req, nil, r.basis()); x != nil {
 		return x.attemptTime()
 	}
 	return attemptTime{relay: r, deadline: req.Deadline}
--- a/internal/relay/stopping_test.go
+++ b/internal/relay/stopping_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/concurrency"
 	"chestnutgauge/internal/demand"
 	"chestnutgauge/internal/inventory"
@@ -124,9 +125,9 @@
 		{"for a model that is loaded too late", "rare", func(r *Relay) { r.Loads = loadIn{Duration: 2500 * time.Millisecond} }, 0},
 		{"for a model that may be loaded at any time", "rare", func(*Relay) {}, left - took},
 		{"for a configuration", "m", func(r *Relay) {
-			r.AwaitConfiguration = func(ctx context.Context) error {
+			r.AwaitConfiguration = func(ctx context.Context) (catalog.Basis, error) {
 				<-ctx.Done()
-				return ctx.Err()
+				return r.basis(), ctx.Err()
 			}
 		}, left - took},
 		{"for room", "m", func(r *Relay) {
--- a/internal/relay/wait_test.go
+++ b/internal/relay/wait_test.go
@@ -140,7 +140,7 @@
 			// endpoint.
 			synctest.Wait()
 		}
-		x, failure := r.begin(request("resume", "m"), &fakeAnswer{})
+		x, failure := r.begin(request("resume", "m"), &fakeAnswer{}, r.basis())
 		require.Nil(t, failure)
 		x.started = true
 		startTime := time.Now()
@@ -154,7 +154,7 @@
 
 // resumedStream returns the exchange of a stream that its caller takes up, and a context for its time.
 func resumedStream(t *testing.T, r *Relay, model string) (x *exchange, ctx context.Context) {
-	x, failure := r.begin(request("resume", model), &fakeAnswer{})
+	x, failure := r.begin(request("resume", model), &fakeAnswer{}, r.basis())
 	require.Nil(t, failure)
 	x.required = inventory.OnlyVersion("")
 	ctx, cancel := context.WithDeadline(context.Background(), x.deadline.Add(deadlineGrace))
