Tests of what follows the decision on a configuration

A forwarded request whose route is missing, or goes elsewhere, by the version of the node that serves it is returned as not run for the version, not as a missing route, so that the log of that node does not say that the route does not exist.

--- a/internal/httpserver/request_test.go
+++ b/internal/httpserver/request_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -37,3 +38,31 @@
 		})
 	}
 }
+
+// TestProvisionalLimitsRefuseNothingForGood guards against a request that is refused with 413 or 431 by
+// limits that may have been replaced.
+func TestProvisionalLimitsRefuseNothingForGood(t *testing.T) {
+	cases := []struct {
+		name   string
+		limits Limits
+		final  int
+	}{
+		{"body", Limits{BodyBytes: 10}, http.StatusRequestEntityTooLarge},
+		{"header", Limits{HeaderBytes: 10}, http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, tc := range cases {
+		for _, provisional := range []bool{false, true} {
+			limits := tc.limits
+			limits.Provisional = provisional
+			recorder := httptest.NewRecorder()
+			_, ok := ReadBody(recorder, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("more than ten bytes")), limits)
+			require.False(t, ok)
+			want := tc.final
+			if provisional {
+				want = http.StatusServiceUnavailable
+			}
+			require.Equal(t, want, recorder.Code, tc.name)
+			require.Equal(t, provisional, recorder.Header().Get("Retry-After") != "", tc.name)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -241,16 +241,16 @@
 		return nil, failure
 	}
 	c, route := basis.Catalog, key.route
+	if req.Forwarded != nil && (route == nil || !route.HasTarget(req.Forwarded.Service)) {
+		// The node that forwards the request has another version.
+		return nil, refuse(ReasonConfigurationOld, unconfirmedRetryAfter)
+	}
 	if route == nil {
 		return nil, refuseBy(basis, catalog.DecisionRefuseRoute, ReasonNoRoute)
 	}
 	name := route.Pick(splitPoint(req.stream()))
 	if req.Forwarded != nil {
 		name = req.Forwarded.Service
-		if !route.HasTarget(name) {
-			// The two nodes have different versions.
-			return nil, refuse(ReasonConfigurationOld, unconfirmedRetryAfter)
-		}
 	}
 	service := c.Services[name]
 	if service == nil {
