--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -175,6 +175,7 @@
 		Inventory:  n.inventory,
 		Owner:      n.owner,
 		Config:     n.config.Watch,
+		ConfigCopy: n.config.CopyFor,
 		StoreAge:   n.storeAge,
 		Incomplete: n.entries.Incomplete,
 		StoreEra:   n.store.Eras().Era,
@@ -298,10 +299,12 @@
 // The size of the body is always limited.
 func (n *Node) limits() httpserver.Limits {
 	limits := httpserver.Limits{BodyBytes: defaultMaxBody}
-	c := n.config.Get()
+	basis := n.config.Basis()
+	c := basis.Catalog
 	if c == nil {
 		return limits
 	}
+	limits.Provisional = !basis.Permits(catalog.DecisionRefuseSize)
 	if c.Limits.BodyBytes > 0 {
 		limits.BodyBytes = c.Limits.BodyBytes
 	}
