--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -29,10 +29,11 @@
 type linkFault int
 
 const (
-	sound linkFault = iota
-	// hangs never answers, resets fails at once, loses needs a retransmission for a share of the calls.
-	hangs
+	// hangs never answers.
+	hangs linkFault = iota + 1
+	// resets fails at once.
 	resets
+	// loses needs a retransmission for a share of the calls.
 	loses
 )
 
