--- a/internal/fleet/configuration_cost_test.go
+++ b/internal/fleet/configuration_cost_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -16,38 +15,6 @@
 	"chestnutgauge/internal/owner"
 )
 
-// countingConn counts the bytes of a connection in both directions.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// countingListener counts the bytes of its connections.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return countingConn{conn, &l.bytes}, err
-}
-
 // TestBytesOfConfigurationQuestions guards against questions for the configuration that take more than
 // a node has for control at the size to design for, where all but one of 350 nodes ask.
 func TestBytesOfConfigurationQuestions(t *testing.T) {
@@ -69,17 +36,17 @@
 		Log: discard,
 	}
 	listening := httptest.NewUnstartedServer(server.Handler())
-	listener := &countingListener{Listener: listening.Listener}
-	listening.Listener = listener
+	var bytes atomic.Int64
+	listening.Listener = countedListener{listening.Listener, &bytes}
 	listening.Start()
 	t.Cleanup(listening.Close)
-	node := &Client{Self: "self", HTTP: NewHTTP(), Log: discard, peers: []string{listener.Addr().String()}}
+	node := &Client{Self: "self", HTTP: NewHTTP(), Log: discard, peers: []string{listening.Listener.Addr().String()}}
 	answers := 0
 	for range rounds {
 		node.AskConfig(t.Context(), 123456, func(catalog.Copy) { answers++ })
 	}
 	require.Equal(t, rounds, answers)
-	perQuestion := listener.bytes.Load() / rounds
+	perQuestion := bytes.Load() / rounds
 	t.Logf("%d bytes a question and answer", perQuestion)
 	// A node asks and is asked.
 	require.Less(t, 2*asked*perQuestion, int64(maxBytes))
