Call a store that does not answer now and then while other nodes confirm the configuration

Each read in vain of a node without the store is a call on its own link and up to three through other nodes, each 0.6 s. While its configuration is confirmed by others within three quarters of the limit, such a node now calls the store again 2 s after the last failure.

--- a/internal/catalog/await_test.go
+++ b/internal/catalog/await_test.go
@@ -30,6 +30,7 @@
 	silent  bool
 	copies  []Copy
 	asked   int
+	reads   int
 	jump    atomic.Int64
 	started time.Time
 }
@@ -43,6 +44,7 @@
 // Read implements feed.Source.
 func (s *awaitFixture) Read(ctx context.Context) (feed.Rows, error) {
 	s.mu.Lock()
+	s.reads++
 	stored, down, silent := s.stored, s.down, s.silent
 	s.mu.Unlock()
 	switch {
@@ -199,3 +201,32 @@
 		require.Equal(t, 50*time.Millisecond, took)
 	})
 }
+
+// TestStoreThatDoesNotAnswerIsCalledNowAndThen guards against calls in vain, each through several other
+// nodes, several times a second, of a node that the store does not answer while other nodes confirm its
+// configuration, and against a node that does not notice that the store is back.
+func TestStoreThatDoesNotAnswerIsCalledNowAndThen(t *testing.T) {
+	const outage = 20 * time.Second
+	runAwait(t, func(s *awaitFixture) {
+		s.set(func() { s.down = true })
+		time.Sleep(time.Second)
+		before := s.readCount()
+		for began := time.Now(); time.Since(began) < outage; time.Sleep(100 * time.Millisecond) {
+			s.set(func() { s.copies = []Copy{{Version: 1, ConfirmedAt: s.clock()}} })
+			_, err := s.await(time.Second)
+			require.NoError(t, err)
+			require.True(t, s.Basis().Recent)
+		}
+		require.LessOrEqual(t, s.readCount()-before, int(outage/time.Second))
+		s.set(func() { s.down, s.copies = false, nil })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, SourceStore, s.Basis().Source)
+	})
+}
+
+// readCount returns the number of calls of the store.
+func (s *awaitFixture) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -69,7 +69,10 @@
 	f := &Follower{decode: decode, log: log, clock: monotime.Now, urgent: make(chan struct{}, 1), dating: dating{period: datingPeriod}}
 	f.MaxAge = func() time.Duration { return DefaultMaxAge }
 	f.feed = feed.New(source, "configuration", f.replace, f.apply, log)
-	f.feed.Idle = func() bool { return f.Get() != nil && notified() && !f.confirmationDue() }
+	// While other nodes confirm the configuration, a store that does not answer is called now and then.
+	f.feed.Idle = func() bool {
+		return f.Get() != nil && !f.confirmationDue() && (notified() || f.feed.Unavailable())
+	}
 	f.feed.Wait = f.changesWait
 	f.feed.ReadTimeout = readTimeout
 	return f
