An owner that the store does not answer calls it at once, and waiting requests don't hurry questions

Others rely on what the owner confirms and streams, so it does not wait 2 s after a failed call. The questions for a confirmation are 90 ms apart at least, also while requests wait for one.

--- a/internal/catalog/await.go
+++ b/internal/catalog/await.go
@@ -20,8 +20,10 @@
 	// askShare is the share of the age limit from which on other nodes are asked. What is left is the
 	// time in which a confirmation has to spread from the nodes that the store answers.
 	askShare = 0.6
-	// askInterval is the time between two questions.
+	// askInterval is the time between two questions, minAskGap the shortest one: requests that wait
+	// don't make it shorter.
 	askInterval = 100 * time.Millisecond
+	minAskGap   = 90 * time.Millisecond
 	// askPatience is how long a process asks in vain before it takes it that no confirmation can be
 	// had now.
 	askPatience = 700 * time.Millisecond
@@ -38,13 +40,14 @@
 
 // asking is the state of the questions for a confirmation. The zero value has asked nothing.
 type asking struct {
-	mu sync.Mutex
 	// since is when the process began to ask without a pause, last is when it last asked.
 	since, last monotime.Mark
+	// logged means that it was logged that no confirmation can be had. Only Follower.ask uses it.
+	logged bool
+
+	mu sync.Mutex
 	// progress is closed after the next question and at the next answer.
 	progress chan struct{}
-	// logged means that it was logged that no confirmation can be had.
-	logged bool
 }
 
 // watch returns a channel that is closed after the next question and at the next answer.
@@ -164,8 +167,7 @@
 func (f *Follower) ask(ctx context.Context) error {
 	for pause.Until(ctx, f.urgent, askInterval) {
 		now := f.clock()
-		if gap, asked := f.asking.last.Age(now); asked && gap < askInterval/2 {
-			// Requests that wait don't make it ask more often.
+		if gap, asked := f.asking.last.Age(now); asked && gap < minAskGap {
 			continue
 		}
 		age, source := f.confirmed()
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -69,15 +69,21 @@
 	f := &Follower{decode: decode, log: log, clock: monotime.Now, urgent: make(chan struct{}, 1), dating: dating{period: datingPeriod}}
 	f.MaxAge = func() time.Duration { return DefaultMaxAge }
 	f.feed = feed.New(source, "configuration", f.replace, f.apply, log)
-	// While other nodes confirm the configuration, a store that does not answer is called now and then.
 	f.feed.Idle = func() bool {
-		return f.Get() != nil && !f.confirmationDue() && (notified() || f.feed.Unavailable())
+		return f.Get() != nil && !f.confirmationDue() && (notified() || f.othersConfirm())
 	}
 	f.feed.Wait = f.changesWait
 	f.feed.ReadTimeout = readTimeout
 	return f
 }
 
+// othersConfirm reports whether the store does not answer, and the configuration is confirmed by other
+// nodes. The store is then called now and then, but by the owner, which others rely on, at once.
+func (f *Follower) othersConfirm() bool {
+	owns := f.feed.IsOwner != nil && f.feed.IsOwner()
+	return !owns && f.feed.Unavailable()
+}
+
 // Feed returns the follower of the table.
 func (f *Follower) Feed() *feed.Follower {
 	return f.feed
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -62,7 +62,7 @@
 	mu    sync.Mutex
 	peers []string
 	// askable are the nodes that may be asked.
-	askable peers
+	askable peerRotation
 	// peersVersion is the version of peers, 0 if the owner states none.
 	peersVersion uint64
 	// expected holds, by model and software version, when loads should complete.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -11,8 +11,8 @@
 // names only those that have reported to it, and a node may have no owner for a while.
 const peerTTL = time.Minute
 
-// peers are the other nodes that may be asked. The zero value knows none. Client.mu protects it.
-type peers struct {
+// peerRotation chooses among the other nodes that may be asked. The zero value knows none. Client.mu protects it.
+type peerRotation struct {
 	// named is when each was last named.
 	named map[string]time.Time
 	// order holds those that were not chosen yet since all of them were, in random order.
@@ -20,7 +20,7 @@
 }
 
 // add records that an owner has named nodes.
-func (p *peers) add(addresses []string, now time.Time) {
+func (p *peerRotation) add(addresses []string, now time.Time) {
 	if p.named == nil {
 		p.named = map[string]time.Time{}
 	}
@@ -32,7 +32,7 @@
 
 // next returns at most limit nodes, each of those that are known before any comes again. others are
 // known besides.
-func (p *peers) next(limit int, self string, others []string) []string {
+func (p *peerRotation) next(limit int, self string, others []string) []string {
 	var out []string
 	for refilled := false; len(out) < limit; {
 		if len(p.order) == 0 {
@@ -53,7 +53,7 @@
 }
 
 // refill puts all known nodes but this one into a random order.
-func (p *peers) refill(self string, others []string) {
+func (p *peerRotation) refill(self string, others []string) {
 	known := map[string]bool{}
 	for _, address := range others {
 		known[address] = true
