--- a/review/standin/store_test.go
+++ b/review/standin/store_test.go
@@ -126,7 +126,7 @@
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	limit := time.After(time.Duration(wait) * time.Millisecond)
-	for {
+	for waiting := true; ; {
 		s.mu.Lock()
 		var out []row
 		for _, change := range s.history {
@@ -135,7 +135,8 @@
 			}
 		}
 		changed := s.changed
-		if len(out) > 0 {
+		// The answer states the store's version, so its rows are those of the same moment.
+		if len(out) > 0 || !waiting {
 			s.answer(w, http.StatusOK, out)
 			s.mu.Unlock()
 			return
@@ -146,10 +147,7 @@
 		case <-r.Context().Done():
 			return
 		case <-limit:
-			s.mu.Lock()
-			s.answer(w, http.StatusOK, nil)
-			s.mu.Unlock()
-			return
+			waiting = false
 		}
 	}
 }
--- a/review/standin/system_test.go
+++ b/review/standin/system_test.go
@@ -24,14 +24,22 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
 }
 
-func freePort(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freePorts fills ports with different ports of an address that are free. Each is kept until all are
+// chosen. No process is started meanwhile: it would keep the ports until it runs its program.
+func freePorts(ip string, ports []string) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	for i := range ports {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		if _, ports[i], err = net.SplitHostPort(listener.Addr().String()); err != nil {
+			return err
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	return port, err
+	return nil
 }
 
 // node is a process of the project.
@@ -55,11 +63,8 @@
 func newNode(folder, name, zone, storeAddress string) (*node, error) {
 	ip := loopback()
 	var ports [3]string
-	for i := range ports {
-		var err error
-		if ports[i], err = freePort(ip); err != nil {
-			return nil, err
-		}
+	if err := freePorts(ip, ports[:]); err != nil {
+		return nil, err
 	}
 	n := &node{name: name, callers: ip + ":" + ports[0], ready: ip + ":" + ports[1], file: filepath.Join(folder, name+".conf"), log: filepath.Join(folder, name+".log")}
 	settings := []string{
