--- a/internal/catalog/basis.go
+++ b/internal/catalog/basis.go
@@ -7,7 +7,7 @@
 
 // Sources of confirmations.
 const (
-	// SourceNone means that nobody has confirmed it.
+	// SourceNone means that it was never confirmed.
 	SourceNone Source = "none"
 	// SourceStore is the store, read by this node itself or through another one.
 	SourceStore Source = "store"
@@ -22,8 +22,7 @@
 type Basis struct {
 	// Catalog is nil if no configuration is in force yet.
 	Catalog *Catalog
-	// Age is the time since Source confirmed that it is the one in the store. It is negative if nobody
-	// has.
+	// Age is the time since Source confirmed that it is the one in the store, negative if none has.
 	Age    time.Duration
 	Source Source
 	// Recent means that Age is within the time in which all nodes must use a new version, so that no
--- a/internal/catalog/basis_test.go
+++ b/internal/catalog/basis_test.go
@@ -44,7 +44,7 @@
 		f.read(position(0, 10), 5, position(0, 10))
 		f.now = time.Hour
 		for _, decision := range final {
-			require.False(t, f.Basis().Permits(decision), "nobody has confirmed it")
+			require.False(t, f.Basis().Permits(decision), "it was never confirmed")
 		}
 		f.Confirm(5, f.now-age)
 		basis := f.Basis()
--- a/internal/fleet/configuration_test.go
+++ b/internal/fleet/configuration_test.go
@@ -78,7 +78,7 @@
 func (lapsedLease) Grant() (lease.Grant, bool) { return lease.Grant{}, false }
 
 // TestFormerOwnerKnowsOtherNodes guards against a node whose lease has expired, as the store does not
-// answer it, and that then knows no other node to ask for the configuration: nobody reports to it any
+// answer it, and that then knows no other node to ask for the configuration: no node reports to it any
 // more, and it took the list of those that do for the list of all nodes.
 func TestFormerOwnerKnowsOtherNodes(t *testing.T) {
 	node, address := suspectNode(t, false)
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -67,7 +67,7 @@
 		return errNoOwner
 	case c.Self:
 		if _, owns := c.Owner.Lease.Grant(); !owns {
-			// Nobody else reports to a former owner, so its list of nodes would be of no use.
+			// No other node reports to a former owner, so its list of nodes would be of no use.
 			return errNoOwner
 		}
 		if c.sent.to != c.Self {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -38,7 +38,7 @@
 }
 
 // basisAttrs returns the log attributes of the configuration by which a request was decided: its
-// version, the time since it was confirmed (-1 if never) and by whom, and, if that was too long ago, for
+// version, the time since it was confirmed (-1 if never) and its source, and, if that was too long ago, for
 // how long a newer confirmation had been asked for in vain.
 func basisAttrs(basis catalog.Basis) []any {
 	if basis.Catalog == nil {
