--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -45,8 +45,9 @@
 }
 
 var scenarios = map[string]func(ctx context.Context, s *system) (int, error){
-	"parts":   partsScenario,
-	"slashes": slashesScenario,
+	"adapters": adaptersScenario,
+	"parts":    partsScenario,
+	"slashes":  slashesScenario,
 }
 
 func TestMain(*testing.M) {
--- a/review/standin-2/node_test.go
+++ b/review/standin-2/node_test.go
@@ -183,6 +183,16 @@
 	return nil
 }
 
+// named returns the node with a name, nil if there is none.
+func named(nodes []*node, name string) *node {
+	for _, n := range nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
 // record writes what is sent, answered and run.
 type record struct {
 	mu    sync.Mutex
--- a/review/standin-2/scenarios_test.go
+++ b/review/standin-2/scenarios_test.go
@@ -40,6 +40,100 @@
 	return string(text)
 }
 
+// adaptersScenario asks for many adapters, more than the engines have room for, and from time to time
+// kills the machine that orders the engines, right after an engine has accepted a load. The rule is broken
+// if an engine is ordered to load more adapters than it may hold.
+func adaptersScenario(ctx context.Context, s *system) (int, error) {
+	const (
+		engines, models, adaptersOfModel = 12, 4, 42
+		interval                         = 6 * time.Millisecond
+		kills                            = 36
+		killInterval                     = 2500 * time.Millisecond
+	)
+	var names []string
+	var described []map[string]any
+	for i := range models {
+		names = append(names, fmt.Sprintf("daka51%d", i))
+		described = append(described, manifestModel(names[i], adaptersOfModel))
+	}
+	if err := s.begin(6, zones, manifest("/lohu930/", 2, described)); err != nil {
+		return 0, err
+	}
+	p := &pool{service: "pool", maxAdapters: 8, store: s.store, record: s.record}
+	var mu sync.Mutex
+	breaches := 0
+	for i := range engines {
+		address, err := s.address(100 + i)
+		if err != nil {
+			return 0, err
+		}
+		e := newEngine(p, address, zones[i%len(zones)], 64, names...)
+		e.events = 20
+		e.overLimit = func(_ *engine, _, text string) {
+			mu.Lock()
+			defer mu.Unlock()
+			breaches++
+			s.record.line("LIMIT broken: %s", text)
+		}
+		if err := e.start(names...); err != nil {
+			return 0, err
+		}
+	}
+	if err := s.startNodes(); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go every(ctx, interval, func(i int) {
+		n := s.pick()
+		if n == nil {
+			return
+		}
+		model := fmt.Sprintf("%s/a%d", names[rand.IntN(models)], 1+rand.IntN(adaptersOfModel))
+		s.send(n, request{method: http.MethodPost, host: "ficu95.example", path: "/lohu930/2f", model: model, usage: "646,70",
+			parts: fmt.Sprintf("5c1e07a2:155,%08x:491", rand.Uint32()), deadline: 6 * time.Second})
+	})
+	for range kills {
+		select {
+		case <-time.After(killInterval):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+		if !s.trouble {
+			continue
+		}
+		// The machine is killed right after an engine has accepted its order for an adapter.
+		given := p.nextLoad()
+		select {
+		case <-given:
+		case <-time.After(killInterval):
+		}
+		p.mu.Lock()
+		owner := named(s.nodes, p.lastHolder)
+		p.mu.Unlock()
+		if owner == nil {
+			s.record.line("no machine has given an order")
+			continue
+		}
+		s.record.line("SIGKILL of %s, which gave the last order", owner.name)
+		owner.kill()
+		time.Sleep(restartDelay)
+		if err := owner.start(); err != nil {
+			return 0, err
+		}
+		s.record.line("%s starts again", owner.name)
+	}
+	time.Sleep(killInterval)
+	cancel()
+	mu.Lock()
+	defer mu.Unlock()
+	s.record.line("orders beyond maxAdapters: %d", breaches)
+	if breaches > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
 // partsScenario sends clumps of requests with a part that crashes engines, beside sound ones, and kills
 // all nodes at once between two clumps. The rule is broken if more than three of these requests reach
 // engines, sent by machines in touch later than contactMs after the fifth crash.
