httpclient: the end of a connection ends a response only if its request was written

Cause: Linux reports a reset once per socket. If the write of the request takes the error, the next read ends as if the peer had closed in order, and net/http takes that for the end of a body without a length.

Change: a connection counts what it wrote of its request. Its end is io.EOF for a reader only if all of it was written, or nothing; a write under way has 200 ms to end, as the error may come with it after the end was read. Otherwise the read fails, so the response is broken off as after any reset: 502, sent again where the route allows it, and a stream goes on. All clients of the package have it: endpoints, forwarded requests, orders, reports, the store, and the product's own engine and platform clients.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"hash/maphash"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -40,13 +42,18 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
-	user.wrote(c, n, err)
+	user.wrote(c, p[:n], err)
 	return n, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A reset is reported once, to a write or to a read: after a write that failed,
+// the connection ends for a read as if the peer had closed it in order. So its end is io.EOF, which proves
+// the end of a response without a length, only if all of the request was written.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && !c.requestWritten() {
+		err = errEndedInRequest
+	}
 	if err != nil {
 		c.mu.Lock()
 		c.broken = err
@@ -55,6 +62,14 @@
 	return n, err
 }
 
+// requestWritten reports whether no request was written in part only.
+func (c *trackedConn) requestWritten() bool {
+	c.mu.Lock()
+	user := c.user
+	c.mu.Unlock()
+	return user == nil || user.writtenWhole(c)
+}
+
 // readError returns the error of the last read, nil if that succeeded.
 func (c *trackedConn) readError() error {
 	c.mu.Lock()
--- a/internal/httpclient/errors.go
+++ b/internal/httpclient/errors.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 )
@@ -17,6 +19,7 @@
 	errBroken           = errors.New("httpclient: the kept connection broke before the response")
 	errRepeated         = errors.New("httpclient: net/http would repeat the request")
 	errExchangeUsed     = errors.New("httpclient: the exchange had a request before")
+	errEndedInRequest   = fmt.Errorf("httpclient: the connection ended before all of the request was written: %w", io.ErrUnexpectedEOF)
 )
 
 // Error is the error of a request on a Transport that has no response.
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -63,8 +64,9 @@
 	conn  *trackedConn
 	stop  context.CancelCauseFunc
 	asked int
-	// bytes is the number of bytes written.
-	bytes int64
+	// bytes is the number of bytes written, progress how much of the request they are.
+	bytes    int64
+	progress writeProgress
 	// connections is the number of connections taken, kept tells whether the last one had
 	// been used before, first that no other exchange had taken it before.
 	connections int
@@ -85,7 +87,7 @@
 }
 
 func newExchange(terms Terms) *Exchange {
-	return &Exchange{terms: terms, settled: make(chan struct{})}
+	return &Exchange{terms: terms, settled: make(chan struct{}), progress: newWriteProgress(0)}
 }
 
 // exchangeOf returns the exchange of a request, or a new one without terms.
@@ -132,11 +134,12 @@
 	return true
 }
 
-// startTry begins a try with another connection, which stop ends.
-func (x *Exchange) startTry(stop context.CancelCauseFunc) {
+// startTry begins a try with another connection, which stop ends, for a request with a body of a length.
+func (x *Exchange) startTry(stop context.CancelCauseFunc, bodyLength int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.state, x.conn, x.kept, x.asked, x.stop = NotWritten, nil, false, 0, stop
+	x.progress = newWriteProgress(bodyLength)
 }
 
 // trace returns the hooks for a try: ctx is that of the caller.
@@ -211,11 +214,15 @@
 	return (x.allowed == nil || x.allowed()) && (x.terms.Check == nil || x.terms.Check())
 }
 
-// wrote records the result of a write.
-func (x *Exchange) wrote(c *trackedConn, n int, err error) {
+// wrote records the result of a write, which accepted data.
+func (x *Exchange) wrote(c *trackedConn, data []byte, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.bytes += int64(n)
+	x.bytes += int64(len(data))
+	x.progress.add(data)
+	if err != nil {
+		x.progress.end()
+	}
 	if x.bytes > 0 || err == nil || x.ended || x.conn != c {
 		return
 	}
@@ -223,12 +230,42 @@
 	x.stop(err)
 }
 
+// writeTimeout is how long the end of a connection waits for the rest of its request to be written, or to
+// fail. The peer has ended its side, so that it takes one round trip unless the peer still reads.
+const writeTimeout = 200 * time.Millisecond
+
+// writtenWhole reports whether all of the request is written to a connection that has ended, or nothing.
+func (x *Exchange) writtenWhole(c *trackedConn) bool {
+	x.mu.Lock()
+	written := x.state == Written && x.conn == c
+	ended := x.progress.ended
+	x.mu.Unlock()
+	if !written {
+		return true
+	}
+	timer := time.NewTimer(writeTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.progress.whole()
+}
+
 // Stop ends the writing: nothing of the request is written any more. It has no effect if all of it was
 // written.
 func (x *Exchange) Stop() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.endWriting()
+}
+
+// endWriting is Stop. The caller holds mu.
+func (x *Exchange) endWriting() {
 	x.ended = true
+	x.progress.end()
 }
 
 // leaves waits until the exchange has settled, and reports whether its connection may be used by
@@ -281,7 +318,10 @@
 func (x *Exchange) settle(named, accepted bool) (State, *trackedConn) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.reusable, x.ended = named, !accepted
+	x.reusable = named
+	if !accepted {
+		x.endWriting()
+	}
 	x.release()
 	return x.state, x.conn
 }
@@ -305,7 +345,7 @@
 func (x *Exchange) fail(err error) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ended = true
+	x.endWriting()
 	x.release()
 	close(x.settled)
 	switch {
--- a/internal/httpclient/exchange_test.go
+++ b/internal/httpclient/exchange_test.go
@@ -40,7 +40,7 @@
 	x = newExchange(Terms{})
 	require.True(t, x.begin(t.Context()))
 	var cause error
-	x.startTry(func(err error) { cause = err })
+	x.startTry(func(err error) { cause = err }, 0)
 	x.ask()
 	return x, func() error { return cause }
 }
--- a/internal/httpclient/roundtrip.go
+++ b/internal/httpclient/roundtrip.go
@@ -90,7 +90,7 @@
 // try makes one try, on one connection.
 func (t *Transport) try(req *http.Request, body io.ReadCloser, x *Exchange) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	x.startTry(cancel)
+	x.startTry(cancel, bodyLength(req))
 	out := req.WithContext(httptrace.WithClientTrace(ctx, x.trace(ctx)))
 	out.Body, out.GetBody = body, nil
 	resp, err := t.pool.RoundTrip(out)
@@ -117,6 +117,17 @@
 	return req.GetBody()
 }
 
+// bodyLength returns the number of bytes of a request's body, or unknownLength.
+func bodyLength(req *http.Request) int64 {
+	switch {
+	case req.Body == nil || req.Body == http.NoBody:
+		return 0
+	case req.ContentLength > 0:
+		return req.ContentLength
+	}
+	return unknownLength
+}
+
 // closeBody closes the body of a request that is not sent.
 func closeBody(req *http.Request) {
 	if req.Body != nil {
