httpclient: a response is read although the write of its request failed

Callers got 502 in place of a whole response: an endpoint answered a long upload early, ended the response by a length or chunks, and closed the connection. Where the upload was sent again, it ran twice.

Cause: the write of the rest of the upload fails, and net/http then closes the connection, with the response in its buffer, unless it has read that before.

Change: a write that fails once a byte of its request was written returns when the connection has been read to its end, or closed. What the endpoint sent can be read until then. TestWriteThatFails reads along now, as net/http does; what it requires is the same.

A response that was read before its upload was written takes up to 50 ms more to end, as net/http waits so long for the write.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -21,6 +21,9 @@
 // last, as far as that one allows them, and no others.
 type trackedConn struct {
 	net.Conn
+	// readEnded is closed once a read has failed, closed once the connection is closed.
+	readEnded, closed chan struct{}
+	endRead, endConn  sync.Once
 
 	mu   sync.Mutex
 	user *Exchange
@@ -30,7 +33,13 @@
 	ids []uint64
 }
 
-// Write implements net.Conn.
+func newTrackedConn(conn net.Conn) *trackedConn {
+	return &trackedConn{Conn: conn, readEnded: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Write implements net.Conn. A write that fails once a byte of the request was written returns when the
+// connection has been read to its end, or closed: net/http closes it then, and the peer may have sent a
+// whole response before it broke the connection.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	user := c.user
@@ -43,9 +52,26 @@
 	}
 	n, err := c.Conn.Write(p)
 	user.wrote(c, p[:n], err)
+	if err != nil && user.Written() {
+		c.awaitEnd()
+	}
 	return n, err
 }
 
+// awaitEnd waits until the connection has been read to its end, or closed.
+func (c *trackedConn) awaitEnd() {
+	select {
+	case <-c.readEnded:
+	case <-c.closed:
+	}
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.endConn.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn. A reset is reported once, to a write or to a read: after a write that failed,
 // the connection ends for a read as if the peer had closed it in order. So its end is io.EOF, which proves
 // the end of a response without a length, only if all of the request was written.
@@ -58,6 +84,7 @@
 		c.mu.Lock()
 		c.broken = err
 		c.mu.Unlock()
+		c.endRead.Do(func() { close(c.readEnded) })
 	}
 	return n, err
 }
--- a/internal/httpclient/exchange_test.go
+++ b/internal/httpclient/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,10 +28,14 @@
 	return len(p), nil
 }
 
+func (c *recordedConn) Read([]byte) (int, error) {
+	return 0, io.EOF
+}
+
 // takeConn has an exchange take a new connection.
 func takeConn(t *testing.T, x *Exchange) (*trackedConn, *recordedConn) {
 	recorded := &recordedConn{}
-	c := &trackedConn{Conn: recorded}
+	c := newTrackedConn(recorded)
 	x.attach(c, false, c.take(t.Context(), x))
 	return c, recorded
 }
@@ -77,7 +82,7 @@
 // TestConnectionWithoutExchange guards against bytes that no exchange accounts for.
 func TestConnectionWithoutExchange(t *testing.T) {
 	recorded := &recordedConn{}
-	_, err := (&trackedConn{Conn: recorded}).Write([]byte("x"))
+	_, err := newTrackedConn(recorded).Write([]byte("x"))
 	require.ErrorIs(t, err, errNoExchange)
 	require.Empty(t, recorded.written)
 }
@@ -93,6 +98,7 @@
 			require.NoError(t, err)
 		}
 		recorded.failing = net.ErrClosed
+		go func() { _, _ = c.Read(nil) }()
 		_, err := c.Write([]byte("y"))
 		require.ErrorIs(t, err, net.ErrClosed)
 		require.Equal(t, first != "", x.Written())
@@ -174,7 +180,7 @@
 func TestResponseBeforeRequest(t *testing.T) {
 	x, _ := beganExchange(t)
 	recorded := &recordedConn{}
-	c := &trackedConn{Conn: recorded}
+	c := newTrackedConn(recorded)
 	x.attach(c, true, c.take(t.Context(), x))
 	conn, spoilt := x.spoilt()
 	require.True(t, spoilt)
--- a/internal/httpclient/roundtrip.go
+++ b/internal/httpclient/roundtrip.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return newTrackedConn(conn), nil
 	}
 	return &Transport{pool: pool}
 }
