httpclient: one place decides whether the head of a response is one

Callers got responses with a status of 600 to 999, and responses in whose head the name of a field held a blank, or a blank before its colon: without that line, but with a body that was not the engine's if the line was its only framing. A folded line was joined to the value before it, also to a signature. A status of 000 reached no caller, but counted as the store's answer, and an order that got it as rejected.

Cause: a head was what net/http parsed. That keeps any status of three digits, takes a field with a blank in its name for an unknown one, joins folded lines, and reads chunks in HTTP/1.0 as the body itself.

Change: each connection of the package checks the bytes of the head that arrives (headChecker): status from 100 to 599, names and values of fields, no folded line, no transfer coding in HTTP/1.0, interim heads included. An invalid one is a failed read, with its fault as the error; the connection is closed and the request may have run. A head that began before its request was written counts as none too.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -29,6 +29,8 @@
 	user *Exchange
 	// broken is the error of the last read, if that failed.
 	broken error
+	// head checks the head of the response to the last exchange.
+	head headChecker
 	// ids are the hashes of the ids of the requests that were begun.
 	ids []uint64
 }
@@ -75,8 +77,13 @@
 // Read implements net.Conn. A reset is reported once, to a write or to a read: after a write that failed,
 // the connection ends for a read as if the peer had closed it in order. So its end is io.EOF, which proves
 // the end of a response without a length, only if all of the request was written.
+//
+// The bytes of an invalid head are not returned, but its fault.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if fault := c.checkHead(p[:n]); fault != "" {
+		n, err = 0, fault
+	}
 	if errors.Is(err, io.EOF) && !c.requestWritten() {
 		err = errEndedInRequest
 	}
@@ -89,6 +96,28 @@
 	return n, err
 }
 
+// checkHead checks the head of a response, as far as it is among the bytes that were read.
+func (c *trackedConn) checkHead(data []byte) headFault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.add(data)
+	return c.head.fault
+}
+
+// beginHead begins the head of the response to the next exchange.
+func (c *trackedConn) beginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headChecker{}
+}
+
+// headWhole reports whether the head of a response came whole since its exchange took the connection.
+func (c *trackedConn) headWhole() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.whole()
+}
+
 // requestWritten reports whether no request was written in part only.
 func (c *trackedConn) requestWritten() bool {
 	c.mu.Lock()
@@ -116,6 +145,7 @@
 	if before != nil && !before.leaves(ctx, c, x) {
 		return false
 	}
+	c.beginHead()
 	return x.terms.ID == "" || c.addID(x.terms.ID)
 }
 
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -299,18 +299,36 @@
 	return x.conn, true
 }
 
-// accept ends the exchange with a response, which it returns if that names the request. A head that was
-// joined of two ones names none.
+// accept ends the exchange with a response, which it returns if that is accepted.
 func (x *Exchange) accept(resp *http.Response) (*http.Response, error) {
 	defer close(x.settled)
-	whole := !joined(resp)
-	named := whole && (x.terms.Named == nil || x.terms.Named(resp))
-	accepted := named || whole && x.first && x.terms.FirstOnly != nil && x.terms.FirstOnly(resp)
+	named, accepted, cause := x.judge(resp)
 	state, conn := x.settle(named, accepted)
 	if accepted {
 		return resp, nil
 	}
-	return nil, &Error{State: state, Err: closeNotNamed(resp, conn)}
+	return nil, &Error{State: state, Err: errors.Join(cause, closeNotNamed(resp, conn))}
+}
+
+// judge reports whether a response names the request, and whether it is accepted. The cause is the fault of
+// its head, if any. A head that was joined of two ones names no request.
+func (x *Exchange) judge(resp *http.Response) (named, accepted bool, cause error) {
+	if !x.headWhole() {
+		faultEarly.count()
+		return false, false, faultEarly
+	}
+	whole := !joined(resp)
+	named = whole && (x.terms.Named == nil || x.terms.Named(resp))
+	accepted = named || whole && x.first && x.terms.FirstOnly != nil && x.terms.FirstOnly(resp)
+	return named, accepted, nil
+}
+
+// headWhole reports whether the head of the response began and ended on the connection of the exchange.
+func (x *Exchange) headWhole() bool {
+	x.mu.Lock()
+	conn := x.conn
+	x.mu.Unlock()
+	return conn.headWhole()
 }
 
 // settle records whether the response names the request, and whether it is accepted. Nothing is
@@ -348,6 +366,7 @@
 	x.endWriting()
 	x.release()
 	close(x.settled)
+	countFault(err)
 	switch {
 	case x.state == Refused:
 		err = withCause(ErrNotAllowed, err)
