relay: incomplete events of streams count towards the memory for bodies

Cause: an event is bounded by 1 MiB, but the events of all streams together were not; internal/membudget counted the bodies of requests and buffered responses only.

Change: a stream holds a share of the budget for the bytes of its incomplete event, beyond 8 KiB, until the event is forwarded. Without room the stream is broken off: sent again where the route allows it, else 502.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -88,6 +88,15 @@
 	return true
 }
 
+// Shrink makes the share hold at most n bytes.
+func (s *Share) Shrink(n int64) {
+	if s.budget == nil || n >= s.held {
+		return
+	}
+	s.budget.release(s.held - n)
+	s.held = n
+}
+
 // Close releases the bytes of the share.
 func (s *Share) Close() {
 	if s.budget != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
+	"chestnutgauge/internal/membudget"
 	"chestnutgauge/internal/outcome"
 	"chestnutgauge/internal/sse"
 )
@@ -17,6 +19,8 @@
 // ones, so that a resumable stream can be resumed at another endpoint.
 func (x *exchange) forwardStream(ctx context.Context, s *sending) attemptResult {
 	buffer := make([]byte, streamBuffer)
+	share := x.relay.Memory.Open()
+	defer share.Close()
 	times := streamTimings{started: s.started, continues: x.started}
 	x.events.Reset()
 	x.position.beginAttempt()
@@ -25,7 +29,7 @@
 		if n > 0 {
 			times.record(time.Now())
 			times.reads++
-			if err := x.forwardEvents(s, &times, buffer[:n]); err != nil {
+			if err := x.forwardEvents(s, &times, buffer[:n], share); err != nil {
 				return x.rejected(s, err)
 			}
 		}
@@ -40,8 +44,13 @@
 }
 
 // forwardEvents forwards the complete events that end within data, as far as they may follow what the
-// caller has. The error is that of the rest, or of the caller's connection.
-func (x *exchange) forwardEvents(s *sending, times *streamTimings, data []byte) error {
+// caller has. The bytes of an event that is not complete are held by share. The error is that of the rest, of
+// the caller's connection, or of an event that there is no memory for.
+func (x *exchange) forwardEvents(s *sending, times *streamTimings, data []byte, share *membudget.Share) error {
+	if !share.Grow(heldOfEvent(len(x.events.Rest()) + len(data))) {
+		return errNoEventMemory
+	}
+	defer func() { share.Shrink(heldOfEvent(len(x.events.Rest()))) }()
 	accepted, moved, rejection := x.position.accept(x.events.Add(data))
 	times.moved = times.moved || moved
 	s.stalls.received(sse.HasEvent(accepted), x.events.EventBegun())
@@ -60,7 +69,22 @@
 	return rejection
 }
 
-var errEventTooLong = errors.New("server-sent event exceeds the size limit")
+// Causes of streams that end since an event of theirs is too long, or longer than there is memory for.
+var (
+	errEventTooLong  = errors.New("server-sent event exceeds the size limit")
+	errNoEventMemory = fmt.Errorf("server-sent event: %w", membudget.ErrFull)
+)
+
+// smallEvent is the number of bytes of a stream's events for which there is always memory.
+const smallEvent = 2 * streamBuffer
+
+// heldOfEvent returns how many bytes of an event count as held.
+func heldOfEvent(length int) int64 {
+	if length <= smallEvent {
+		return 0
+	}
+	return int64(length)
+}
 
 func (x *exchange) forwardBytes(s *sending, data []byte) error {
 	if !x.started {
