Bound what is read of responses without end of nodes, and of the product's own engines and platform

All other reads have a limit.

Change: httpclient.BoundedReader ends such a read with ErrTooLong, at 16 MB for a message and an engine's response, 64 MB for a response of the platform.

--- a/internal/engine/httpengine/httpengine.go
+++ b/internal/engine/httpengine/httpengine.go
@@ -220,7 +220,7 @@
 	if into == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	if err := decode(resp, into); err != nil {
 		return fmt.Errorf("%w: decode %s: %v", engine.ErrUnknown, path, err)
 	}
 	return nil
@@ -259,9 +259,16 @@
 	return nil, replyError(resp)
 }
 
+// maxResponseBytes bounds a response that is not a stream, in bytes.
+const maxResponseBytes = 16 << 20
+
+func decode(resp *http.Response, into any) error {
+	return json.NewDecoder(httpclient.NewBoundedReader(resp.Body, maxResponseBytes)).Decode(into)
+}
+
 func replyError(resp *http.Response) error {
 	var reply ErrorReply
-	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+	if err := decode(resp, &reply); err != nil {
 		return fmt.Errorf("%w: status %d", engine.ErrUnknown, resp.StatusCode)
 	}
 	known, ok := errorsByCode[reply.Code]
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chestnutgauge/internal/catalog"
+	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/owner"
@@ -50,6 +51,9 @@
 	reconnectDelay = 200 * time.Millisecond
 )
 
+// maxMessageBytes bounds one message, in bytes. The first one has all endpoints.
+const maxMessageBytes = 16 << 20
+
 // message is one message of a stream.
 type message struct {
 	ConfigVersion int64 `json:"config_version"`
@@ -239,13 +243,15 @@
 	if err := checkStatus(resp, holder); err != nil {
 		return err
 	}
-	decoder := json.NewDecoder(resp.Body)
+	body := httpclient.NewBoundedReader(resp.Body, maxMessageBytes)
+	decoder := json.NewDecoder(body)
 	recorder := inventory.Recorder{Inventory: f.Inventory, Log: f.Log}
 	for {
 		var update message
 		if err := decoder.Decode(&update); err != nil {
 			return fmt.Errorf("fleet: inventory: %w", err)
 		}
+		body.Reset()
 		timeout.Reset(streamTimeout)
 		if f.lastMessage.Set(monotime.Now()) {
 			f.Log.Info("owner's inventory followed", "owner", holder)
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -84,13 +84,20 @@
 	return commitResult(resp)
 }
 
+// maxResponseBytes bounds a response, in bytes. The longest ones have all objects of a kind.
+const maxResponseBytes = 64 << 20
+
+func bounded(resp *http.Response) io.Reader {
+	return httpclient.NewBoundedReader(resp.Body, maxResponseBytes)
+}
+
 // commitResult decodes the response to a transaction.
 func commitResult(resp *http.Response) (int64, error) {
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
 		return 0, writeStatusError(resp.StatusCode)
 	}
 	var reply CommitReply
-	err := json.NewDecoder(resp.Body).Decode(&reply)
+	err := json.NewDecoder(bounded(resp)).Decode(&reply)
 	switch {
 	case err != nil && resp.StatusCode == http.StatusConflict:
 		return 0, fmt.Errorf("%w: conflict: decode: %v", platform.ErrUnavailable, err)
@@ -146,7 +153,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(bounded(resp))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
 	}
@@ -173,7 +180,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	if err := json.NewDecoder(bounded(resp)).Decode(into); err != nil {
 		return fmt.Errorf("%w: decode %s: %v", platform.ErrUnavailable, path, err)
 	}
 	return nil
--- a/internal/platform/httpplatform/httpplatform_test.go
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -1,7 +1,9 @@
 package httpplatform
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/platform"
 )
 
@@ -66,3 +69,29 @@
 	t.Cleanup(server.Close)
 	return New(strings.TrimPrefix(server.URL, "http://"))
 }
+
+// TestResponseWithoutEnd guards against a process that runs out of memory since a response of the platform never
+// ends.
+func TestResponseWithoutEnd(t *testing.T) {
+	written := make(chan int, 1)
+	client := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.WriteString(w, `{"version":1,"other":"`)
+		part, length := strings.Repeat("x", 1<<20), 0
+		for err == nil {
+			_, err = io.WriteString(w, part)
+			length += len(part)
+		}
+		written <- length
+	})
+	calls := map[string]func() error{
+		"row":    func() error { _, err := client.Get(t.Context(), "k"); return err },
+		"commit": func() error { _, err := client.Commit(t.Context(), platform.Txn{}); return err },
+		"object": func() error { _, err := client.Objects().Get(t.Context(), "k"); return err },
+	}
+	for name, call := range calls {
+		err := call()
+		require.ErrorContains(t, err, httpclient.ErrTooLong.Error(), name)
+		require.Equal(t, name == "commit", errors.Is(err, platform.ErrUnknown), name)
+		require.Less(t, <-written, 2*maxResponseBytes, name)
+	}
+}
