httpclient: long heads of responses count towards the memory for bodies

What a node kept of heads was bounded for each response, 64 KiB, but not for all of the process: with the 1,950 requests at once that the descriptors of a node allow, engines that send heads without end could have it hold more than its memory.

Cause: internal/membudget did not count heads.

That a node ends by it was not seen: with 400 requests at once the heap grew by 11 to 46 MB, as failing endpoints are ejected.

Change: a connection to an endpoint, or to a node that serves a request, holds a share of the budget for twice the length of a head beyond 8 KiB, until its next request or its end. Without room the response is broken off.

--- a/internal/fleet/forward_test.go
+++ b/internal/fleet/forward_test.go
@@ -55,7 +55,7 @@
 	d.Inventory = inventory.New()
 	d.OnCut = func(string) {}
 	d.HTTP = NewHTTP()
-	d.ForwardHTTP = NewForwardHTTP()
+	d.ForwardHTTP = NewForwardHTTP(nil)
 	d.Log = discard
 	return d, d.PickNode(nil, time.Now())
 }
--- a/internal/fleet/forwardbroken_test.go
+++ b/internal/fleet/forwardbroken_test.go
@@ -53,7 +53,7 @@
 	d := NewForwarding()
 	d.Others = func() []string { return []string{address} }
 	d.Inventory = inventory.New()
-	d.HTTP, d.ForwardHTTP, d.Log = NewHTTP(), NewForwardHTTP(), discard
+	d.HTTP, d.ForwardHTTP, d.Log = NewHTTP(), NewForwardHTTP(nil), discard
 	require.NoError(t, post(t.Context(), d.ForwardHTTP, address, "/first", struct{}{}, &struct{}{}))
 	req, attempt := forwardedCall()
 	req.Body, req.Header = nil, http.Header{"Idempotency-Key": {"key"}}
@@ -71,7 +71,7 @@
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
 	d := NewForwarding()
-	d.ForwardHTTP, d.Log = NewForwardHTTP(), discard
+	d.ForwardHTTP, d.Log = NewForwardHTTP(nil), discard
 	req, attempt := forwardedCall()
 	attempt.Deadline = time.Now().Add(time.Second)
 	_, err = d.forward(t.Context(), listener.Addr().String(), req, attempt)
--- a/internal/fleet/forwardname_test.go
+++ b/internal/fleet/forwardname_test.go
@@ -48,7 +48,7 @@
 	d.Direct = deadLinks{}
 	d.Others = func() []string { return []string{address} }
 	d.Inventory = inventory.New()
-	d.HTTP, d.ForwardHTTP, d.Log = NewHTTP(), NewForwardHTTP(), discard
+	d.HTTP, d.ForwardHTTP, d.Log = NewHTTP(), NewForwardHTTP(nil), discard
 	return d, address
 }
 
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutgauge/internal/httpclient"
+	"chestnutgauge/internal/membudget"
 )
 
 // Timeouts of connections between nodes. userTimeout is the TCP user timeout:
@@ -20,9 +21,11 @@
 	forwardSilence = 1500 * time.Millisecond
 )
 
-// NewForwardHTTP returns the HTTP client for requests that other nodes serve.
-func NewForwardHTTP() *http.Client {
-	return httpclient.NewClient(httpclient.NewTransport(connectTimeout, httpclient.UserTimeout(forwardSilence)))
+// NewForwardHTTP returns the HTTP client for requests that other nodes serve. memory accounts for long heads of
+// their responses; nil means no bound.
+func NewForwardHTTP(memory *membudget.Budget) *http.Client {
+	transport := httpclient.NewTransport(connectTimeout, httpclient.UserTimeout(forwardSilence))
+	return httpclient.NewClient(transport.WithMemory(memory))
 }
 
 // NewHTTP returns the HTTP client for calls between nodes.
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -8,6 +8,8 @@
 	"net"
 	"slices"
 	"sync"
+
+	"chestnutgauge/internal/membudget"
 )
 
 // maxRequests is the number of requests with an id after which a connection is not used again.
@@ -29,14 +31,16 @@
 	user *Exchange
 	// broken is the error of the last read, if that failed.
 	broken error
-	// head checks the head of the response to the last exchange.
+	// head checks the head of the response to the last exchange, held is its share of the memory.
 	head headChecker
+	held *membudget.Share
 	// ids are the hashes of the ids of the requests that were begun.
 	ids []uint64
 }
 
-func newTrackedConn(conn net.Conn) *trackedConn {
-	return &trackedConn{Conn: conn, readEnded: make(chan struct{}), closed: make(chan struct{})}
+// newTrackedConn returns a connection whose heads memory, which may be nil, accounts for.
+func newTrackedConn(conn net.Conn, memory *membudget.Budget) *trackedConn {
+	return &trackedConn{Conn: conn, held: memory.Open(), readEnded: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Write implements net.Conn. A write that fails once a byte of the request was written returns when the
@@ -71,18 +75,22 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.endConn.Do(func() { close(c.closed) })
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held.Close()
+	return err
 }
 
 // Read implements net.Conn. A reset is reported once, to a write or to a read: after a write that failed,
 // the connection ends for a read as if the peer had closed it in order. So its end is io.EOF, which proves
 // the end of a response without a length, only if all of the request was written.
 //
-// The bytes of an invalid head are not returned, but its fault.
+// The bytes of a head that is invalid, or that there is no memory for, are not returned.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if fault := c.checkHead(p[:n]); fault != "" {
-		n, err = 0, fault
+	if invalid := c.checkHead(p[:n]); invalid != nil {
+		n, err = 0, invalid
 	}
 	if errors.Is(err, io.EOF) && !c.requestWritten() {
 		err = errEndedInRequest
@@ -96,12 +104,29 @@
 	return n, err
 }
 
-// checkHead checks the head of a response, as far as it is among the bytes that were read.
-func (c *trackedConn) checkHead(data []byte) headFault {
+// checkHead checks the head of a response, as far as it is among the bytes that were read, and makes room
+// for it.
+func (c *trackedConn) checkHead(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.add(data)
-	return c.head.fault
+	if c.head.fault != "" {
+		return c.head.fault
+	}
+	if !c.isClosed() && !c.held.Grow(heldOfHead(c.head.length)) {
+		return errNoHeadMemory
+	}
+	return nil
+}
+
+// isClosed reports whether the connection is closed.
+func (c *trackedConn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
 }
 
 // beginHead begins the head of the response to the next exchange.
@@ -109,6 +134,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = headChecker{}
+	c.held.Shrink(0)
 }
 
 // headWhole reports whether the head of a response came whole since its exchange took the connection.
--- a/internal/httpclient/cutrequest_test.go
+++ b/internal/httpclient/cutrequest_test.go
@@ -78,7 +78,7 @@
 	x.begin(t.Context())
 	x.startTry(func(error) {}, testBodyLength)
 	stepped := &steppedConn{results: make(chan error)}
-	c := newTrackedConn(stepped)
+	c := newTrackedConn(stepped, nil)
 	x.attach(c, false, c.take(t.Context(), x))
 	go func() {
 		for _, part := range test.parts[:len(test.before)+len(test.after)] {
--- a/internal/httpclient/exchange_test.go
+++ b/internal/httpclient/exchange_test.go
@@ -35,7 +35,7 @@
 // takeConn has an exchange take a new connection.
 func takeConn(t *testing.T, x *Exchange) (*trackedConn, *recordedConn) {
 	recorded := &recordedConn{}
-	c := newTrackedConn(recorded)
+	c := newTrackedConn(recorded, nil)
 	x.attach(c, false, c.take(t.Context(), x))
 	return c, recorded
 }
@@ -82,7 +82,7 @@
 // TestConnectionWithoutExchange guards against bytes that no exchange accounts for.
 func TestConnectionWithoutExchange(t *testing.T) {
 	recorded := &recordedConn{}
-	_, err := newTrackedConn(recorded).Write([]byte("x"))
+	_, err := newTrackedConn(recorded, nil).Write([]byte("x"))
 	require.ErrorIs(t, err, errNoExchange)
 	require.Empty(t, recorded.written)
 }
@@ -180,7 +180,7 @@
 func TestResponseBeforeRequest(t *testing.T) {
 	x, _ := beganExchange(t)
 	recorded := &recordedConn{}
-	c := newTrackedConn(recorded)
+	c := newTrackedConn(recorded, nil)
 	x.attach(c, true, c.take(t.Context(), x))
 	conn, spoilt := x.spoilt()
 	require.True(t, spoilt)
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"regexp"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/http/httpguts"
+
+	"chestnutgauge/internal/membudget"
 )
 
 // headFault is why the head of a response is invalid. net/http accepts most of such heads.
@@ -50,6 +53,24 @@
 	}
 }
 
+// errNoHeadMemory is the error of a head that there is no memory for.
+var errNoHeadMemory = fmt.Errorf("httpclient: head of a response: %w", membudget.ErrFull)
+
+const (
+	// smallHead is the length of heads for which there is always memory, in bytes.
+	smallHead = 8 << 10
+	// headCopies is how often a head is held while it is parsed: as lines and as fields.
+	headCopies = 2
+)
+
+// heldOfHead returns how many bytes a head of a length counts as.
+func heldOfHead(length int64) int64 {
+	if length <= smallHead {
+		return 0
+	}
+	return headCopies * length
+}
+
 // headPart is the part of a head that its next byte belongs to.
 type headPart int
 
@@ -80,7 +101,9 @@
 	text []byte
 	// interim means that another head follows, withoutCodings that the version has no transfer codings.
 	interim, withoutCodings bool
-	fault                   headFault
+	// length is the number of bytes of the heads.
+	length int64
+	fault  headFault
 }
 
 // add checks the next bytes of a response. Those after its last head are not looked at.
@@ -99,6 +122,7 @@
 }
 
 func (h *headChecker) next(b byte) {
+	h.length++
 	switch h.part {
 	case partStatusLine:
 		h.inStatusLine(b)
@@ -185,7 +209,7 @@
 // endHead begins the next head if the one that has ended is an interim one.
 func (h *headChecker) endHead() {
 	if h.part == partBody && h.interim {
-		*h = headChecker{text: h.text[:0]}
+		*h = headChecker{text: h.text[:0], length: h.length}
 	}
 }
 
--- a/internal/httpclient/head_test.go
+++ b/internal/httpclient/head_test.go
@@ -63,7 +63,7 @@
 	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	for before := range len(head) + 1 {
 		reading := readingConn{Reader: strings.NewReader(head)}
-		c := newTrackedConn(reading)
+		c := newTrackedConn(reading, nil)
 		// The rest of a head is no head, so the error is not looked at.
 		read := func(length int) { _, _ = io.CopyN(io.Discard, c, int64(length)) }
 		read(before)
--- a/internal/httpclient/roundtrip.go
+++ b/internal/httpclient/roundtrip.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"chestnutgauge/internal/membudget"
 )
 
 // maxTries bounds the connections that one exchange takes: all that are kept to a host, and a new one.
@@ -18,19 +20,22 @@
 // byte was written fails with an Error instead. It is safe for concurrent use.
 type Transport struct {
 	pool *http.Transport
+	// memory accounts for the heads of responses. Nil means no bound.
+	memory *membudget.Budget
 }
 
 // Over returns a transport over a pool of connections, which nothing else may use.
 func Over(pool *http.Transport) *Transport {
+	t := &Transport{pool: pool}
 	dial := pool.DialContext
 	pool.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return newTrackedConn(conn), nil
+		return newTrackedConn(conn, t.memory), nil
 	}
-	return &Transport{pool: pool}
+	return t
 }
 
 // NewClient returns a client over a transport. It follows no redirect: that would be a second
@@ -42,6 +47,13 @@
 	}
 }
 
+// WithMemory has a budget account for long heads of responses. A request whose response has a head that there
+// is no memory for fails. It must be called before the first request.
+func (t *Transport) WithMemory(memory *membudget.Budget) *Transport {
+	t.memory = memory
+	return t
+}
+
 // WithoutReuse has the transport make a connection for each request.
 func (t *Transport) WithoutReuse() *Transport {
 	t.pool.DisableKeepAlives = true
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -168,12 +168,12 @@
 // wireForwarding sets up the ways to endpoints.
 func (w *wiring) wireForwarding() {
 	n, log, endpointDial := w.Node, w.log, w.endpointDial
-	n.forwarding.Direct = platform.NewSender(log, endpointDial...)
+	n.forwarding.Direct = platform.NewSender(log, endpointDial...).WithMemory(n.memory)
 	n.forwarding.Others = n.client.Others
 	n.forwarding.Inventory = n.inventory
 	n.forwarding.OnCut = n.meter.ForgetReach
 	n.forwarding.HTTP = fleet.NewHTTP()
-	n.forwarding.ForwardHTTP = fleet.NewForwardHTTP()
+	n.forwarding.ForwardHTTP = fleet.NewForwardHTTP(n.memory)
 	n.forwarding.Log = log
 }
 
