--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -24,8 +24,8 @@
 type trackedConn struct {
 	net.Conn
 	// readEnded is closed once a read has failed, closed once the connection is closed.
-	readEnded, closed chan struct{}
-	endRead, endConn  sync.Once
+	readEnded, closed       chan struct{}
+	readEndOnce, closedOnce sync.Once
 
 	mu   sync.Mutex
 	user *Exchange
@@ -43,9 +43,9 @@
 	return &trackedConn{Conn: conn, held: memory.Open(), readEnded: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// Write implements net.Conn. A write that fails once a byte of the request was written returns when the
-// connection has been read to its end, or closed: net/http closes it then, and the peer may have sent a
-// whole response before it broke the connection.
+// Write implements net.Conn. The peer may have sent a whole response before it broke the connection, and
+// net/http closes the connection once a write has failed. So a write that fails after a byte of the request was
+// written returns when the connection has been read to its end, or is closed.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	user := c.user
@@ -74,7 +74,7 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
-	c.endConn.Do(func() { close(c.closed) })
+	c.closedOnce.Do(func() { close(c.closed) })
 	err := c.Conn.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -82,15 +82,15 @@
 	return err
 }
 
-// Read implements net.Conn. A reset is reported once, to a write or to a read: after a write that failed,
-// the connection ends for a read as if the peer had closed it in order. So its end is io.EOF, which proves
-// the end of a response without a length, only if all of the request was written.
+// Read implements net.Conn. The kernel reports a reset once, to a write or to a read: after a write that failed
+// the connection ends for a read as if the peer had closed it in order. So the end is io.EOF, which ends a
+// response without a length, only if all of the request was written, or nothing.
 //
 // The bytes of a head that is invalid, or that there is no memory for, are not returned.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if invalid := c.checkHead(p[:n]); invalid != nil {
-		n, err = 0, invalid
+	if headErr := c.checkHead(p[:n]); headErr != nil {
+		n, err = 0, headErr
 	}
 	if errors.Is(err, io.EOF) && !c.requestWritten() {
 		err = errEndedInRequest
@@ -99,7 +99,7 @@
 		c.mu.Lock()
 		c.broken = err
 		c.mu.Unlock()
-		c.endRead.Do(func() { close(c.readEnded) })
+		c.readEndOnce.Do(func() { close(c.readEnded) })
 	}
 	return n, err
 }
@@ -144,7 +144,7 @@
 	return c.head.whole()
 }
 
-// requestWritten reports whether no request was written in part only.
+// requestWritten reports whether the last request was written whole, or not at all.
 func (c *trackedConn) requestWritten() bool {
 	c.mu.Lock()
 	user := c.user
