fleet: the reader of the owner's messages is tested without a connection

TestMessageWithoutEnd had to read 16 MB within the 1.1 s of a stream, and TestResponseWithoutEnd of httpplatform 64 MB within the 2 s of a call, which a busy machine may not do. The first one reads from memory now and still fails without the limit; TestStreamIsLongerThanMessage has a stream of twice the limit in small messages. The limit of a platform's response is 16 MB, as an engine's; all objects of a kind are 3.5 MB.

--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -243,15 +244,13 @@
 	if err := checkStatus(resp, holder); err != nil {
 		return err
 	}
-	body := httpclient.NewBoundedReader(resp.Body, maxMessageBytes)
-	decoder := json.NewDecoder(body)
+	messages := newMessageReader(resp.Body)
 	recorder := inventory.Recorder{Inventory: f.Inventory, Log: f.Log}
 	for {
-		var update message
-		if err := decoder.Decode(&update); err != nil {
+		update, err := messages.next()
+		if err != nil {
 			return fmt.Errorf("fleet: inventory: %w", err)
 		}
-		body.Reset()
 		timeout.Reset(streamTimeout)
 		if f.lastMessage.Set(monotime.Now()) {
 			f.Log.Info("owner's inventory followed", "owner", holder)
@@ -271,3 +270,22 @@
 		}
 	}
 }
+
+// messageReader reads the messages of a stream, of which each is bounded.
+type messageReader struct {
+	body    *httpclient.BoundedReader
+	decoder *json.Decoder
+}
+
+func newMessageReader(body io.Reader) *messageReader {
+	bounded := httpclient.NewBoundedReader(body, maxMessageBytes)
+	return &messageReader{body: bounded, decoder: json.NewDecoder(bounded)}
+}
+
+// next returns the next message. Its error is httpclient.ErrTooLong for one of more than maxMessageBytes.
+func (r *messageReader) next() (message, error) {
+	r.body.Reset()
+	var next message
+	err := r.decoder.Decode(&next)
+	return next, err
+}
--- a/internal/fleet/streamendless_test.go
+++ b/internal/fleet/streamendless_test.go
@@ -2,44 +2,57 @@
 
 import (
 	"io"
-	"log/slog"
-	"net/http"
-	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"chestnutgauge/internal/httpclient"
-	"chestnutgauge/internal/inventory"
 )
 
+// repeatedText is a body that repeats a text a number of times.
+type repeatedText struct {
+	text  string
+	times int
+	read  int
+}
+
+func (r *repeatedText) Read(p []byte) (int, error) {
+	if r.times == 0 {
+		return 0, io.EOF
+	}
+	r.times--
+	n := copy(p, r.text)
+	r.read += n
+	return n, nil
+}
+
 // TestMessageWithoutEnd guards against a node that runs out of memory since the owner's stream holds a message
 // that never ends, in a text or in the blanks before it.
 func TestMessageWithoutEnd(t *testing.T) {
-	for _, text := range []string{`{"config_version":1,"other":"` + strings.Repeat("x", 1<<10), " "} {
-		var written atomic.Int64
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			// The first message makes the owner known, the second one does not end.
-			_, _ = io.WriteString(w, `{"config_version":1}`+text[:len(text)-1])
-			part := strings.Repeat(text[len(text)-1:], 64<<10)
-			for err := error(nil); err == nil; {
-				_, err = io.WriteString(w, part)
-				written.Add(int64(len(part)))
-			}
-		}))
-		follower := &Follower{
-			Suspects:        NewSuspects(),
-			Inventory:       inventory.New(),
-			HTTP:            NewHTTP(),
-			OnConfigVersion: func(int64) {},
-			OnStoreEra:      func(int64) {},
-			Log:             slog.New(slog.DiscardHandler),
-		}
-		err := follower.follow(t.Context(), strings.TrimPrefix(server.URL, "http://"))
-		server.Close()
+	const first = `{"config_version":1}`
+	for _, begin := range []string{`{"other":"`, ""} {
+		endless := &repeatedText{text: strings.Repeat(" ", 512), times: 1 << 20}
+		messages := newMessageReader(io.MultiReader(strings.NewReader(first+begin), endless))
+		got, err := messages.next()
+		require.NoError(t, err)
+		require.Equal(t, int64(1), got.ConfigVersion)
+		_, err = messages.next()
 		require.ErrorIs(t, err, httpclient.ErrTooLong)
-		require.Less(t, written.Load(), int64(2*maxMessageBytes))
+		require.LessOrEqual(t, endless.read, maxMessageBytes)
+	}
+}
+
+// TestStreamIsLongerThanMessage guards against a stream that ends since all its messages together are long.
+func TestStreamIsLongerThanMessage(t *testing.T) {
+	const text = `{"config_version":1}`
+	padded := text + strings.Repeat(" ", 512-len(text))
+	count := 2 * maxMessageBytes / len(padded)
+	messages := newMessageReader(&repeatedText{text: padded, times: count})
+	for range count {
+		_, err := messages.next()
+		require.NoError(t, err)
 	}
+	_, err := messages.next()
+	require.ErrorIs(t, err, io.EOF)
 }
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -85,7 +85,7 @@
 }
 
 // maxResponseBytes bounds a response, in bytes. The longest ones have all objects of a kind.
-const maxResponseBytes = 64 << 20
+const maxResponseBytes = 16 << 20
 
 func bounded(resp *http.Response) io.Reader {
 	return httpclient.NewBoundedReader(resp.Body, maxResponseBytes)
--- a/internal/platform/httpplatform/httpplatform_test.go
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -76,7 +76,7 @@
 	written := make(chan int, 1)
 	client := newClient(t, func(w http.ResponseWriter, r *http.Request) {
 		_, err := io.WriteString(w, `{"version":1,"other":"`)
-		part, length := strings.Repeat("x", 1<<20), 0
+		part, length := strings.Repeat("x", 64<<10), 0
 		for err == nil {
 			_, err = io.WriteString(w, part)
 			length += len(part)
