--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -86,7 +86,7 @@
 }
 
 func newExchange(terms Terms) *Exchange {
-	return &Exchange{terms: terms, settled: make(chan struct{}), progress: newWriteProgress(0)}
+	return &Exchange{terms: terms, settled: make(chan struct{})}
 }
 
 // exchangeOf returns the exchange of a request, or a new one without terms.
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -4,7 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"regexp"
+	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -90,15 +91,26 @@
 // the status and the names that matter are shorter.
 const maxHeadText = 20
 
-// validStatus matches the beginning of a status line.
-var validStatus = regexp.MustCompile(`^HTTP/1\.([0-9]) ([1-5])([0-9]{2})(?:[ \r]|$)`)
+// parseStatusLine reads the beginning of a status line: the minor version, and the status from 100 to 599.
+func parseStatusLine(text []byte) (minor byte, status int, ok bool) {
+	const version, statusEnd = "HTTP/1.", len("HTTP/1.1 200")
+	if len(text) < statusEnd || !bytes.HasPrefix(text, []byte(version)) || text[len(version)+1] != ' ' {
+		return 0, 0, false
+	}
+	minor = text[len(version)]
+	status, err := strconv.Atoi(string(text[len(version)+2 : statusEnd]))
+	isEnd := len(text) == statusEnd || text[statusEnd] == ' ' || text[statusEnd] == '\r'
+	return minor, status, err == nil && isEnd && minor >= '0' && minor <= '9' && status >= 100 && status <= 599
+}
 
 // headChecker checks the heads of a response, interim ones included, as they arrive. It accepts what a
 // proxy may pass on. The zero value is at the start of a response.
 type headChecker struct {
 	part headPart
-	// text is the beginning of the status line, or of the name of the current field.
-	text []byte
+	// buffer begins with the beginning of the status line, or of the name of the current field, of textLength
+	// bytes.
+	buffer     [maxHeadText]byte
+	textLength int
 	// interim means that another head follows, withoutCodings that the version has no transfer codings.
 	interim, withoutCodings bool
 	// length is the number of bytes of the heads.
@@ -108,14 +120,29 @@
 
 // add checks the next bytes of a response. Those after its last head are not looked at.
 func (h *headChecker) add(data []byte) {
-	for _, b := range data {
-		if h.part == partBody || h.fault != "" {
-			return
+	for len(data) > 0 && h.part != partBody && h.fault == "" {
+		if h.part == partValue {
+			data = h.skipText(data)
+			continue
 		}
-		h.next(b)
+		h.next(data[0])
+		data = data[1:]
 	}
 }
 
+// skipText skips the text at the beginning of data, which is in a value, and adds the control byte after it.
+func (h *headChecker) skipText(data []byte) (rest []byte) {
+	for i, b := range data {
+		if b < ' ' && b != '\t' || b == 0x7f {
+			h.length += int64(i)
+			h.next(b)
+			return data[i+1:]
+		}
+	}
+	h.length += int64(len(data))
+	return nil
+}
+
 // whole reports whether all of the head has been checked.
 func (h *headChecker) whole() bool {
 	return h.part == partBody && h.fault == ""
@@ -145,19 +172,19 @@
 		h.keep(b)
 		return
 	}
-	status := validStatus.FindSubmatch(h.text)
-	if status == nil {
+	minor, status, ok := parseStatusLine(h.text())
+	if !ok {
 		h.fault = faultStatus
 		return
 	}
-	h.withoutCodings = status[1][0] == '0'
+	h.withoutCodings = minor == '0'
 	// A switch of protocols is the last response in this one.
-	h.interim = status[2][0] == '1' && string(status[3]) != "01"
+	h.interim = status < http.StatusOK && status != http.StatusSwitchingProtocols
 	h.part = partLineStart
 }
 
 func (h *headChecker) atLineStart(b byte) {
-	h.text = h.text[:0]
+	h.textLength = 0
 	switch b {
 	case '\r':
 		h.part = partBlankLine
@@ -174,9 +201,9 @@
 
 func (h *headChecker) inName(b byte) {
 	switch {
-	case b == ':' && len(h.text) > 0:
+	case b == ':' && h.textLength > 0:
 		h.part = partValue
-		if h.withoutCodings && bytes.EqualFold(h.text, []byte("Transfer-Encoding")) {
+		if h.withoutCodings && bytes.EqualFold(h.text(), []byte("Transfer-Encoding")) {
 			h.fault = faultFraming
 		}
 	case !httpguts.IsTokenRune(rune(b)):
@@ -186,13 +213,14 @@
 	}
 }
 
+// inValue goes on after a control byte in a value.
 func (h *headChecker) inValue(b byte) {
-	switch {
-	case b == '\n':
+	switch b {
+	case '\n':
 		h.part = partLineStart
-	case b == '\r':
+	case '\r':
 		h.part = partLineEnd
-	case b < ' ' && b != '\t' || b == 0x7f:
+	default:
 		h.fault = faultValue
 	}
 }
@@ -209,13 +237,18 @@
 // endHead begins the next head if the one that has ended is an interim one.
 func (h *headChecker) endHead() {
 	if h.part == partBody && h.interim {
-		*h = headChecker{text: h.text[:0], length: h.length}
+		*h = headChecker{length: h.length}
 	}
 }
 
 // keep keeps a byte of a status line or name, unless enough of it is kept.
 func (h *headChecker) keep(b byte) {
-	if len(h.text) < maxHeadText {
-		h.text = append(h.text, b)
+	if h.textLength < maxHeadText {
+		h.buffer[h.textLength] = b
+		h.textLength++
 	}
 }
+
+func (h *headChecker) text() []byte {
+	return h.buffer[:h.textLength]
+}
