--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,5 +1,6 @@
 // Package httpclient provides HTTP connections that detect unresponsive peers,
-// that deliver no data after their call was abandoned, and on which no request is sent twice.
+// that deliver no data after their call was abandoned, on which no request is sent twice, and that take
+// neither a part of a response for all of it nor bytes without a valid head for a response.
 package httpclient
 
 import (
