--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -84,6 +84,12 @@
 	return !owns && f.feed.Unavailable()
 }
 
+// SetClock has times measured by a clock. It must be called before Run.
+func (f *Follower) SetClock(clock monotime.Clock) {
+	f.clock = clock
+	f.feed.Clock = clock
+}
+
 // Feed returns the follower of the table.
 func (f *Follower) Feed() *feed.Follower {
 	return f.feed
