fleet: a response to another node that is not sent names its call

Change: the line has the call and the caller, and chestnut_peer_responses_not_sent_total counts by call. Result: the tests of fleet pass; no logic is changed.

--- a/internal/fleet/callanswers_test.go
+++ b/internal/fleet/callanswers_test.go
@@ -35,7 +35,7 @@
 			http.Error(w, "declined", http.StatusConflict)
 			return
 		}
-		writeJSON(w, call, discard)
+		writeJSON(w, r, call, discard)
 	}))
 	t.Cleanup(server.Close)
 	node, client := strings.TrimPrefix(server.URL, "http://"), NewHTTP()
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -135,5 +135,5 @@
 	if known, age, ok := s.ConfigCopy(request.NewerThan, request.Patches); ok {
 		response = configCopyResponse{Version: known.Version, AgeMS: roundedUpMS(age), configRow: rowOf(known)}
 	}
-	writeJSON(w, response, s.Log)
+	writeJSON(w, r, response, s.Log)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutgauge/internal/catalog"
@@ -117,7 +118,7 @@
 // Handler returns the handler of the calls.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST "+storePath, serveStore(s.Store, func(w http.ResponseWriter, body any) { writeJSON(w, body, s.Log) }))
+	mux.Handle("POST "+storePath, serveStore(s.Store, s.Log))
 	mux.Handle("GET "+inventoryPath, s.Publisher)
 	mux.HandleFunc("POST "+demandPath, s.serveDemand)
 	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
@@ -151,7 +152,7 @@
 	response := acceptReport(s.Owner, s.Aggregator, knowledge{s.RateLimits.Known, s.RejectionLimits, s.Suspects.Known, s.RetryParts}, report)
 	response.TeamLimits = limits
 	response.Config = s.configConfirmation()
-	writeJSON(w, response, s.Log)
+	writeJSON(w, r, response, s.Log)
 }
 
 // serveAdapter serves a request for an adapter.
@@ -165,7 +166,7 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
-	writeJSON(w, AdapterResponse{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, s.Log)
+	writeJSON(w, r, AdapterResponse{Engine: engine, ReadyMS: max(0, time.Until(ready).Milliseconds())}, s.Log)
 }
 
 // knowledge is what nodes tell each other of endpoints and requests.
@@ -223,9 +224,16 @@
 	return err == nil
 }
 
-func writeJSON(w http.ResponseWriter, body any, log *slog.Logger) {
+// writeJSON sends the response to a call.
+func writeJSON(w http.ResponseWriter, r *http.Request, body any, log *slog.Logger) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		log.Info("response to peer not sent", "error", err)
+		logNotSent(r, log, err)
 	}
 }
+
+// logNotSent logs and counts a response that its caller did not get whole.
+func logNotSent(r *http.Request, log *slog.Logger, err error) {
+	metrics.GetOrCreateCounter(`chestnut_peer_responses_not_sent_total{call="` + r.URL.Path + `"}`).Inc()
+	log.Info("response to peer not sent", "call", r.URL.Path, "caller", r.RemoteAddr, "error", err)
+}
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -151,7 +151,7 @@
 		return
 	}
 	reached := f.known(request.Address) && f.connect(r.Context(), request.Address) == reachability.Made
-	writeJSON(w, reachResponse{Reached: reached}, f.Log)
+	writeJSON(w, r, reachResponse{Reached: reached}, f.Log)
 }
 
 // known reports whether an endpoint has an address.
--- a/internal/fleet/originreplication.go
+++ b/internal/fleet/originreplication.go
@@ -86,5 +86,5 @@
 	for _, record := range request.Records {
 		o.known.Put(record, now)
 	}
-	writeJSON(w, struct{}{}, o.Log)
+	writeJSON(w, r, struct{}{}, o.Log)
 }
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -285,7 +285,7 @@
 	if request.Stream != "" {
 		response.Origin, response.Known = o.known.Get(request.Stream, now)
 	}
-	writeJSON(w, response, o.Log)
+	writeJSON(w, r, response, o.Log)
 }
 
 // firstOf returns the first n elements, or all if there are fewer.
--- a/internal/fleet/ownercall.go
+++ b/internal/fleet/ownercall.go
@@ -44,5 +44,5 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
-	writeJSON(w, answer, log)
+	writeJSON(w, r, answer, log)
 }
--- a/internal/fleet/ratelimits.go
+++ b/internal/fleet/ratelimits.go
@@ -184,5 +184,5 @@
 		return
 	}
 	in := (answer.In + time.Millisecond - 1).Milliseconds()
-	writeJSON(w, permitResponse{Granted: answer.Granted, InMS: in}, r.Log)
+	writeJSON(w, req, permitResponse{Granted: answer.Granted, InMS: in}, r.Log)
 }
--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -127,7 +128,7 @@
 }
 
 // serveStore handles requests of other nodes to make a call to the store.
-func serveStore(store Store, respond func(w http.ResponseWriter, body any)) http.HandlerFunc {
+func serveStore(store Store, log *slog.Logger) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var call StoreCall
 		if !decodeBody(w, r, &call) {
@@ -138,7 +139,7 @@
 			http.Error(w, err.Error(), failureStatus(err))
 			return
 		}
-		respond(w, reply)
+		writeJSON(w, r, reply, log)
 	}
 }
 
--- a/internal/fleet/storecall_test.go
+++ b/internal/fleet/storecall_test.go
@@ -44,8 +44,7 @@
 			store := &directStore{err: tc.err}
 			client := &Client{Self: "self", HTTP: http.DefaultClient}
 			for range writeAttempts {
-				respond := func(w http.ResponseWriter, body any) { writeJSON(w, body, slog.New(slog.DiscardHandler)) }
-				server := httptest.NewServer(serveStore(store, respond))
+				server := httptest.NewServer(serveStore(store, slog.New(slog.DiscardHandler)))
 				defer server.Close()
 				client.peers = append(client.peers, strings.TrimPrefix(server.URL, "http://"))
 			}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -156,7 +156,7 @@
 	if request.Asks {
 		response.Suspects, response.Version = s.Known.AllSince(request.Version, now)
 	}
-	writeJSON(w, response, s.Log)
+	writeJSON(w, r, response, s.Log)
 }
 
 // exchange exchanges suspects with other nodes while the owner can't be reached: it tells
--- a/internal/fleet/teamlimits.go
+++ b/internal/fleet/teamlimits.go
@@ -277,7 +277,7 @@
 		http.Error(w, fmt.Sprint(err), http.StatusConflict)
 		return
 	}
-	writeJSON(w, answer, l.Log)
+	writeJSON(w, req, answer, l.Log)
 }
 
 // addToReport adds to a demand report what the node asks for, and returns the time of it.
