feed, fleet: a read of the store that moves on is not cut

What callers saw: after a version that adds 1,400 routes to 1,400, nodes with links of 10 Mbit/s log 'store lost' though the store answers, and judge by the version before (CONFIG). With a store that takes 1.8 s for an answer no version comes to any node for as long as that lasts. Cause: time limits that are constants, below the time that the answer takes: a read of the table 900 ms, a call for changes 400 ms beyond its wait, a read through another node 400 ms. After 250 ms without the end of an answer the read was made through other nodes as well, whose copies share the link; a request for a read cut the call in which the row was arriving already. Change: progress bounds work by the time without progress. One that brings nothing within its limit counts as failed as before, and goes on beside the next ones, two at most; its answer is used unless a newer one was, and confirms as of the start of its call. Answers through other nodes are compressed, may be larger than 1 MB, and the caller is told while they arrive.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,12 +8,14 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"chestnutgauge/internal/era"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/progress"
 )
 
 // ErrHistoryGone means that the store no longer has the changes after a
@@ -97,7 +99,7 @@
 	Clock monotime.Clock
 	// Wait returns the wait of one call of Changes, at most changesWait. It may be nil.
 	Wait func() time.Duration
-	// ReadTimeout bounds a read of the whole table.
+	// ReadTimeout is how long a read of the whole table may make no progress before it counts as failed.
 	ReadTimeout time.Duration
 
 	// Restored, which may be nil, is called after the whole table was read because
@@ -123,6 +125,12 @@
 	applied atomic.Pointer[era.Position]
 	// attempts are the calls that have ended.
 	attempts attempts
+	// late is the number of reads that have counted as failed and go on.
+	late atomic.Int64
+	// arrivedAt is when a part of an answer of the store last arrived.
+	arrivedAt monotime.Mark
+	// passing is held while rows are passed on.
+	passing sync.Mutex
 }
 
 // New returns a follower of a table that passes all rows to replace and changed
@@ -223,12 +231,13 @@
 		return f.readAll(ctx)
 	}
 	wait := f.wait()
-	limited, cancel := context.WithTimeout(ctx, wait+changesSlack)
+	limited, cancel := progress.WithTimeout(ctx, wait+changesSlack, maxReadTime)
 	defer cancel()
-	notified := f.cancelOnNotify(limited, cancel)
+	arriving := &arrival{}
+	notified := f.cancelOnNotify(limited, cancel, arriving)
 	sentAt := f.Clock()
-	rows, err := f.Source.Changes(limited, last.Version, wait)
-	if notified() {
+	rows, err := f.Source.Changes(f.observe(limited, arriving), last.Version, wait)
+	if notified() && (err != nil || len(rows.Rows) == 0) {
 		return f.readAll(ctx)
 	}
 	if err != nil {
@@ -239,11 +248,7 @@
 		return f.readAll(ctx)
 	}
 	f.recordConfirmed(sentAt, wait+changesSlack)
-	if len(rows.Rows) > 0 {
-		f.Update(rows.Rows)
-	}
-	f.appliedAt.Set(sentAt)
-	f.applied.Store(&rows.Position)
+	f.update(rows, sentAt)
 	if len(rows.Rows) > 0 && f.awaitNotify(ctx, f.batchPause()) {
 		return f.readAll(ctx)
 	}
@@ -266,14 +271,16 @@
 	return batchInterval
 }
 
-// cancelOnNotify calls cancel when a read of the whole table is requested. The
-// returned function stops that and reports whether it was requested.
-func (f *Follower) cancelOnNotify(ctx context.Context, cancel context.CancelFunc) func() bool {
+// cancelOnNotify calls cancel when a read of the whole table is requested, unless an answer with changes is
+// arriving already. The returned function stops that and reports whether it was requested.
+func (f *Follower) cancelOnNotify(ctx context.Context, cancel context.CancelFunc, arriving *arrival) func() bool {
 	done := make(chan bool, 1)
 	go func() {
 		select {
 		case <-f.notify:
-			cancel()
+			if !arriving.begun.Load() {
+				cancel()
+			}
 			done <- true
 		case <-ctx.Done():
 			done <- false
@@ -284,42 +291,3 @@
 		return <-done
 	}
 }
-
-// awaitRestoreDelay waits for the random delay before the first read after the
-// store was restored. Requests for a read that arrive meanwhile are met by it.
-func (f *Follower) awaitRestoreDelay(ctx context.Context) {
-	pause.For(ctx, rand.N(maxRestoreDelay))
-	select {
-	case <-f.notify:
-	default:
-	}
-}
-
-func (f *Follower) readAll(ctx context.Context) (era.Position, error) {
-	restored := f.restored.Swap(false)
-	if restored {
-		f.awaitRestoreDelay(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, f.ReadTimeout)
-	defer cancel()
-	sentAt := f.Clock()
-	rows, err := f.Source.Read(ctx)
-	if err != nil {
-		if restored {
-			f.restored.Store(true)
-		}
-		return era.Position{}, err
-	}
-	f.recordConfirmed(sentAt, f.ReadTimeout)
-	if f.lost {
-		f.lastOutage.Store(int64(f.OutageDuration()))
-		f.recoveredAt.Set(f.Clock())
-	}
-	f.Replace(rows)
-	f.appliedAt.Set(sentAt)
-	f.applied.Store(&rows.Position)
-	if restored && f.Restored != nil {
-		f.Restored(rows.Position, len(rows.Rows))
-	}
-	return rows.Position, nil
-}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -17,6 +17,7 @@
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/notice"
 	"chestnutgauge/internal/owner"
+	"chestnutgauge/internal/progress"
 )
 
 // Holder identifies the node that owns the engines.
@@ -190,6 +191,19 @@
 // post sends body as JSON to a node and decodes the JSON response into
 // response.
 func post(ctx context.Context, client *http.Client, to, path string, body, response any) error {
+	return postWith(ctx, client, to, path, postOptions{header: http.Header{}, maxResponse: maxBody}, body, response)
+}
+
+// postOptions are the options of a call.
+type postOptions struct {
+	// header are fields of the request's header.
+	header http.Header
+	// maxResponse bounds the content of the response, in bytes.
+	maxResponse int64
+}
+
+// postWith is post with options.
+func postWith(ctx context.Context, client *http.Client, to, path string, options postOptions, body, response any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return fmt.Errorf("fleet: encode: %w", err)
@@ -198,6 +212,7 @@
 	if err != nil {
 		return fmt.Errorf("fleet: request: %w", err)
 	}
+	req.Header = options.header
 	// Nodes do not read it, and it is a fifth of the bytes of a small call.
 	req.Header.Set("User-Agent", "")
 	resp, err := client.Do(req)
@@ -205,10 +220,17 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	progress.Report(ctx)
 	if err := checkStatus(resp, to); err != nil {
 		return err
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(response); err != nil {
+	content, err := decompress(resp)
+	if err != nil {
+		return fmt.Errorf("fleet: decode: %w", err)
+	}
+	// A node that waits for the store itself sends single bytes meanwhile.
+	content = progress.Reader(ctx, io.LimitReader(content, options.maxResponse), 1)
+	if err := json.NewDecoder(content).Decode(response); err != nil {
 		return fmt.Errorf("fleet: decode: %w", err)
 	}
 	return nil
--- a/internal/fleet/hedge.go
+++ b/internal/fleet/hedge.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"time"
+
+	"chestnutgauge/internal/progress"
 )
 
 // storeWay is one way to make a call to the store.
 type storeWay func(ctx context.Context, call StoreCall) (StoreReply, error)
 
-// hedgeDelay is how long one way to the store may take, in addition to the call's wait, before
-// the next one is tried beside it. A store that is slow for all nodes should answer within it, so that
+// hedgeDelay is how long one way to the store may bring nothing, in addition to the call's wait, before
+// the next one is tried beside it. An answer that is arriving is waited for: a second one would share its link. A store that is slow for all nodes should answer within it, so that
 // it is not called more often then.
 const hedgeDelay = 250 * time.Millisecond
 
@@ -35,27 +37,27 @@
 	begun int
 }
 
-// hedgedRead makes a read in several ways. Each begins when those before have failed, or have not
-// answered for hedgeDelay. It ends with the first call that the store processed.
+// hedgedRead makes a read in several ways. Each begins when those before have failed, or the last one has
+// brought nothing for hedgeDelay. It ends with the first call that the store processed.
 func hedgedRead(ctx context.Context, call StoreCall, ways []storeWay) hedgeResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan wayResult, len(ways))
+	stalled := make(chan struct{}, len(ways))
 	r := hedgeResult{failed: map[int]wayResult{}}
 	begin := func() {
 		way := r.begun
 		r.begun++
 		go func() {
-			reply, err := ways[way](ctx, call)
+			observed, stop := progress.OnStall(ctx, hedgeDelay+call.Wait, func() { stalled <- struct{}{} })
+			defer stop()
+			reply, err := ways[way](observed, call)
 			results <- wayResult{way, reply, err}
 		}()
 	}
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	for len(r.failed) < len(ways) {
 		if r.begun == len(r.failed) {
 			begin()
-			timer.Reset(hedgeDelay + call.Wait)
 		}
 		select {
 		case result := <-results:
@@ -64,10 +66,9 @@
 				return r
 			}
 			r.failed[result.way] = result
-		case <-timer.C:
+		case <-stalled:
 			if r.begun < len(ways) {
 				begin()
-				timer.Reset(hedgeDelay + call.Wait)
 			}
 		case <-ctx.Done():
 			return r
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -21,6 +21,9 @@
 	forwardSilence = 1500 * time.Millisecond
 )
 
+// minProgressBytes is the number of bytes that count as progress of a response. One that trickles makes none.
+const minProgressBytes = 1 << 10
+
 // NewForwardHTTP returns the HTTP client for requests that other nodes serve. memory accounts for long heads of
 // their responses; nil means no bound.
 func NewForwardHTTP(memory *membudget.Budget) *http.Client {
--- a/internal/fleet/storecall.go
+++ b/internal/fleet/storecall.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"chestnutgauge/internal/era"
 	"chestnutgauge/internal/httpclient"
+	"chestnutgauge/internal/httpserver"
+	"chestnutgauge/internal/progress"
 )
 
 // StoreCall is a call to the platform's store made through another node. This
@@ -50,9 +53,15 @@
 	readAttempts  = 3
 )
 
-// peerReadTimeout bounds a read through one other node, in addition to its wait, so
-// that one that does not answer leaves time for another way.
-const peerReadTimeout = 400 * time.Millisecond
+const (
+	// peerReadTimeout is how long a read through one other node may bring nothing, in addition to its wait,
+	// so that one that does not answer leaves time for another way.
+	peerReadTimeout = 400 * time.Millisecond
+	// maxPeerRead bounds such a read whose answer moves on.
+	maxPeerRead = 10 * time.Second
+	// maxStoreReply bounds the response with the store's answer, which encodes that once more, in bytes.
+	maxStoreReply = 8 << 20
+)
 
 // ErrNotMade means that a call did not reach the store. After any other error the
 // outcome of the call is unknown.
@@ -118,12 +127,13 @@
 // storeCallThrough makes a call through one other node. Only reads have a time limit
 // of their own: the outcome of a write that is given up is unknown.
 func (c *Client) storeCallThrough(ctx context.Context, peer string, call StoreCall) (reply StoreReply, err error) {
-	if call.Method == http.MethodGet {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, peerReadTimeout+call.Wait)
-		defer cancel()
+	if call.Method != http.MethodGet {
+		err = post(ctx, c.HTTP, peer, storePath, call, &reply)
+		return reply, err
 	}
-	err = post(ctx, c.HTTP, peer, storePath, call, &reply)
+	ctx, cancel := progress.WithTimeout(ctx, peerReadTimeout+call.Wait, maxPeerRead)
+	defer cancel()
+	err = postWith(ctx, c.HTTP, peer, storePath, postOptions{header: acceptCompressed(), maxResponse: maxStoreReply}, call, &reply)
 	return reply, err
 }
 
@@ -134,15 +144,78 @@
 		if !decodeBody(w, r, &call) {
 			return
 		}
-		reply, err := store.Direct(r.Context(), call)
-		if err != nil {
-			http.Error(w, err.Error(), failureStatus(err))
+		if call.Method != http.MethodGet {
+			reply, err := store.Direct(r.Context(), call)
+			if err != nil {
+				http.Error(w, err.Error(), failureStatus(err))
+				return
+			}
+			writeJSON(w, r, reply, log)
 			return
 		}
-		writeJSON(w, r, reply, log)
+		serveStoreRead(store, call, w, r, log)
 	}
 }
 
+// serveStoreRead is serveStore for a read.
+func serveStoreRead(store Store, call StoreCall, w http.ResponseWriter, r *http.Request, log *slog.Logger) {
+	out := compressed(w, r)
+	waiting := &waitingCaller{w: out, begun: time.Now()}
+	reply, err := store.Direct(progress.Observe(r.Context(), waiting.progress), call)
+	waiting.end()
+	switch {
+	case err != nil && waiting.told:
+		httpserver.Abort(w, r)
+	case err != nil:
+		http.Error(w, err.Error(), failureStatus(err))
+	default:
+		writeJSON(out, r, reply, log)
+		if err := out.Close(); err != nil {
+			logNotSent(r, log, err)
+		}
+	}
+}
+
+// progressInterval is the time between two signs of progress that a caller gets.
+const progressInterval = 100 * time.Millisecond
+
+// waitingCaller is a node that waits for the answer of the store. While that is arriving, the node gets
+// white space, which is no part of the answer's JSON.
+type waitingCaller struct {
+	w     *compressedResponse
+	begun time.Time
+
+	mu sync.Mutex
+	// toldAt is when the node last got a sign of progress, told means that it ever did.
+	toldAt time.Time
+	told   bool
+	ended  bool
+}
+
+// progress tells the node that the answer is arriving.
+func (c *waitingCaller) progress() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.ended || now.Sub(c.begun) < progressInterval || now.Sub(c.toldAt) < progressInterval {
+		return
+	}
+	if !c.told {
+		c.w.Header().Set("Content-Type", "application/json")
+	}
+	c.told, c.toldAt = true, now
+	// A caller that is gone shows in the write of the answer.
+	_, _ = c.w.Write([]byte{' '})
+	_ = c.w.Flush()
+}
+
+// end ends the signs of progress, before the answer.
+func (c *waitingCaller) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
 // statusNotMade is the status of a response that says that the call was not made.
 const statusNotMade = http.StatusConflict
 
--- a/internal/fleet/storecaller.go
+++ b/internal/fleet/storecaller.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"chestnutgauge/internal/progress"
 )
 
 // ErrNotServed means that the store has just rejected this node's calls, so that
@@ -55,8 +57,9 @@
 		return StoreReply{}, ErrNotServed
 	}
 	if call.Method == http.MethodGet {
-		unanswered := time.AfterFunc(hedgeDelay+call.Wait, func() { c.recordOutcome(false, time.Now()) })
-		defer unanswered.Stop()
+		var stop func()
+		ctx, stop = progress.OnStall(ctx, hedgeDelay+call.Wait, func() { c.recordOutcome(false, time.Now()) })
+		defer stop()
 	}
 	return c.direct(ctx, call)
 }
@@ -131,7 +134,7 @@
 // call cancelled by its caller is not recorded.
 func (c *StoreCaller) direct(ctx context.Context, call StoreCall) (StoreReply, error) {
 	reply, err := c.send(ctx, call)
-	if !errors.Is(ctx.Err(), context.Canceled) {
+	if !errors.Is(progress.Err(ctx), context.Canceled) {
 		c.recordOutcome(err == nil && reply.Processed, time.Now())
 	}
 	return reply, err
