feed: a read that was requested as changes arrived is not delayed

Cause: a request for a read that comes while changes arrive cuts their call no more, and is dropped when they have come. Whoever waits for a newer table was woken after the pause that follows a change only, up to 600 ms later. Change: without that pause when a read was requested; the one who waits looks at once whether the rows are new enough, and asks again if not.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -237,7 +237,8 @@
 	notified := f.cancelOnNotify(limited, cancel, arriving)
 	sentAt := f.Clock()
 	rows, err := f.Source.Changes(f.observe(limited, arriving), last.Version, wait)
-	if notified() && (err != nil || len(rows.Rows) == 0) {
+	requested := notified()
+	if requested && (err != nil || len(rows.Rows) == 0) {
 		return f.readAll(ctx)
 	}
 	if err != nil {
@@ -249,7 +250,8 @@
 	}
 	f.recordConfirmed(sentAt, wait+changesSlack)
 	f.update(rows, sentAt)
-	if len(rows.Rows) > 0 && f.awaitNotify(ctx, f.batchPause()) {
+	// Whoever has requested a read looks at once whether these rows are new enough.
+	if len(rows.Rows) > 0 && !requested && f.awaitNotify(ctx, f.batchPause()) {
 		return f.readAll(ctx)
 	}
 	return rows.Position, nil
--- a/internal/feed/late_test.go
+++ b/internal/feed/late_test.go
@@ -119,3 +119,20 @@
 		require.Equal(t, []int64{10, 10, 11}, replaced)
 	})
 }
+
+// TestReadRequestedAsChangesArrive guards against one that waits for a newer table, and waits for the pause
+// after a change as well, since the changes that arrived as it asked were older.
+func TestReadRequestedAsChangesArrive(t *testing.T) {
+	runFollower(t, func(*Follower) {}, func(s *fakeSource, f *Follower, got func() []string) {
+		for range 200 {
+			got()
+			time.Sleep(changesWait / 100)
+			begun := f.Clock()
+			s.next <- nil
+			ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
+			require.NoError(t, f.Await(ctx, begun))
+			cancel()
+			require.Less(t, f.Clock()-begun, batchInterval/2)
+		}
+	})
+}
