catalog, fleet: a newer configuration is fetched once, in small parts, apart from questions

Cause: a node that is not sure of its version asked three others each 100 ms, and each answered with the whole row unless a patch was much smaller. Of such copies a narrow link carries one in the 300 ms of the call or none: each was broken off and asked for anew, and what was begun grew with the number of questions, not with what can arrive. The link was then too full for the store's own answer, for confirmations, which stood behind the row in the same answer, and for calls that have nothing to do with it. Change: answers and the owner's stream have a confirmation and a patch of up to 4 KB; anything larger is offered, as an encoding that leaves out what the node has and is compressed. A node fetches one encoding at a time, from whichever node has it; what has come is kept when a call breaks off (If-Match and Range), and the call is bounded by the time without progress. A node sends rows to others on three tenths of its link, begins no more transfers than that carries, and answers 'later' to others. A version that the owner announces is fetched from it in place of the store's copy; the store is read if a transfer fails. A node that is behind for a second logs it, and when it is back. Nodes of an earlier version get what they ask for, and are asked for a row only one at a time.

--- a/internal/catalog/await.go
+++ b/internal/catalog/await.go
@@ -7,7 +7,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"chestnutgauge/internal/feed"
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/pause"
 )
@@ -218,34 +217,60 @@
 	f.log.Info("configuration confirmed again", "config_version", f.Version(), "age_ms", age.Milliseconds(), "confirmed_by", string(source))
 }
 
+// told is the latest confirmation by another node of a version that is not in force here.
+type told struct {
+	version int64
+	at      time.Duration
+}
+
 // receive uses the answer of another node.
 func (f *Follower) receive(c Copy) {
 	f.UseCopy(c)
-	if f.confirm(SourceNode, c.Version, c.ConfirmedAt) && f.Basis().Recent {
+	if f.Version() < c.Version {
+		f.mu.Lock()
+		f.told = told{c.Version, c.ConfirmedAt}
+		f.mu.Unlock()
+	}
+	f.confirmNode(c.Version, c.ConfirmedAt)
+}
+
+// confirmNode records the confirmation of another node and wakes those that wait for one.
+func (f *Follower) confirmNode(version int64, at time.Duration) {
+	if f.confirm(SourceNode, version, at) && f.Basis().Recent {
 		f.asking.restart(f.clock())
 	}
 	f.asking.advance()
 }
 
-// UseCopy activates the version that another node has in force if it is newer. It confirms nothing. A
-// copy that can't be used is a reason to read the store.
-func (f *Follower) UseCopy(c Copy) {
-	if c.Version <= f.Version() {
-		return
+// confirmTold uses the confirmation by another node of the version that has come into force.
+func (f *Follower) confirmTold() {
+	f.mu.Lock()
+	told := f.told
+	f.mu.Unlock()
+	if told.version == f.Version() {
+		f.confirmNode(told.version, told.at)
 	}
-	row, ok := f.rows.complete(c)
-	if !ok {
-		f.NotifyVersion(c.Version)
+}
+
+// UseCopy activates the version that another node has in force if it is newer, or has it fetched. It confirms
+// nothing. A copy that can't be used is a reason to read the store.
+func (f *Follower) UseCopy(c Copy) {
+	if c.Version <= f.Version() || c.Offer != nil && f.named(c.Node, c) || f.use(c) == nil || f.named(c.Node, c) {
 		return
 	}
-	f.apply([]feed.Row{row})
+	f.NotifyVersion(c.Version)
 }
 
 // CopyFor returns what this node knows of the configuration for another one that has a version in
-// force and may understand patches, and the age of its confirmation. ok is false if it knows nothing.
-func (f *Follower) CopyFor(version int64, patches bool) (c Copy, age time.Duration, ok bool) {
+// force and takes a form of rows, and the age of its confirmation. ok is false if it knows nothing.
+func (f *Follower) CopyFor(version int64, form Form) (c Copy, age time.Duration, ok bool) {
 	// The age is read first: what is known then is at least as new.
 	age, known := f.ConfirmedAge()
-	c = f.rows.since(version, patches)
+	c = f.rows.since(version, form)
 	return c, age, known && c.Version > 0
 }
+
+// Encoding returns the encoding that was offered of a version, or nil if it can't be made any more.
+func (f *Follower) Encoding(version, base int64) []byte {
+	return f.rows.encoding(version, base)
+}
--- a/internal/catalog/await_test.go
+++ b/internal/catalog/await_test.go
@@ -155,11 +155,11 @@
 		require.NoError(t, err)
 		require.Zero(t, took)
 		require.EqualValues(t, 2, s.Version())
-		known, age, ok := s.CopyFor(1, false)
+		known, age, ok := s.CopyFor(1, Whole)
 		require.True(t, ok)
 		require.Equal(t, "2", string(known.Row.Value))
 		require.Greater(t, age, DefaultMaxAge)
-		known, _, _ = s.CopyFor(2, false)
+		known, _, _ = s.CopyFor(2, Whole)
 		require.Empty(t, known.Row.Value, "the node that asks has it")
 	})
 }
--- a/internal/catalog/confirm.go
+++ b/internal/catalog/confirm.go
@@ -11,7 +11,7 @@
 	// it gets as old as two waits; with the time until the next report that must stay below
 	// dueShare, or every node would read the store itself.
 	waitShare = 0.25
-	// readTimeout bounds a read of the configuration, through other nodes, too.
+	// readTimeout is how long a read of the configuration may make no progress, through other nodes, too.
 	readTimeout = 900 * time.Millisecond
 )
 
@@ -57,7 +57,9 @@
 // of that source.
 func (f *Follower) confirm(by Source, version int64, at time.Duration) bool {
 	if f.Version() < version {
-		f.NotifyVersion(version)
+		if by == SourceOwner {
+			f.NotifyVersion(version)
+		}
 		return false
 	}
 	mark := &f.byOwner
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -36,8 +36,14 @@
 	// AskOthers asks some other nodes for the configuration that they have in force, if it is newer
 	// than a version, and calls a function with each answer. It may be nil.
 	AskOthers func(ctx context.Context, newerThan int64, answer func(Copy))
-
-	asking asking
+	// Nodes are the other nodes. It may be nil.
+	Nodes Nodes
+	// OwnerNode returns the address of another node that owns the engines, which announces versions, or "".
+	// It may be nil.
+	OwnerNode func() string
+
+	asking    asking
+	transfers transfers
 	// urgent has the process ask at once.
 	urgent chan struct{}
 	// byOwner and byNode are the latest times as of which the owner and another node have confirmed
@@ -52,6 +58,7 @@
 	heldRow feed.Row
 	// rows are those of the configuration in force and some before.
 	rows rows
+	told told
 
 	// notifiedAt is when a version was last announced that led to a read,
 	// notifiedVersion that version.
@@ -67,6 +74,7 @@
 // theirs again, and other nodes announce what they have in force.
 func NewFollower(source feed.Source, decode Decode, notified func() bool, datingPeriod time.Duration, log *slog.Logger) *Follower {
 	f := &Follower{decode: decode, log: log, clock: monotime.Now, urgent: make(chan struct{}, 1), dating: dating{period: datingPeriod}}
+	f.transfers.named = make(chan struct{}, 1)
 	f.MaxAge = func() time.Duration { return DefaultMaxAge }
 	f.feed = feed.New(source, "configuration", f.replace, f.apply, log)
 	f.feed.Idle = func() bool {
@@ -96,7 +104,7 @@
 }
 
 // NotifyVersion announces a version that is in force at another node, 0 if it has
-// none. If it is newer than the active one, the store is read at once.
+// none. If it is newer than the active one, it is fetched from the owner, or the store is read at once.
 func (f *Follower) NotifyVersion(version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -112,7 +120,9 @@
 	}
 	f.notifiedVersion = version
 	f.notifiedAt.Set(now)
-	f.feed.Notify()
+	if f.OwnerNode == nil || !f.named(f.OwnerNode(), Copy{Version: version}) {
+		f.feed.Notify()
+	}
 }
 
 // StoreAge returns the time since the store last confirmed the configuration, or
@@ -126,6 +136,7 @@
 	workers, ctx := errgroup.WithContext(ctx)
 	workers.Go(func() error { return f.feed.Run(ctx) })
 	workers.Go(func() error { return f.ask(ctx) })
+	workers.Go(func() error { return f.fetch(ctx) })
 	return workers.Wait()
 }
 
@@ -172,7 +183,8 @@
 	// Those that are told of the change ask for the row at once.
 	f.rows.add(c.Version, row)
 	f.Update(c)
-	f.log.Info("configuration in force", "config_version", c.Version, "store_position", row.Position)
+	f.log.Info("configuration in force", "config_version", c.Version, "store_position", row.Position, "bytes", len(row.Value))
+	f.logCaughtUp(c.Version)
 }
 
 // inForceSeconds is an upper bound of the time from the acknowledgement of a version until it is in
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -195,7 +195,7 @@
 			if link.call(ctx, nodeDelay/2, n.fleet.draw()) != nil {
 				return
 			}
-			known, age, ok := other.process().CopyFor(version, true)
+			known, age, ok := other.process().CopyFor(version, Patched)
 			if link.call(ctx, nodeDelay/2, n.fleet.draw()) != nil || !ok {
 				return
 			}
--- a/internal/fleet/configsim_test.go
+++ b/internal/fleet/configsim_test.go
@@ -273,7 +273,7 @@
 	n.Follower = catalog.NewFollower(n, decodeSimRow, func() bool { return false }, time.Second, log)
 	n.SetClock(f.store.now)
 	n.MaxAge = func() time.Duration { return configLimit }
-	n.AskOthers = n.askOthers
+	n.AskOthers, n.Nodes = n.askOthers, n.client
 	server := &Server{
 		Owner:      owner.New(owner.Dependencies{Inventory: inventory.New(), Lease: heldLease{}, Log: log}),
 		Publisher:  &Publisher{},
@@ -282,6 +282,7 @@
 		RateLimits: NewRateLimits(),
 		Suspects:   NewSuspects(),
 		ConfigCopy: n.CopyFor,
+		ConfigRows: NewRowSender(n.Encoding, mbps),
 		Log:        log,
 	}
 	f.nodes = append(f.nodes, n)
--- a/internal/fleet/configuration_cost_test.go
+++ b/internal/fleet/configuration_cost_test.go
@@ -30,7 +30,7 @@
 		Aggregator: demand.NewAggregator(),
 		RateLimits: NewRateLimits(),
 		Suspects:   NewSuspects(),
-		ConfigCopy: func(int64, bool) (catalog.Copy, time.Duration, bool) {
+		ConfigCopy: func(int64, catalog.Form) (catalog.Copy, time.Duration, bool) {
 			return catalog.Copy{Version: 123456}, 1234 * time.Millisecond, true
 		},
 		Log: discard,
@@ -54,7 +54,7 @@
 
 // BenchmarkConfigurationQuestion measures a question and its answer, at both nodes.
 func BenchmarkConfigurationQuestion(b *testing.B) {
-	server := &Server{ConfigCopy: func(int64, bool) (catalog.Copy, time.Duration, bool) {
+	server := &Server{ConfigCopy: func(int64, catalog.Form) (catalog.Copy, time.Duration, bool) {
 		return catalog.Copy{Version: 123456}, time.Second, true
 	}, Log: discard}
 	listening := httptest.NewServer(http.HandlerFunc(server.serveConfigCopy))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,9 +109,11 @@
 	// ConfigConfirmation returns the version of the configuration in force and the time since
 	// that was confirmed, or false. It may be nil.
 	ConfigConfirmation func() (version int64, age time.Duration, ok bool)
-	// ConfigCopy returns what this node knows of the configuration for a node that has a version and may
-	// understand patches, and the time since that was confirmed, or false.
-	ConfigCopy func(version int64, patches bool) (known catalog.Copy, age time.Duration, ok bool)
+	// ConfigCopy returns what this node knows of the configuration for a node that has a version and takes
+	// a form of rows, and the time since that was confirmed, or false.
+	ConfigCopy func(version int64, form catalog.Form) (known catalog.Copy, age time.Duration, ok bool)
+	// ConfigRows sends the rows that ConfigCopy offers.
+	ConfigRows *RowSender
 	Log        *slog.Logger
 }
 
@@ -123,6 +125,7 @@
 	mux.HandleFunc("POST "+demandPath, s.serveDemand)
 	mux.HandleFunc("POST "+adapterPath, s.serveAdapter)
 	mux.HandleFunc("POST "+configCopyPath, s.serveConfigCopy)
+	mux.HandleFunc("GET "+configRowPath, s.serveConfigRow)
 	mux.HandleFunc("POST "+permitPath, s.RateLimits.servePermit)
 	mux.HandleFunc("POST "+teamLimitsPath, s.TeamLimits.serveAsk)
 	mux.HandleFunc("POST "+teamPoolPath, s.TeamLimits.servePoolAsk)
@@ -224,12 +227,17 @@
 	return err == nil
 }
 
-// writeJSON sends the response to a call.
-func writeJSON(w http.ResponseWriter, r *http.Request, body any, log *slog.Logger) {
+// writeJSON sends the response to a call, and returns its size in bytes.
+func writeJSON(w http.ResponseWriter, r *http.Request, body any, log *slog.Logger) (size int) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(body); err != nil {
+	data, err := json.Marshal(body)
+	if err == nil {
+		_, err = w.Write(data)
+	}
+	if err != nil {
 		logNotSent(r, log, err)
 	}
+	return len(data)
 }
 
 // logNotSent logs and counts a response that its caller did not get whole.
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -79,7 +79,7 @@
 	Config func() (version int64, changed <-chan struct{})
 	// ConfigCopy returns what this node knows of the configuration for a node that has a version. It may
 	// be nil.
-	ConfigCopy func(version int64, patches bool) (known catalog.Copy, age time.Duration, ok bool)
+	ConfigCopy func(version int64, form catalog.Form) (known catalog.Copy, age time.Duration, ok bool)
 	// StoreAge returns the time since the store last confirmed what this node knows
 	// of the endpoints and the configuration, or false if it never did.
 	StoreAge func() (time.Duration, bool)
@@ -154,12 +154,12 @@
 }
 
 // addConfig adds to a message the configuration's row for a node that has an earlier version. It adds
-// none if the row is not a patch of what the node has, which then reads the store.
+// none if the row is not a small patch of what the node has, which then fetches it apart from the stream.
 func (p *Publisher) addConfig(message *message, has int64) {
 	if message.ConfigVersion <= has || p.ConfigCopy == nil {
 		return
 	}
-	known, _, ok := p.ConfigCopy(has, true)
+	known, _, ok := p.ConfigCopy(has, catalog.Offered)
 	if !ok || known.Patch == nil {
 		return
 	}
--- a/internal/noded/noded.go
+++ b/internal/noded/noded.go
@@ -170,6 +170,14 @@
 	return ok
 }
 
+// otherOwner returns the address of the node that owns the engines, or "" without one or if it is this one.
+func (n *Node) otherOwner() string {
+	if holder := n.keeper.Holder(); holder != n.peerAddress() {
+		return holder
+	}
+	return ""
+}
+
 func (n *Node) publisher() *fleet.Publisher {
 	return &fleet.Publisher{
 		Inventory:  n.inventory,
@@ -205,6 +213,7 @@
 
 		ConfigConfirmation: n.config.Confirmation,
 		ConfigCopy:         n.config.CopyFor,
+		ConfigRows:         fleet.NewRowSender(n.config.Encoding, n.settings.Load().LinkMbps),
 
 		Log: n.log,
 	}
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -98,6 +98,8 @@
 		Log:  log,
 	}
 	n.config.AskOthers = n.client.AskConfig
+	n.config.Nodes = n.client
+	n.config.OwnerNode = n.otherOwner
 }
 
 // wireLimits sets up the limits that all nodes share.
