fleet: further calls whose answer grows are bounded by the time without progress

The first message of the owner's stream has all endpoints, 1.1 MB at 4,900 engines with three models each, 0.9 s of a link of 10 Mbit/s that carries nothing else. Both ends gave it up after 1.1 s, and it was begun anew: over 5 Mbit/s no endpoint came in a minute, and the owner sent 32 MB. Reads of the versions that serve and of the stored history (1 s) and the owner's answers to reports (500 ms) have the same form. Change: both ends of the stream count parts of a message as progress, and the calls are bounded by the time without it, and by 10, 5 and 3 s in any case. Result: TestInventoryOverNarrowLink failed before (0 of 4,900 endpoints after a minute) and passes: 1.8 s over 5 Mbit/s, 4.5 s over 2.5. TestSilentOwnerIsLeft passed before and does: a stream that is silent for 1.1 s ends. The two reads and the answers have no test of their own.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -93,6 +93,8 @@
 	reportInterval    = 250 * time.Millisecond
 	minReportInterval = 8 * time.Millisecond
 	callTimeout       = 500 * time.Millisecond
+	// maxCallTime bounds a call whose response moves on.
+	maxCallTime = 3 * time.Second
 	// ownerTimeout is how long the owner counts as alive after a response.
 	ownerTimeout = 900 * time.Millisecond
 	// expectedTTL is how long the expected loads in a response are valid.
@@ -181,9 +183,9 @@
 	return response.Engine, time.Now().Add(time.Duration(response.ReadyMS) * time.Millisecond), err
 }
 
-// call is post with a timeout of callTimeout.
+// call is post with a timeout of callTimeout without progress.
 func (c *Client) call(ctx context.Context, to, path string, body, response any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, callTimeout, maxCallTime)
 	defer cancel()
 	return post(ctx, c.HTTP, to, path, body, response)
 }
--- a/internal/fleet/configrow.go
+++ b/internal/fleet/configrow.go
@@ -109,7 +109,7 @@
 	}
 	w.Header().Set(headerETag, rowTag(xxhash.Sum64(encoded)))
 	w.Header().Set("Content-Type", "application/octet-stream")
-	out := &pacedResponse{ResponseWriter: w, ctx: r.Context(), limiter: s.ConfigRows.limiter}
+	out := &pacedResponse{chunkedResponse: chunkedResponse{ResponseWriter: w}, ctx: r.Context(), limiter: s.ConfigRows.limiter}
 	http.ServeContent(out, r, "", time.Time{}, bytes.NewReader(encoded))
 	// The deadline of the last write must not end the next response on this connection.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
@@ -126,7 +126,7 @@
 
 // pacedResponse is a response that is sent at the speed of a limiter.
 type pacedResponse struct {
-	http.ResponseWriter
+	chunkedResponse
 	ctx     context.Context
 	limiter *rate.Limiter
 	// err is the error of the first write that failed.
@@ -135,20 +135,15 @@
 
 // Write implements io.Writer.
 func (w *pacedResponse) Write(p []byte) (written int, err error) {
-	control := http.NewResponseController(w.ResponseWriter)
 	for written < len(p) && w.err == nil {
 		chunk := p[written:min(len(p), written+rowChunk)]
 		if w.err = w.limiter.WaitN(w.ctx, len(chunk)); w.err != nil {
 			break
 		}
-		_ = control.SetWriteDeadline(time.Now().Add(streamTimeout))
 		var n int
-		n, w.err = w.ResponseWriter.Write(chunk)
+		n, w.err = w.chunkedResponse.Write(chunk)
 		written += n
 		rowBytesSent.Add(n)
-		if w.err == nil {
-			w.err = control.Flush()
-		}
 	}
 	return written, w.err
 }
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -10,6 +10,7 @@
 
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/monotime"
+	"chestnutgauge/internal/progress"
 	"chestnutgauge/internal/rendezvous"
 	"chestnutgauge/internal/streamorigin"
 )
@@ -150,8 +151,12 @@
 	evidence.Versions, evidence.Observed = o.history.Seen(evidence.Service, lifetime, time.Now())
 }
 
-// confirmTimeout bounds a read of the versions that serve.
-const confirmTimeout = time.Second
+const (
+	// confirmTimeout is how long a read of the versions that serve may make no progress.
+	confirmTimeout = time.Second
+	// maxConfirmTime bounds one that moves on.
+	maxConfirmTime = 5 * time.Second
+)
 
 // confirm has the history include the versions that serve now, as this node may be out of step: an
 // endpoint of another version may have joined and begun the stream meanwhile. It returns false if
@@ -162,7 +167,7 @@
 	}
 	err := o.reads.after(func() error {
 		// The read is for other callers, too.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
+		ctx, cancel := progress.WithTimeout(context.WithoutCancel(ctx), confirmTimeout, maxConfirmTime)
 		defer cancel()
 		serving, err := o.Serving(ctx)
 		if err == nil {
--- a/internal/fleet/originstore.go
+++ b/internal/fleet/originstore.go
@@ -10,6 +10,7 @@
 	"chestnutgauge/internal/feed"
 	"chestnutgauge/internal/inventory"
 	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/progress"
 	"chestnutgauge/internal/streamorigin"
 )
 
@@ -25,8 +26,10 @@
 	// changes since the last one must still be there when all nodes have started again; it
 	// keeps them for 20 s, or less.
 	storedWriteInterval = 5 * time.Second
-	// storedTimeout bounds a read or a write.
+	// storedTimeout is how long a read or a write may make no progress.
 	storedTimeout = time.Second
+	// maxStoredTime bounds a read that moves on.
+	maxStoredTime = 10 * time.Second
 )
 
 // ErrHistoryConflict means that another node has written the stored history.
@@ -140,7 +143,7 @@
 
 // read reads the stored history and records what came of it.
 func (k *keptHistory) read(ctx context.Context, owns bool) (historyResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, storedTimeout, maxStoredTime)
 	defer cancel()
 	row, err := k.Stored.Store.Read(ctx)
 	var result historyResult
@@ -217,7 +220,7 @@
 	}
 	value, err := json.Marshal(storedHistory{Position: position, Account: account})
 	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+		ctx, cancel := progress.WithTimeout(ctx, storedTimeout, maxStoredTime)
 		defer cancel()
 		k.revision, err = k.Stored.Store.Write(ctx, k.revision, value)
 	}
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -16,6 +16,7 @@
 	"chestnutgauge/internal/monotime"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/pause"
+	"chestnutgauge/internal/progress"
 	"chestnutgauge/internal/suspect"
 )
 
@@ -42,7 +43,7 @@
 	minMessageInterval = 20 * time.Millisecond
 	// heartbeatInterval is the longest time between two messages.
 	heartbeatInterval = 400 * time.Millisecond
-	// streamTimeout is how long a stream may carry no message before it counts
+	// streamTimeout is how long a stream may carry no message, and nothing of a large one, before it counts
 	// as lost.
 	streamTimeout = 1100 * time.Millisecond
 	// maxStoreAge is how long ago the store may have confirmed what the owner knows
@@ -108,8 +109,8 @@
 		http.Error(w, owner.ErrNotOwner.Error(), http.StatusConflict)
 		return
 	}
-	control := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
+	out := &chunkedResponse{ResponseWriter: w}
+	encoder := json.NewEncoder(out)
 	var sent *inventory.Snapshot
 	patches := r.URL.Query().Get(patchesParam) != ""
 	// A version that can't be read counts as none.
@@ -124,7 +125,6 @@
 		now := time.Now()
 		var suspects []suspect.CrashMark
 		suspects, suspectsSent = p.Suspects.AllSince(suspectsSent, now)
-		_ = control.SetWriteDeadline(time.Now().Add(streamTimeout))
 		message := message{
 			ConfigVersion:   config,
 			StoreEra:        p.StoreEra(),
@@ -143,9 +143,6 @@
 		if err := encoder.Encode(message); err != nil {
 			return
 		}
-		if err := control.Flush(); err != nil {
-			return
-		}
 		sent = snapshot
 		if !pause.For(r.Context(), minMessageInterval) || !pause.FirstOf(r.Context(), heartbeatInterval, changed, configChanged, suspectsChanged) {
 			return
@@ -221,13 +218,12 @@
 	return ctx.Err()
 }
 
-// follow reads one stream until it ends or carries no message for
-// streamTimeout.
+// follow reads one stream until it ends or carries nothing for streamTimeout.
 func (f *Follower) follow(ctx context.Context, holder string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timeout := time.AfterFunc(streamTimeout, cancel)
-	defer timeout.Stop()
+	ctx, stop := progress.OnStall(ctx, streamTimeout, cancel)
+	defer stop()
 	url := fmt.Sprintf("http://%s%s?%s=%d&%s=1", holder, inventoryPath, suspectsVersionParam, f.Suspects.Received(), patchesParam)
 	if f.ConfigVersion != nil {
 		url += fmt.Sprintf("&%s=%d", configParam, f.ConfigVersion())
@@ -244,14 +240,14 @@
 	if err := checkStatus(resp, holder); err != nil {
 		return err
 	}
-	messages := newMessageReader(resp.Body)
+	messages := newMessageReader(progress.Reader(ctx, resp.Body, minProgressBytes))
 	recorder := inventory.Recorder{Inventory: f.Inventory, Log: f.Log}
 	for {
 		update, err := messages.next()
 		if err != nil {
 			return fmt.Errorf("fleet: inventory: %w", err)
 		}
-		timeout.Reset(streamTimeout)
+		progress.Report(ctx)
 		if f.lastMessage.Set(monotime.Now()) {
 			f.Log.Info("owner's inventory followed", "owner", holder)
 		}
