--- a/internal/fleet/configrow_test.go
+++ b/internal/fleet/configrow_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"bytes"
-	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,7 +16,6 @@
 
 	"chestnutgauge/internal/catalog"
 	"chestnutgauge/internal/feed"
-	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/linksim"
 )
 
@@ -33,33 +31,22 @@
 
 // senders is a node that offers a row, and others that fetch it over simulated links.
 type senders struct {
-	ctx     context.Context
-	server  *Server
+	*simulation
 	sender  *linksim.Host
 	clients []*Client
 }
 
 // runSenders has clients with wide links fetch from a node with a link of a bandwidth, in Mbit/s.
 func runSenders(t *testing.T, mbps float64, clients int, encoding func(version, base int64) []byte, act func(s *senders)) {
-	synctest.Test(t, func(t *testing.T) {
-		network := linksim.NewNetwork(oneWay)
-		ctx, cancel := context.WithCancel(t.Context())
-		var done sync.WaitGroup
-		s := &senders{ctx: ctx, sender: network.AddHost("sender:1", mbps), server: &Server{ConfigRows: NewRowSender(encoding, mbps), Log: discard}}
-		serve(ctx, s.sender, s.server.Handler(), &done)
+	simulate(t, func(simulation *simulation) {
+		s := &senders{simulation: simulation, sender: simulation.network.AddHost("sender:1", mbps)}
+		server := &Server{ConfigRows: NewRowSender(encoding, mbps), Log: discard}
+		s.serve(s.sender, server.Handler())
 		for i := range clients {
-			host := network.AddHost("client:"+string(rune('a'+i)), wideMbps)
-			transport := httpclient.NewTransport(connectTimeout, userTimeout, func(httpclient.Dial) httpclient.Dial { return host.Dial })
-			s.clients = append(s.clients, &Client{Self: host.Address, HTTP: httpclient.NewClient(transport), Log: discard})
+			host := s.network.AddHost(fmt.Sprintf("client-%d:1", i), wideMbps)
+			s.clients = append(s.clients, &Client{Self: host.Address, HTTP: s.client(host), Log: discard})
 		}
 		act(s)
-		cancel()
-		for _, c := range s.clients {
-			c.HTTP.CloseIdleConnections()
-		}
-		time.Sleep(time.Second)
-		network.Close()
-		done.Wait()
 	})
 }
 
--- a/internal/fleet/configsim_test.go
+++ b/internal/fleet/configsim_test.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -30,12 +29,9 @@
 	"chestnutgauge/internal/progress"
 )
 
-// Links and times of the simulated nodes and their store, in Mbit/s.
 const (
-	narrowMbps  = 10
-	wideMbps    = 200
+	// storeMbps is the link of the store, in Mbit/s, storeAnswer its time for an answer.
 	storeMbps   = 4000
-	oneWay      = 4 * time.Millisecond
 	storeAnswer = 4 * time.Millisecond
 	// wideShare is the share of nodes with a wide link.
 	wideShare = 0.07
@@ -256,17 +252,16 @@
 
 // simFleet is a store and nodes that follow it without an owner.
 type simFleet struct {
-	network *linksim.Network
-	store   *simStore
-	nodes   []*simNode
+	*simulation
+	store *simStore
+	nodes []*simNode
 }
 
 // start starts a node.
-func (f *simFleet) start(ctx context.Context, address string, mbps float64, others []string, done *sync.WaitGroup) {
+func (f *simFleet) start(address string, mbps float64, others []string) {
 	log := slog.New(slog.DiscardHandler)
 	n := &simNode{host: f.network.AddHost(address, mbps), store: f.store}
-	simulated := func(httpclient.Dial) httpclient.Dial { return n.host.Dial }
-	n.http = httpclient.NewClient(httpclient.NewTransport(connectTimeout, userTimeout, simulated))
+	n.http = f.client(n.host)
 	n.caller = NewStoreCaller(n.send)
 	n.client = &Client{Self: address, HTTP: n.http, Log: log, peers: others}
 	n.caller.SetFallback(n.client)
@@ -286,18 +281,8 @@
 		Log:        log,
 	}
 	f.nodes = append(f.nodes, n)
-	serve(ctx, n.host, server.Handler(), done)
-	done.Go(func() { _ = n.Run(ctx) })
-}
-
-// serve serves a handler at a host until ctx ends.
-func serve(ctx context.Context, host *linksim.Host, handler http.Handler, done *sync.WaitGroup) {
-	server := &http.Server{Handler: handler}
-	done.Go(func() { _ = server.Serve(host.Listener()) })
-	done.Go(func() {
-		<-ctx.Done()
-		_ = server.Close()
-	})
+	f.serve(n.host, server.Handler())
+	f.done.Go(func() { _ = n.Run(f.ctx) })
 }
 
 // configDay is what happens in a simulation.
@@ -328,11 +313,9 @@
 
 // run plays a day.
 func (d configDay) run(t *testing.T) (r configDayResult) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &simFleet{network: linksim.NewNetwork(oneWay), store: newSimStore()}
-		ctx, cancel := context.WithCancel(t.Context())
-		var done sync.WaitGroup
-		serve(ctx, f.network.AddHost(storeHost, storeMbps), f.store, &done)
+	simulate(t, func(s *simulation) {
+		f := &simFleet{simulation: s, store: newSimStore()}
+		f.serve(f.network.AddHost(storeHost, storeMbps), f.store)
 		var addresses []string
 		for i := range d.nodes {
 			addresses = append(addresses, fmt.Sprintf("node-%d:1", i))
@@ -342,10 +325,10 @@
 			if i < max(1, int(wideShare*float64(d.nodes))) {
 				mbps = wideMbps
 			}
-			f.start(ctx, address, mbps, addresses, &done)
+			f.start(address, mbps, addresses)
 		}
 		time.Sleep(2 * time.Second)
-		done.Go(func() { d.play(ctx, f) })
+		f.done.Go(func() { d.play(f.ctx, f) })
 		r.lateNodes = map[string]bool{}
 		for begun := f.store.now(); f.store.now() < begun+d.length; time.Sleep(sampleEvery) {
 			for _, n := range f.nodes {
@@ -353,13 +336,6 @@
 			}
 		}
 		r.end(f)
-		cancel()
-		for _, n := range f.nodes {
-			n.http.CloseIdleConnections()
-		}
-		time.Sleep(time.Second)
-		f.network.Close()
-		done.Wait()
 	})
 	return r
 }
--- a/internal/fleet/storeread_test.go
+++ b/internal/fleet/storeread_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,8 +11,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"chestnutgauge/internal/httpclient"
-	"chestnutgauge/internal/linksim"
 	"chestnutgauge/internal/progress"
 )
 
@@ -39,21 +36,12 @@
 // readThrough makes a read through a node that has a store, over simulated links. It returns the number of
 // bytes of the response, too.
 func readThrough(t *testing.T, store Store) (reply StoreReply, bytes int64, err error) {
-	synctest.Test(t, func(t *testing.T) {
-		network := linksim.NewNetwork(oneWay)
-		ctx, cancel := context.WithCancel(t.Context())
-		var done sync.WaitGroup
-		near, far := network.AddHost("near:1", wideMbps), network.AddHost("far:1", wideMbps)
-		serve(ctx, far, serveStore(store, discard), &done)
-		transport := httpclient.NewTransport(connectTimeout, userTimeout, func(httpclient.Dial) httpclient.Dial { return near.Dial })
-		client := &Client{Self: near.Address, HTTP: httpclient.NewClient(transport), Log: discard, peers: []string{far.Address}}
-		reply, err = client.storeCallThrough(ctx, far.Address, StoreCall{Method: http.MethodGet, Path: "/rows"})
+	simulate(t, func(s *simulation) {
+		near, far := s.network.AddHost("near:1", wideMbps), s.network.AddHost("far:1", wideMbps)
+		s.serve(far, serveStore(store, discard))
+		client := &Client{Self: near.Address, HTTP: s.client(near), Log: discard, peers: []string{far.Address}}
+		reply, err = client.storeCallThrough(s.ctx, far.Address, StoreCall{Method: http.MethodGet, Path: "/rows"})
 		bytes, _ = far.Bytes()
-		cancel()
-		client.HTTP.CloseIdleConnections()
-		time.Sleep(time.Second)
-		network.Close()
-		done.Wait()
 	})
 	return reply, bytes, err
 }
--- a/internal/fleet/streamnarrow_test.go
+++ b/internal/fleet/streamnarrow_test.go
@@ -1,19 +1,14 @@
 package fleet
 
 import (
-	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"chestnutgauge/internal/httpclient"
 	"chestnutgauge/internal/inventory"
-	"chestnutgauge/internal/linksim"
 	"chestnutgauge/internal/owner"
 	"chestnutgauge/internal/suspect"
 )
@@ -47,15 +42,14 @@
 func TestInventoryOverNarrowLink(t *testing.T) {
 	for _, mbps := range []float64{narrowMbps / 2, narrowMbps / 4} {
 		t.Run(fmt.Sprintf("%.1f Mbit/s", mbps), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				network := linksim.NewNetwork(oneWay)
-				ctx, cancel := context.WithCancel(t.Context())
-				var done sync.WaitGroup
-				near, far := network.AddHost("node:1", mbps), network.AddHost("owner:1", wideMbps)
+			engines := designEngines()
+			var known int
+			var took time.Duration
+			simulate(t, func(s *simulation) {
+				near, far := s.network.AddHost("node:1", mbps), s.network.AddHost("owner:1", wideMbps)
 				owned := inventory.New()
-				engines := designEngines()
 				owned.Replace(engines)
-				serve(ctx, far, &Publisher{
+				s.serve(far, &Publisher{
 					Suspects:   suspect.NewRegistry(),
 					Inventory:  owned,
 					Owner:      &owner.Owner{Dependencies: owner.Dependencies{Lease: heldLease{}}},
@@ -63,48 +57,34 @@
 					StoreAge:   func() (time.Duration, bool) { return 0, true },
 					Incomplete: func() bool { return false },
 					StoreEra:   func() int64 { return 0 },
-				}, &done)
-				transport := httpclient.NewTransport(connectTimeout, userTimeout, func(httpclient.Dial) httpclient.Dial { return near.Dial })
+				})
 				f := &Follower{
-					Self: near.Address, Holder: holderAt(far.Address), Inventory: inventory.New(), HTTP: httpclient.NewClient(transport),
+					Self: near.Address, Holder: holderAt(far.Address), Inventory: inventory.New(), HTTP: s.client(near),
 					OnConfigVersion: func(int64) {}, OnStoreEra: func(int64) {}, Suspects: discardSuspects{}, Log: discard,
 				}
-				done.Go(func() { _ = f.Run(ctx) })
+				s.done.Go(func() { _ = f.Run(s.ctx) })
 				begun := time.Now()
-				for f.Inventory.Current().Len() < len(engines) && time.Since(begun) < time.Minute {
+				for known < len(engines) && took < time.Minute {
 					time.Sleep(100 * time.Millisecond)
+					known, took = f.Inventory.Current().Len(), time.Since(begun)
 				}
 				sent, _ := far.Bytes()
-				t.Logf("%d endpoints after %v, %d bytes", f.Inventory.Current().Len(), time.Since(begun), sent)
-				known, took := f.Inventory.Current().Len(), time.Since(begun)
-				cancel()
-				f.HTTP.CloseIdleConnections()
-				time.Sleep(time.Second)
-				network.Close()
-				done.Wait()
-				require.Equal(t, len(engines), known)
-				require.Greater(t, took, streamTimeout)
+				t.Logf("%d endpoints after %v, %d bytes", known, took, sent)
 			})
+			require.Equal(t, len(engines), known)
+			require.Greater(t, took, streamTimeout)
 		})
 	}
 }
 
 // TestSilentOwnerIsLeft guards against a node that follows an owner which sends nothing.
 func TestSilentOwnerIsLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := linksim.NewNetwork(oneWay)
-		ctx, cancel := context.WithCancel(t.Context())
-		var done sync.WaitGroup
-		near, far := network.AddHost("node:1", narrowMbps), network.AddHost("owner:1", wideMbps)
-		serve(ctx, far, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }), &done)
-		transport := httpclient.NewTransport(connectTimeout, userTimeout, func(httpclient.Dial) httpclient.Dial { return near.Dial })
-		f := &Follower{Self: near.Address, HTTP: httpclient.NewClient(transport), Suspects: discardSuspects{}, Log: discard}
+	simulate(t, func(s *simulation) {
+		near, far := s.network.AddHost("node:1", narrowMbps), s.network.AddHost("owner:1", wideMbps)
+		s.serve(far, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		f := &Follower{Self: near.Address, HTTP: s.client(near), Suspects: discardSuspects{}, Log: discard}
 		begun := time.Now()
-		require.Error(t, f.follow(ctx, far.Address))
+		require.Error(t, f.follow(s.ctx, far.Address))
 		require.Equal(t, streamTimeout, time.Since(begun))
-		cancel()
-		time.Sleep(time.Second)
-		network.Close()
-		done.Wait()
 	})
 }
