--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -127,7 +127,8 @@
 	attempts attempts
 	// late is the number of reads that have counted as failed and go on.
 	late atomic.Int64
-	// arrivedAt is when a part of an answer of the store last arrived.
+	// arriving is the number of calls whose answer has begun to arrive, arrivedAt when a part of one last did.
+	arriving  atomic.Int64
 	arrivedAt monotime.Mark
 	// passing is held while rows are passed on.
 	passing sync.Mutex
@@ -233,10 +234,11 @@
 	wait := f.wait()
 	limited, cancel := progress.WithTimeout(ctx, wait+changesSlack, maxReadTime)
 	defer cancel()
-	arriving := &arrival{}
+	limited, arriving := f.observe(limited)
 	notified := f.cancelOnNotify(limited, cancel, arriving)
 	sentAt := f.Clock()
-	rows, err := f.Source.Changes(f.observe(limited, arriving), last.Version, wait)
+	rows, err := f.Source.Changes(limited, last.Version, wait)
+	arriving.end()
 	requested := notified()
 	if requested && (err != nil || len(rows.Rows) == 0) {
 		return f.readAll(ctx)
@@ -280,7 +282,7 @@
 	go func() {
 		select {
 		case <-f.notify:
-			if !arriving.begun.Load() {
+			if !arriving.hasBegun() {
 				cancel()
 			}
 			done <- true
--- a/internal/feed/late_test.go
+++ b/internal/feed/late_test.go
@@ -92,6 +92,7 @@
 		require.True(t, ok)
 		require.Equal(t, int64(7), at.Version)
 		require.Equal(t, int64(1), s.begun.Load())
+		require.False(t, f.Arriving(), "transfers from other nodes would wait")
 	})
 }
 
