--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -61,6 +60,8 @@
 const (
 	// configCopyTimeout bounds a question for the configuration, whose answer is small.
 	configCopyTimeout = 300 * time.Millisecond
+	// farAhead is added to a version to get one that no node has.
+	farAhead = 1 << 30
 	// configAsked is the number of nodes that are asked at once.
 	configAsked = 3
 	// maxConfigRow bounds an answer with a whole row, which nodes of an earlier version give, in bytes.
@@ -141,8 +142,8 @@
 func (c *Client) AskConfig(ctx context.Context, newerThan int64, answer func(catalog.Copy)) {
 	ctx, cancel := context.WithTimeout(ctx, configCopyTimeout)
 	defer cancel()
-	// A node of an earlier version would answer with the whole row.
-	request := configCopyRequest{NewerThan: math.MaxInt64, Has: &newerThan}
+	// A node that does not understand offers would answer with the whole row.
+	request := configCopyRequest{NewerThan: newerThan + farAhead, Has: &newerThan}
 	var asked sync.WaitGroup
 	for _, peer := range c.nextPeers(configAsked) {
 		asked.Go(func() {
--- a/internal/patch/encode_test.go
+++ b/internal/patch/encode_test.go
@@ -70,3 +70,18 @@
 		}
 	}
 }
+
+// BenchmarkEncode measures the encoding of 4,200 routes of which 1,400 are new, and of one that has changed.
+func BenchmarkEncode(b *testing.B) {
+	before := manyRoutes(0, 2800)
+	for name, after := range map[string][]byte{
+		"third new": append(bytes.Clone(before), manyRoutes(2800, 1400)...),
+		"one route": append(bytes.Clone(before), manyRoutes(2800, 1)...),
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				Encode(before, after)
+			}
+		})
+	}
+}
