catalog: a version that can't be used is not fetched again and again

Cause: found by reading. Where two versions of the program run, one may not decode a configuration that the other has in force. Each answer to its questions, ten a second, would have the older one fetch that anew. Change: a version that was fetched and can't be used is not fetched again. A node that learns of a newer version while it is receiving one logs that it is behind, too. Names: sources are added.

--- a/internal/catalog/await.go
+++ b/internal/catalog/await.go
@@ -227,6 +227,7 @@
 func (f *Follower) receive(c Copy) {
 	f.UseCopy(c)
 	if f.Version() < c.Version {
+		f.logBehind(c.Version)
 		f.mu.Lock()
 		f.told = told{c.Version, c.ConfirmedAt}
 		f.mu.Unlock()
@@ -255,7 +256,7 @@
 // UseCopy activates the version that another node has in force if it is newer, or has it fetched. It confirms
 // nothing. A copy that can't be used is a reason to read the store.
 func (f *Follower) UseCopy(c Copy) {
-	if c.Version <= f.Version() || c.Offer != nil && f.named(c.Node, c) || f.use(c) == nil || f.named(c.Node, c) {
+	if c.Version <= f.Version() || c.Offer != nil && f.addSource(c.Node, c) || f.use(c) == nil || f.addSource(c.Node, c) {
 		return
 	}
 	f.NotifyVersion(c.Version)
--- a/internal/catalog/behind.go
+++ b/internal/catalog/behind.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,8 @@
 	newest int64
 	since  time.Duration
 	logged bool
+	// fetched is the number of bytes that have come of one.
+	fetched atomic.Int64
 }
 
 // begin records a newer version. It returns for how long one is known, and whether that is to be logged.
@@ -48,7 +51,7 @@
 func (f *Follower) logBehind(newest int64) {
 	if lasts, log := f.transfers.behind.begin(newest, f.clock()); log {
 		f.log.Warn("configuration behind", "config_version", f.Version(), "newest", newest, "behind_ms", lasts.Milliseconds(),
-			"fetched_bytes", len(f.transfers.partial), "store_unavailable", f.feed.Unavailable())
+			"fetched_bytes", f.transfers.behind.fetched.Load(), "store_unavailable", f.feed.Unavailable())
 	}
 }
 
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -58,6 +58,7 @@
 	heldRow feed.Row
 	// rows are those of the configuration in force and some before.
 	rows rows
+	// told is the latest confirmation of a version that is not in force.
 	told told
 
 	// notifiedAt is when a version was last announced that led to a read,
@@ -74,7 +75,7 @@
 // theirs again, and other nodes announce what they have in force.
 func NewFollower(source feed.Source, decode Decode, notified func() bool, datingPeriod time.Duration, log *slog.Logger) *Follower {
 	f := &Follower{decode: decode, log: log, clock: monotime.Now, urgent: make(chan struct{}, 1), dating: dating{period: datingPeriod}}
-	f.transfers.named = make(chan struct{}, 1)
+	f.transfers.added = make(chan struct{}, 1)
 	f.MaxAge = func() time.Duration { return DefaultMaxAge }
 	f.feed = feed.New(source, "configuration", f.replace, f.apply, log)
 	f.feed.Idle = func() bool {
@@ -120,7 +121,7 @@
 	}
 	f.notifiedVersion = version
 	f.notifiedAt.Set(now)
-	if f.OwnerNode == nil || !f.named(f.OwnerNode(), Copy{Version: version}) {
+	if f.OwnerNode == nil || !f.addSource(f.OwnerNode(), Copy{Version: version}) {
 		f.feed.Notify()
 	}
 }
--- a/internal/catalog/transfer.go
+++ b/internal/catalog/transfer.go
@@ -63,10 +63,10 @@
 // transfers brings newer versions from other nodes, one at a time. The zero value has no source.
 type transfers struct {
 	mu sync.Mutex
-	// sources are in the order in which they were named, without two of one node.
+	// sources are in the order in which they were added, without two of one node.
 	sources []source
-	// named has a value when a source was named.
-	named chan struct{}
+	// added has a value when a source was added.
+	added chan struct{}
 	// partial is what has come of the offer of partialSource. Only the worker uses it.
 	partial       []byte
 	partialSource source
@@ -74,12 +74,17 @@
 	// last asked.
 	failedAt, askedAt monotime.Mark
 	behind            behind
+	// unusable is a version that was fetched and can't be used.
+	unusable int64
 }
 
 // add records a node that has a newer version.
 func (t *transfers) add(s source) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if s.version == t.unusable {
+		return
+	}
 	known := slices.IndexFunc(t.sources, func(k source) bool { return k.node == s.node })
 	switch {
 	case known < 0:
@@ -90,11 +95,19 @@
 		t.sources[known] = s
 	}
 	select {
-	case t.named <- struct{}{}:
+	case t.added <- struct{}{}:
 	default:
 	}
 }
 
+// refuse records a version that was fetched and can't be used.
+func (t *transfers) refuse(version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unusable = version
+	t.sources = slices.DeleteFunc(t.sources, func(k source) bool { return k.version == version })
+}
+
 // next returns the node of which a version is to be fetched that is newer than one, and forgets it. If none may
 // be asked at a time now, wait is how long that lasts. newest is 0 if no node is known that has a newer one.
 func (t *transfers) next(than int64, now time.Duration) (s source, newest int64, wait time.Duration) {
@@ -119,8 +132,8 @@
 	return s, newest, 0
 }
 
-// named records that a node has a newer version. It returns false if no transfer can bring that.
-func (f *Follower) named(node string, c Copy) bool {
+// addSource records that a node has a newer version. It returns false if no transfer can bring that.
+func (f *Follower) addSource(node string, c Copy) bool {
 	if f.Nodes == nil || node == "" || f.Get() == nil {
 		return false
 	}
@@ -132,7 +145,7 @@
 func (f *Follower) fetch(ctx context.Context) error {
 	for {
 		select {
-		case <-f.transfers.named:
+		case <-f.transfers.added:
 			f.fetchNewer(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
@@ -155,7 +168,7 @@
 		}
 		f.logBehind(newest)
 		if wait > 0 {
-			pause.Until(ctx, f.transfers.named, wait)
+			pause.Until(ctx, f.transfers.added, wait)
 			continue
 		}
 		switch err := f.fetchFrom(ctx, s); {
@@ -168,7 +181,7 @@
 		default:
 			transfersGivenUp.Inc()
 			f.log.Info("configuration not fetched", "node", s.node, "config_version", s.version, "in_force", f.Version(),
-				"fetched_bytes", len(f.transfers.partial), "error", err)
+				"fetched_bytes", f.transfers.behind.fetched.Load(), "error", err)
 			f.readInstead()
 			f.askMore(ctx)
 		}
@@ -194,8 +207,12 @@
 	go f.AskOthers(ctx, f.Version(), f.receive)
 }
 
-// errNoRow means that a node has said that it has a newer version, and does not send it.
-var errNoRow = errors.New("catalog: the node does not send its row")
+var (
+	// errNoRow means that a node has said that it has a newer version, and does not send it.
+	errNoRow = errors.New("catalog: the node does not send its row")
+	// errUnusable means that a version was fetched and can't be used.
+	errUnusable = errors.New("catalog: the version can't be used")
+)
 
 // fetchFrom brings the version of a node into force. What has come of another node's offer is used, if this
 // one has the same.
@@ -237,6 +254,7 @@
 	}
 	data, err := f.Nodes.Fetch(ctx, s.node, *s.offer, len(t.partial))
 	t.partial, t.partialSource = append(t.partial, data...), s
+	t.behind.fetched.Store(int64(len(t.partial)))
 	if err != nil {
 		return err
 	}
@@ -248,7 +266,16 @@
 	transfersDone.Inc()
 	row := s.row
 	row.Value = value
+	return f.applyFetched(s.version, row)
+}
+
+// applyFetched brings a version into force that was fetched.
+func (f *Follower) applyFetched(version int64, row feed.Row) error {
 	f.apply([]feed.Row{row})
+	if f.Version() < version {
+		f.transfers.refuse(version)
+		return errUnusable
+	}
 	f.confirmTold()
 	return nil
 }
@@ -259,6 +286,5 @@
 	if !ok {
 		return errNoRow
 	}
-	f.apply([]feed.Row{row})
-	return nil
+	return f.applyFetched(c.Version, row)
 }
--- a/internal/catalog/transfer_test.go
+++ b/internal/catalog/transfer_test.go
@@ -92,13 +92,20 @@
 // runTransfers runs a follower under the fake clock that has version 1 and whose store is silent.
 func runTransfers(t *testing.T, nodes *offeringNodes, act func(s *awaitFixture)) {
 	runAwait(t, func(s *awaitFixture) {
-		s.Follower.decode = decodeFirstNumber
+		s.setDecode(decodeFirstNumber)
 		s.set(func() { s.silent = true })
 		s.Nodes = nodes
 		act(s)
 	})
 }
 
+// setDecode replaces the function that decodes rows.
+func (s *awaitFixture) setDecode(decode Decode) {
+	s.Follower.mu.Lock()
+	defer s.Follower.mu.Unlock()
+	s.Follower.decode = decode
+}
+
 // decodeFirstNumber decodes a row that begins with its version.
 func decodeFirstNumber(row feed.Row) (*Catalog, error) {
 	var version int64
@@ -256,3 +263,26 @@
 	lasts, _ = b.begin(7, time.Hour)
 	require.Zero(t, lasts)
 }
+
+// TestVersionThatCannotBeUsed guards against a version that is fetched again and again since it can't be
+// decoded, as between two versions of the program.
+func TestVersionThatCannotBeUsed(t *testing.T) {
+	nodes := newOfferingNodes(5)
+	runTransfers(t, nodes, func(s *awaitFixture) {
+		s.setDecode(func(row feed.Row) (*Catalog, error) {
+			if row.Position.Version == 5 {
+				return nil, errStoreDown
+			}
+			return decodeFirstNumber(row)
+		})
+		for range 20 {
+			nodes.tell(s.Follower, "a", "b")
+			time.Sleep(2 * nodes.pause)
+		}
+		require.Len(t, nodes.fetched, 1)
+		nodes.write(6)
+		nodes.tell(s.Follower, "a")
+		time.Sleep(2 * nodes.pause)
+		require.Equal(t, int64(6), s.Version())
+	})
+}
