--- a/internal/fleet/configrow.go
+++ b/internal/fleet/configrow.go
@@ -113,12 +113,16 @@
 	http.ServeContent(out, r, "", time.Time{}, bytes.NewReader(encoded))
 	// The deadline of the last write must not end the next response on this connection.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-	if out.err != nil {
+	switch {
+	case out.err != nil:
 		rowsBrokenOff.Inc()
 		logNotSent(r, s.Log, out.err)
-		return
+	case out.sent == 0:
+		// The caller has a part of another encoding.
+		rowsUnknown.Inc()
+	default:
+		rowsFinished.Inc()
 	}
-	rowsFinished.Inc()
 }
 
 // rowTag returns the entity tag of an encoding with a hash.
@@ -129,8 +133,9 @@
 	chunkedResponse
 	ctx     context.Context
 	limiter *rate.Limiter
-	// err is the error of the first write that failed.
-	err error
+	// sent is the number of bytes that were written, err the error of the first write that failed.
+	sent int
+	err  error
 }
 
 // Write implements io.Writer.
@@ -143,6 +148,7 @@
 		var n int
 		n, w.err = w.chunkedResponse.Write(chunk)
 		written += n
+		w.sent += n
 		rowBytesSent.Add(n)
 	}
 	return written, w.err
