--- a/internal/catalog/transfer_test.go
+++ b/internal/catalog/transfer_test.go
@@ -141,7 +141,7 @@
 }
 
 // TestTransferGoesOnAtAnotherNode guards against what has come of a row that is thrown away when the node that
-// sends it falls silent.
+// sends it stops.
 func TestTransferGoesOnAtAnotherNode(t *testing.T) {
 	nodes := newOfferingNodes(5)
 	nodes.breaks["a"] = true
