feed: a late read does not bring back what another source has removed

Cause: found by reading. Meanwhile the owner's stream may have removed an endpoint or marked it as leaving, and its later messages would not say so again. Change: the result of a read that took longer than its timeout is not used if the owner's stream has brought a message since it began; the table is read again, or the stream is followed. The configuration is never replaced by an older one, so its late answers are used always. Result: TestLateAnswerAfterAnotherSource, which fails without the check in two of four cases.

--- a/internal/feed/await.go
+++ b/internal/feed/await.go
@@ -61,7 +61,8 @@
 func (f *Follower) recordAttempt(begun time.Duration, err error) {
 	now := f.Clock()
 	suspended := now-begun > changesWait+changesSlack+f.ReadTimeout
-	failed := err != nil && !errors.Is(err, ErrHistoryGone) && !suspended
+	answered := err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, errSuperseded)
+	failed := !answered && !suspended
 	f.attempts.end(failed, failure{begun: begun, ended: now})
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -102,6 +102,10 @@
 	// ReadTimeout is how long a read of the whole table may make no progress before it counts as failed.
 	ReadTimeout time.Duration
 
+	// Superseded reports whether another source has brought rows since a time, which may then be newer than
+	// those of a read that began before it. It may be nil, if older rows do no harm.
+	Superseded func(since time.Duration) bool
+
 	// Restored, which may be nil, is called after the whole table was read because
 	// the store was restored, with the position and the number of rows.
 	Restored func(at era.Position, rows int)
@@ -189,6 +193,8 @@
 			last = &next
 			backoff = backoffMin
 			f.recordRecovered()
+		case errors.Is(err, errSuperseded):
+			last = nil
 		case errors.Is(err, ErrHistoryGone):
 			f.Log.Info("store history gone; reading the whole table", "table", f.Name, "after", last)
 			last = nil
--- a/internal/feed/late_test.go
+++ b/internal/feed/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -135,3 +136,34 @@
 		}
 	})
 }
+
+// TestLateAnswerAfterAnotherSource guards against a late answer that brings back what another source has
+// removed meanwhile, whether it arrived at once or moved on all the time.
+func TestLateAnswerAfterAnotherSource(t *testing.T) {
+	for name, part := range map[string]time.Duration{"at once": 0, "in parts": defaultReadTimeout / 10} {
+		for _, superseded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, superseded %v", name, superseded), func(t *testing.T) {
+				s := &slowSource{answer: 2 * defaultReadTimeout, part: part}
+				s.version.Store(7)
+				var replaced atomic.Int64
+				set := func(f *Follower) {
+					s.fakeSource = f.Source.(*fakeSource)
+					f.Source = s
+					f.Replace = func(Rows) { replaced.Add(1) }
+					f.Superseded = func(since time.Duration) bool {
+						require.Less(t, since, f.Clock())
+						return superseded
+					}
+					// The other source is in use from a time on at which the read goes on.
+					f.Idle = func() bool { return f.Clock() > defaultReadTimeout/2 }
+				}
+				runFollower(t, set, func(_ *fakeSource, f *Follower, _ func() []string) {
+					time.Sleep(4 * defaultReadTimeout)
+					_, applied := f.Applied()
+					require.Equal(t, !superseded, applied)
+					require.Equal(t, !superseded, replaced.Load() > 0)
+				})
+			})
+		}
+	}
+}
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -57,9 +58,19 @@
 	return Rows{}, context.DeadlineExceeded
 }
 
+// errSuperseded means that the result of a read was not used, as another source may have brought newer rows
+// meanwhile.
+var errSuperseded = errors.New("feed: superseded by another source")
+
+// superseded reports whether the result of a read that began at a time is not to be used. One that took no
+// longer than its timeout is as new as what another source has of the store.
+func (f *Follower) superseded(sentAt time.Duration) bool {
+	return f.Superseded != nil && f.Clock()-sentAt > f.ReadTimeout && f.Superseded(sentAt)
+}
+
 // endLate passes on the result of a read that has counted as failed.
 func (f *Follower) endLate(result readResult, sentAt time.Duration) {
-	if result.err != nil {
+	if result.err != nil || f.superseded(sentAt) {
 		return
 	}
 	f.Log.Info("late answer of the store", "table", f.Name, "took_ms", (f.Clock() - sentAt).Milliseconds())
@@ -133,6 +144,12 @@
 		}
 		return era.Position{}, err
 	}
+	if f.superseded(sentAt) {
+		if restored {
+			f.restored.Store(true)
+		}
+		return era.Position{}, errSuperseded
+	}
 	f.recordConfirmed(sentAt, f.ReadTimeout)
 	if f.lost {
 		f.lastOutage.Store(int64(f.OutageDuration()))
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -191,8 +191,15 @@
 	Suspects SuspectReceiver
 	Log      *slog.Logger
 
-	// lastMessage is the time of the last message if a stream is open.
-	lastMessage monotime.Mark
+	// lastMessage is the time of the last message if a stream is open, heardAt that of the last one of any.
+	lastMessage, heardAt monotime.Mark
+}
+
+// HeardSince reports whether a message has come since a time on the clock of monotime.
+func (f *Follower) HeardSince(since time.Duration) bool {
+	now := monotime.Now()
+	age, heard := f.heardAt.Age(now)
+	return heard && now-age >= since
 }
 
 // Fresh reports whether a message was received within streamTimeout.
@@ -248,7 +255,9 @@
 			return fmt.Errorf("fleet: inventory: %w", err)
 		}
 		progress.Report(ctx)
-		if f.lastMessage.Set(monotime.Now()) {
+		now := monotime.Now()
+		f.heardAt.Set(now)
+		if f.lastMessage.Set(now) {
 			f.Log.Info("owner's inventory followed", "owner", holder)
 		}
 		f.OnStoreEra(update.StoreEra)
--- a/internal/noded/wire.go
+++ b/internal/noded/wire.go
@@ -59,6 +59,8 @@
 	n.follower.ConfigVersion = n.config.Version
 	n.follower.OnStoreEra = store.Eras().Learn
 	n.entries = inventory.NewEntries(store.Endpoints(), platform.DecodeEndpoint, n.inventory, s.EndpointHeartbeat, n.follower.Fresh, n.owns, log)
+	// What the owner has removed meanwhile, an older read of the store would bring back.
+	n.entries.Feed().Superseded = n.follower.HeardSince
 }
 
 // wireOwner sets up the owner of the engines.
