fleet: a large configuration as the owner is lost, over simulated links

Change: a test only. The owner is lost 0, 0.4 and 0.8 s after a version that adds 1,400 routes, while the store does not answer a third of the nodes.

--- a/internal/fleet/configsim_test.go
+++ b/internal/fleet/configsim_test.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,6 +190,8 @@
 	http   *http.Client
 	caller *StoreCaller
 	client *Client
+	// stop ends its server.
+	stop context.CancelFunc
 }
 
 // send makes a call to the store.
@@ -258,6 +261,8 @@
 	nodes []*simNode
 	// owner is the address of the node that owns the engines and announces versions, "" for none.
 	owner string
+	// lost means that the owner is lost.
+	lost atomic.Bool
 }
 
 // start starts a node.
@@ -269,7 +274,7 @@
 	n.client = &Client{Self: address, HTTP: n.http, Log: log, peers: others}
 	n.caller.SetFallback(n.client)
 	follows := f.owner != "" && f.owner != address
-	n.Follower = catalog.NewFollower(n, decodeSimRow, func() bool { return follows }, time.Second, log)
+	n.Follower = catalog.NewFollower(n, decodeSimRow, func() bool { return follows && !f.lost.Load() }, time.Second, log)
 	n.Feed().IsOwner = func() bool { return f.owner == address }
 	n.SetClock(f.store.now)
 	n.MaxAge = func() time.Duration { return configLimit }
@@ -290,10 +295,20 @@
 		n.OwnerNode = func() string { return f.owner }
 		f.follow(n)
 	}
-	f.serve(n.host, server.Handler())
+	n.stop = f.serve(n.host, server.Handler())
 	f.done.Go(func() { _ = n.Run(f.ctx) })
 }
 
+// loseOwner has the owner serve no node any more.
+func (f *simFleet) loseOwner() {
+	f.lost.Store(true)
+	last := len(f.nodes) - 1
+	f.nodes[last].stop()
+	for _, n := range f.nodes[:last] {
+		n.host.SetCut(f.owner, true)
+	}
+}
+
 // publisher streams to other nodes what a node knows, as the owner does.
 func (n *simNode) publisher() *Publisher {
 	return &Publisher{
--- a/internal/fleet/largeconfig_test.go
+++ b/internal/fleet/largeconfig_test.go
@@ -79,6 +79,30 @@
 	}
 }
 
+// TestLargeConfigurationAsOwnerIsLost guards against nodes that wait for an owner which is lost while they fetch
+// a large configuration from it, and for a store that does not answer them.
+func TestLargeConfigurationAsOwnerIsLost(t *testing.T) {
+	for _, nodes := range []int{6, 9, 84} {
+		for _, after := range []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d nodes, %v after the version", nodes, after), func(t *testing.T) {
+				r := configDay{nodes: nodes, owned: true, length: 12 * time.Second, play: func(ctx context.Context, f *simFleet) {
+					f.store.add(manyRoutes)
+					pause.For(ctx, 3*time.Second)
+					others := f.nodes[:len(f.nodes)-1]
+					f.store.setAway(others[len(others)-len(others)/3:])
+					f.store.add(manyRoutes)
+					pause.For(ctx, after)
+					f.loseOwner()
+					for pause.For(ctx, 2*time.Second) {
+						f.store.move()
+					}
+				}}.run(t)
+				r.requireInTime(t)
+			})
+		}
+	}
+}
+
 // TestLargeConfigurationFromSlowStore guards against nodes that never read a store whose answers take longer
 // than a read may, and that do not have the newest version soon after it is fast again.
 func TestLargeConfigurationFromSlowStore(t *testing.T) {
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -46,18 +47,26 @@
 
 // client returns a client for calls of a host to other nodes.
 func (s *simulation) client(host *linksim.Host) *http.Client {
-	simulated := func(httpclient.Dial) httpclient.Dial { return host.Dial }
+	simulated := func(httpclient.Dial) httpclient.Dial {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			return host.Dial(ctx, network, address)
+		}
+	}
 	client := httpclient.NewClient(httpclient.NewTransport(connectTimeout, userTimeout, simulated))
 	s.clients = append(s.clients, client)
 	return client
 }
 
-// serve serves a handler at a host.
-func (s *simulation) serve(host *linksim.Host, handler http.Handler) {
+// serve serves a handler at a host until stop is called.
+func (s *simulation) serve(host *linksim.Host, handler http.Handler) (stop context.CancelFunc) {
+	ctx, stop := context.WithCancel(s.ctx)
 	server := &http.Server{Handler: handler}
 	s.done.Go(func() { _ = server.Serve(host.Listener()) })
 	s.done.Go(func() {
-		<-s.ctx.Done()
+		<-ctx.Done()
 		_ = server.Close()
 	})
+	return stop
 }
